--- /dev/null
+++ b/packages/bench/burdockdeal_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments with real processes, and the demo."""
--- /dev/null
+++ b/packages/burdockdeal/burdockdeal/__init__.py
@@ -0,0 +1,1 @@
+"""A load balancer for servers whose load shifts in milliseconds."""
--- /dev/null
+++ b/packages/burdockdeal/burdockdeal/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Whether a call runs now, waits or is refused."""
--- /dev/null
+++ b/packages/burdockdeal/burdockdeal/announce/__init__.py
@@ -0,0 +1,1 @@
+"""The upstream beside this daemon: announce, heartbeat, drain."""
--- /dev/null
+++ b/packages/burdockdeal/burdockdeal/announce/decisions.py
@@ -0,0 +1,111 @@
+"""Decisions on the upstream's life, as a state table."""
+
+from collections import abc
+import dataclasses
+
+from burdockdeal.announce import messages
+from burdockdeal.announce import state
+
+#: Seconds between two heartbeats.
+HEARTBEAT_S = 0.5
+
+#: Seconds without a heartbeat after which an upstream gets no new calls.
+LEASE_S = 2.0
+
+Phase = state.Phase
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tick:
+    """Time has passed."""
+
+
+Event = messages.Announce | messages.Heartbeat | messages.Drain | Tick
+
+
+def _announce(
+    upstream: state.Upstream, event: messages.Announce, now: float
+) -> state.Upstream:
+    if event.incarnation < upstream.incarnation:
+        return upstream
+    if event.incarnation == upstream.incarnation:
+        phase = (
+            Phase.DRAINING
+            if upstream.phase is Phase.DRAINING
+            else Phase.SERVING
+        )
+        return dataclasses.replace(
+            upstream, phase=phase, announce=event, heard_at=now
+        )
+    return state.Upstream(
+        phase=Phase.SERVING, announce=event, heard_at=now, since=now
+    )
+
+
+def _beat(
+    upstream: state.Upstream, event: messages.Heartbeat, now: float
+) -> state.Upstream:
+    if event.incarnation != upstream.incarnation:
+        return upstream
+    leaving = event.draining or upstream.phase is Phase.DRAINING
+    return dataclasses.replace(
+        upstream,
+        phase=Phase.DRAINING if leaving else Phase.SERVING,
+        heard_at=now,
+        reported_in_flight=event.in_flight,
+        reported_healthy=event.healthy,
+    )
+
+
+def _drain(
+    upstream: state.Upstream, event: messages.Drain, now: float
+) -> state.Upstream:
+    if event.incarnation != upstream.incarnation:
+        return upstream
+    return dataclasses.replace(upstream, phase=Phase.DRAINING, heard_at=now)
+
+
+def _tick(upstream: state.Upstream, event: Tick, now: float) -> state.Upstream:
+    if now - upstream.heard_at <= LEASE_S or upstream.phase is Phase.ABSENT:
+        return upstream
+    return dataclasses.replace(upstream, phase=Phase.LAPSED)
+
+
+_TABLE: dict[type, abc.Callable[..., state.Upstream]] = {
+    messages.Announce: _announce,
+    messages.Heartbeat: _beat,
+    messages.Drain: _drain,
+    Tick: _tick,
+}
+
+
+def step(upstream: state.Upstream, event: Event, now: float) -> state.Upstream:
+    """Take an event into account.
+
+    :param now: monotonic time in seconds.
+    :returns: the upstream as it is known after the event; unchanged by a
+        message of another incarnation.
+    """
+    return _TABLE[type(event)](upstream, event, now)
+
+
+def may_start(upstream: state.Upstream, now: float) -> bool:
+    """Tell whether a new call may start on the upstream.
+
+    The lease is compared with the clock here and not left to a timer, so
+    that a daemon that was paused gives up before anything else runs.
+    """
+    return (
+        upstream.phase is Phase.SERVING and now - upstream.heard_at <= LEASE_S
+    )
+
+
+def ramp(upstream: state.Upstream, now: float) -> float:
+    """Tell which share of its slots a cold upstream may use.
+
+    :returns: a share from 0.1 to 1.
+    """
+    warm_up_s = upstream.announce.warm_up_s if upstream.announce else 0.0
+    if warm_up_s <= 0:
+        return 1.0
+    return min(1.0, max(0.1, (now - upstream.since) / warm_up_s))
--- /dev/null
+++ b/packages/burdockdeal/burdockdeal/announce/messages.py
@@ -0,0 +1,75 @@
+"""What the upstream tells the daemon beside it."""
+
+import dataclasses
+import typing
+
+import msgspec
+
+from burdockdeal.core import checking
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Announce:
+    """The upstream is ready for calls.
+
+    :param service: the service that it answers.
+    :param host: its IP number.
+    :param incarnation: grows with every start of the upstream.
+    :param slots: calls that it runs at once.
+    :param connections: connections that it takes.
+    :param warm_up_s: seconds over which its share of calls ramps up.
+    """
+
+    service: str
+    host: str
+    port: checking.Port
+    incarnation: checking.PositiveInt
+    slots: checking.PositiveInt = 9
+    connections: checking.PositiveInt = 200
+    warm_up_s: typing.Annotated[float, msgspec.Meta(ge=0)] = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """The upstream still lives, and what it says of its load.
+
+    :param in_flight: calls that it says it runs.
+    :param healthy: what it says of its health; a hint, never trusted.
+    :param draining: whether it wants no new calls.
+    """
+
+    incarnation: checking.PositiveInt
+    in_flight: checking.Count = 0
+    healthy: bool = True
+    draining: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Drain:
+    """The upstream wants no new calls."""
+
+    incarnation: checking.PositiveInt
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Accepted:
+    """The daemon's answer.
+
+    :param heartbeat_s: seconds between heartbeats.
+    :param lease_s: seconds without one after which it gets no new calls.
+    """
+
+    heartbeat_s: float
+    lease_s: float
+    in_flight: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """Why a message was refused.
+
+    :param incarnation: the incarnation that the daemon knows, 0 for none.
+    """
+
+    error: str
+    incarnation: int = 0
--- /dev/null
+++ b/packages/burdockdeal/burdockdeal/audit/__init__.py
@@ -0,0 +1,1 @@
+"""The trail of accepted, refused and superseded changes."""
--- /dev/null
+++ b/packages/burdockdeal/burdockdeal/bookings/__init__.py
@@ -0,0 +1,1 @@
+"""At most one run for calls that are not idempotent."""
--- /dev/null
+++ b/packages/burdockdeal/burdockdeal/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Resources: checking, the change log and their spread."""
--- /dev/null
+++ b/packages/burdockdeal/burdockdeal/configuration/state.py
@@ -0,0 +1,36 @@
+"""The state of the configuration."""
+
+from collections import abc
+import dataclasses
+import types
+
+from burdockdeal.configuration import resources as kinds
+
+
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class Key:
+    """Names a resource."""
+
+    kind: str
+    name: str
+
+    def __str__(self) -> str:
+        return f"{self.kind}/{self.name}"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Configuration:
+    """All resources as of one revision of the change log."""
+
+    revision: int = 0
+    resources: abc.Mapping[Key, kinds.Resource] = dataclasses.field(
+        default_factory=lambda: types.MappingProxyType({})
+    )
+
+    def of_kind(self, kind: str) -> tuple[kinds.Resource, ...]:
+        """List the resources of a kind, by name."""
+        return tuple(
+            self.resources[key]
+            for key in sorted(self.resources)
+            if key.kind == kind
+        )
--- /dev/null
+++ b/packages/burdockdeal/burdockdeal/core/__init__.py
@@ -0,0 +1,1 @@
+"""Types shared by every slice: verdicts, errors, calls and codecs."""
--- /dev/null
+++ b/packages/burdockdeal/burdockdeal/core/call.py
@@ -0,0 +1,97 @@
+"""One call on its way through the daemons."""
+
+import dataclasses
+
+#: Calls nested deeper than this are refused.
+MAX_DEPTH = 8
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Call:
+    """A caller's request as the daemons know it.
+
+    :param request_id: names the request in every process.
+    :param service: the service that is to answer.
+    :param rank: the rank of work.
+    :param deadline: monotonic time in seconds after which it must not run.
+    :param depth: how many calls it is nested in, 0 for a caller's own.
+    :param retry_tokens: how many more sends it may cause, at all layers.
+    :param idempotent: whether it may be run more than once.
+    :param idempotency_key: the caller's key, None without one.
+    """
+
+    request_id: str
+    service: str
+    rank: str
+    deadline: float
+    depth: int = 0
+    retry_tokens: int = 0
+    idempotent: bool = False
+    idempotency_key: str | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Envelope:
+    """A call as one daemon hands it to another, in one header.
+
+    The deadline travels as the time that is left, since the clocks of
+    two processes are not compared.
+
+    :param remaining_ms: milliseconds until the deadline.
+    :param instance: the instance that the entry chose.
+    :param incarnation: the upstream's incarnation that the entry knows.
+    :param attempt: 1 for the first send.
+    """
+
+    request_id: str
+    service: str
+    rank: str
+    remaining_ms: float
+    depth: int
+    retry_tokens: int
+    idempotent: bool
+    idempotency_key: str | None
+    instance: str
+    incarnation: int
+    attempt: int
+
+
+def seal(
+    call: Call, instance: str, incarnation: int, attempt: int, now: float
+) -> Envelope:
+    """Make the envelope for one send of a call.
+
+    :param now: monotonic time in seconds.
+    :returns: the envelope.
+    """
+    return Envelope(
+        request_id=call.request_id,
+        service=call.service,
+        rank=call.rank,
+        remaining_ms=round((call.deadline - now) * 1000, 3),
+        depth=call.depth,
+        retry_tokens=call.retry_tokens,
+        idempotent=call.idempotent,
+        idempotency_key=call.idempotency_key,
+        instance=instance,
+        incarnation=incarnation,
+        attempt=attempt,
+    )
+
+
+def unseal(envelope: Envelope, now: float) -> Call:
+    """Read the call out of an envelope.
+
+    :param now: monotonic time in seconds.
+    :returns: the call, its deadline on this process's clock.
+    """
+    return Call(
+        request_id=envelope.request_id,
+        service=envelope.service,
+        rank=envelope.rank,
+        deadline=now + envelope.remaining_ms / 1000,
+        depth=envelope.depth,
+        retry_tokens=envelope.retry_tokens,
+        idempotent=envelope.idempotent,
+        idempotency_key=envelope.idempotency_key,
+    )
--- /dev/null
+++ b/packages/burdockdeal/burdockdeal/core/headers.py
@@ -0,0 +1,47 @@
+"""Names of the HTTP headers that burdockdeal reads or writes."""
+
+REQUEST_ID = "Burdockdeal-Request-Id"
+VERDICT = "Burdockdeal-Verdict"
+REASON = "Burdockdeal-Reason"
+RANK = "Burdockdeal-Rank"
+DEADLINE_MS = "Burdockdeal-Deadline-Ms"
+DEPTH = "Burdockdeal-Depth"
+RETRY_TOKENS = "Burdockdeal-Retry-Tokens"
+IDEMPOTENCY_KEY = "Idempotency-Key"
+
+#: Between daemons only.
+ENVELOPE = "Burdockdeal-Envelope"
+REPORT = "Burdockdeal-Report"
+PEER_TOKEN = "Burdockdeal-Peer-Token"
+
+#: Headers that concern one connection only (RFC 9110, section 7.6.1).
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+#: Never passed on from a caller: they are burdockdeal's own.
+INTERNAL = frozenset(
+    name.lower()
+    for name in (
+        REQUEST_ID,
+        VERDICT,
+        REASON,
+        RANK,
+        DEADLINE_MS,
+        DEPTH,
+        RETRY_TOKENS,
+        ENVELOPE,
+        REPORT,
+        PEER_TOKEN,
+    )
+)
--- /dev/null
+++ b/packages/burdockdeal/burdockdeal/core/journal.py
@@ -0,0 +1,65 @@
+"""Structured logs: one line of key=value pairs an event."""
+
+import json
+import pathlib
+import traceback
+
+from absl import logging
+
+_TRACE_FRAMES = 4
+
+
+def _is_plain(char: str) -> bool:
+    return " " < char <= "~" and char not in '"='
+
+
+def _quote(value: object) -> str:
+    text = str(value)
+    if text and all(map(_is_plain, text)):
+        return text
+    return json.dumps(text)
+
+
+def format_event(event: str, **fields: object) -> str:
+    """Write an event as one line.
+
+    :param event: the event's name, in snake_case.
+    :param fields: what is known of it; None is left out.
+    :returns: the line, without its end.
+    """
+    pairs = [f"event={event}"]
+    pairs += [
+        f"{name}={_quote(value)}"
+        for name, value in fields.items()
+        if value is not None
+    ]
+    return " ".join(pairs)
+
+
+def trace(error: BaseException) -> str:
+    """Name where an error was raised, the innermost frames first.
+
+    :returns: up to four frames on one line.
+    """
+    frames = traceback.extract_tb(error.__traceback__)[-_TRACE_FRAMES:]
+    return " < ".join(
+        f"{pathlib.PurePath(frame.filename).name}:{frame.lineno}"
+        for frame in reversed(frames)
+    )
+
+
+def record(event: str, **fields: object) -> None:
+    """Log an event that an operator may want to know."""
+    if logging.level_info():
+        logging.info(format_event(event, **fields))
+
+
+def warn(event: str, **fields: object) -> None:
+    """Log an event that an operator should look at."""
+    logging.warning(format_event(event, **fields))
+
+
+def debug(event: str, **fields: object) -> None:
+    """Log an event that matters to developers only."""
+    if logging.level_debug():
+        logging.debug(format_event(event, **fields))
--- /dev/null
+++ b/packages/burdockdeal/burdockdeal/core/verdict.py
@@ -0,0 +1,69 @@
+"""The verdict on a request: whether it may have run."""
+
+import enum
+
+
+class Verdict(enum.StrEnum):
+    """Whether an upstream ran a request."""
+
+    NOT_RUN = "NOT_RUN"
+    RAN = "RAN"
+    MAY_HAVE_RUN = "MAY_HAVE_RUN"
+
+
+class Reason(enum.StrEnum):
+    """Why a request was answered by burdockdeal, not by an upstream."""
+
+    MALFORMED = "MALFORMED"
+    HEADER_TOO_LARGE = "HEADER_TOO_LARGE"
+    NO_RULE = "NO_RULE"
+    UNKNOWN_SERVICE = "UNKNOWN_SERVICE"
+    UNKNOWN_RANK = "UNKNOWN_RANK"
+    TOO_DEEP = "TOO_DEEP"
+    UNAUTHENTICATED = "UNAUTHENTICATED"
+    NOT_CONFIGURED = "NOT_CONFIGURED"
+    NO_INSTANCE = "NO_INSTANCE"
+    STALE_INSTANCE = "STALE_INSTANCE"
+    DRAINING = "DRAINING"
+    QUEUE_FULL = "QUEUE_FULL"
+    SHED = "SHED"
+    TARGET_MISSED = "TARGET_MISSED"
+    DEADLINE_PASSED = "DEADLINE_PASSED"
+    OVERLOADED = "OVERLOADED"
+    UNREACHABLE = "UNREACHABLE"
+    BROKEN_CONNECTION = "BROKEN_CONNECTION"
+    TIMED_OUT = "TIMED_OUT"
+    KEY_CONFLICT = "KEY_CONFLICT"
+    KEY_UNKNOWN = "KEY_UNKNOWN"
+    ANSWER_GONE = "ANSWER_GONE"
+    CALLER_GONE = "CALLER_GONE"
+    INTERNAL = "INTERNAL"
+
+
+#: The HTTP status that a caller sees for each reason.
+HTTP_STATUS: dict[Reason, int] = {
+    Reason.MALFORMED: 400,
+    Reason.HEADER_TOO_LARGE: 431,
+    Reason.NO_RULE: 404,
+    Reason.UNKNOWN_SERVICE: 404,
+    Reason.UNKNOWN_RANK: 400,
+    Reason.TOO_DEEP: 508,
+    Reason.UNAUTHENTICATED: 401,
+    Reason.NOT_CONFIGURED: 503,
+    Reason.NO_INSTANCE: 503,
+    Reason.STALE_INSTANCE: 503,
+    Reason.DRAINING: 503,
+    Reason.QUEUE_FULL: 503,
+    Reason.SHED: 503,
+    Reason.TARGET_MISSED: 503,
+    Reason.DEADLINE_PASSED: 504,
+    Reason.OVERLOADED: 503,
+    Reason.UNREACHABLE: 503,
+    Reason.BROKEN_CONNECTION: 502,
+    Reason.TIMED_OUT: 504,
+    Reason.KEY_CONFLICT: 422,
+    Reason.KEY_UNKNOWN: 409,
+    Reason.ANSWER_GONE: 409,
+    Reason.CALLER_GONE: 499,
+    Reason.INTERNAL: 500,
+}
--- /dev/null
+++ b/packages/burdockdeal/burdockdeal/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon's process: assembly and start."""
--- /dev/null
+++ b/packages/burdockdeal/burdockdeal/daemon/assembly.py
@@ -0,0 +1,373 @@
+"""Assembly of a daemon out of its slices."""
+
+from collections import abc
+import contextlib
+import random
+import secrets
+import time
+
+import aiohttp
+from aiohttp import web
+
+from burdockdeal.admission import gate
+from burdockdeal.announce import api as announce_api
+from burdockdeal.announce import decisions as announce
+from burdockdeal.audit import api as audit_api
+from burdockdeal.configuration import api as configuration_api
+from burdockdeal.configuration import resources
+from burdockdeal.configuration import service as configuration
+from burdockdeal.configuration import spread
+from burdockdeal.configuration import writer
+from burdockdeal.core import call
+from burdockdeal.core import codec
+from burdockdeal.core import headers
+from burdockdeal.daemon import messages
+from burdockdeal.daemon import metrics
+from burdockdeal.membership import decisions as membership_decisions
+from burdockdeal.membership import messages as membership
+from burdockdeal.membership import roster
+from burdockdeal.membership import service as membership_service
+from burdockdeal.platform import store
+from burdockdeal.routing import board
+from burdockdeal.routing import policies
+from burdockdeal.routing import state as routing
+from burdockdeal.serving import classify
+from burdockdeal.serving import entry
+from burdockdeal.serving import front
+from burdockdeal.serving import messages as serving
+from burdockdeal.serving import owner
+from burdockdeal.serving import peers
+from burdockdeal.serving import transfer
+from burdockdeal.settings import model
+
+_RELAYS_PER_DOMAIN = 2
+_OPEN_PATHS = frozenset({"/healthz", "/readyz", "/metrics"})
+
+
+def _wall_ms() -> int:
+    return time.time_ns() // 1_000_000
+
+
+class Parts:
+    """The parts of one daemon, made once and passed whole.
+
+    :param settings: the daemon's settings.
+    """
+
+    def __init__(self, settings: model.Settings) -> None:
+        self.settings = settings
+        self.clock = time.monotonic
+        self.chance = random.Random(settings.seed)
+        self.roster = roster.Roster(
+            membership.Member(
+                daemon=settings.daemon,
+                failure_domain=settings.failure_domain,
+                region=settings.region,
+                peer=settings.advertise or settings.listen.peer,
+                incarnation=_wall_ms(),
+            )
+        )
+        self.side = announce_api.Side(self.clock)
+        self.standing = configuration.Standing()
+        self.board = board.Board(settings.failure_domain, self.clock)
+        self.gate = gate.Gate(self.clock, self._slots, self._queue_limit)
+        self.snapshot: classify.Snapshot | None = None
+        self.side.on_change(self._declare_upstream)
+        self.standing.on_change(self._take_configuration)
+        self.roster.on_change(lambda: self.board.forget(self.roster.members))
+
+    def _slots(self) -> int:
+        upstream = self.side.upstream
+        if upstream.announce is None:
+            return 0
+        share = announce.ramp(upstream, self.clock())
+        return max(1, round(upstream.announce.slots * share))
+
+    def _queue_limit(self) -> int:
+        service = self.roster.own.service
+        if self.snapshot and service in self.snapshot.services:
+            return self.snapshot.services[service].queue_limit
+        return resources.Service().queue_limit
+
+    def _declare_upstream(self) -> None:
+        upstream = self.side.upstream
+        announced = upstream.announce
+        self.roster.declare(
+            service=announced.service if announced else "",
+            phase=upstream.phase,
+            upstream_incarnation=upstream.incarnation,
+            slots=announced.slots if announced else 0,
+        )
+
+    def _take_configuration(self) -> None:
+        self.snapshot = classify.build_snapshot(self.standing.configuration)
+
+    def is_relay(self) -> bool:
+        """Tell whether this daemon watches the store for its domain."""
+        domain = self.settings.failure_domain
+        relays = membership_decisions.choose_relays(
+            self.roster.members, domain, _RELAYS_PER_DOMAIN
+        )
+        return self.settings.daemon in relays
+
+    def load(self) -> routing.Report:
+        """Tell the load beside this daemon, as put on each answer."""
+        return routing.Report(
+            self.gate.running, self.gate.waiting, self._slots()
+        )
+
+    def missing(self) -> tuple[str, ...]:
+        """Tell what the daemon waits for before it can serve."""
+        return () if self.snapshot else ("configuration",)
+
+
+def _make_choose(parts: Parts) -> entry.Choose:
+    policy = policies.POLICIES[parts.settings.policy](parts.chance)
+
+    def choose(
+        work: call.Call, tried: frozenset[str]
+    ) -> membership.Member | None:
+        views = [
+            parts.board.view(member)
+            for member in parts.roster.serving(work.service)
+            if member.daemon not in tried
+        ]
+        return policy(views).member if views else None
+
+    return choose
+
+
+def _make_open_answer(
+    parts: Parts, local: serving.OpenAnswer, remote: serving.OpenAnswer
+) -> serving.OpenAnswer:
+    def open_answer(
+        send: serving.Send,
+    ) -> contextlib.AbstractAsyncContextManager[serving.Answer]:
+        own = send.daemon == parts.settings.daemon
+        return (local if own else remote)(send)
+
+    return open_answer
+
+
+def _make_peer_dispatch(
+    parts: Parts,
+    handle_call: front.Handler,
+    follower: configuration.Follower,
+    members: membership_service.Membership,
+) -> front.Handler:
+    table = {
+        "/v1/peer/exchange": members.handle_exchange,
+        "/v1/peer/changes": follower.handle_changes,
+        "/v1/peer/applied": follower.handle_applied,
+    }
+    token = parts.settings.peer_token.encode()
+
+    async def dispatch(request: web.BaseRequest) -> web.StreamResponse:
+        given = request.headers.get(headers.PEER_TOKEN, "").encode()
+        if not secrets.compare_digest(given, token):
+            return web.Response(status=401)
+        if headers.ENVELOPE in request.headers:
+            return await handle_call(request)
+        control = table.get(request.path)
+        if control is None:
+            return web.Response(status=404)
+        return await control(request)
+
+    return dispatch
+
+
+def _build_operator_app(
+    parts: Parts,
+    platform: store.Store,
+    append: writer.Append,
+    ask_domains: spread.AskDomains,
+    told: metrics.Metrics,
+) -> web.Application:
+    def reply(message: object, status: int = 200) -> web.Response:
+        return web.Response(
+            body=codec.encode(message),
+            status=status,
+            content_type="application/json",
+        )
+
+    async def healthz(request: web.Request) -> web.Response:
+        return web.Response(text="ok\n")
+
+    async def readyz(request: web.Request) -> web.Response:
+        missing = parts.missing()
+        status = 503 if missing else 200
+        return reply(messages.Ready(not missing, missing), status)
+
+    async def status(request: web.Request) -> web.Response:
+        return reply(
+            messages.Fleet(
+                daemon=parts.settings.daemon,
+                revision=parts.standing.revision,
+                store_calls=platform.calls,
+                domains=await ask_domains(),
+                members=parts.roster.members,
+            )
+        )
+
+    guard = configuration_api.make_guard(parts.settings.operators, _OPEN_PATHS)
+    app = web.Application(
+        middlewares=[guard],
+        client_max_size=configuration_api.RESOURCE_LIMIT_BYTES,
+    )
+    app.router.add_get("/healthz", healthz)
+    app.router.add_get("/readyz", readyz)
+    app.router.add_get("/metrics", told.handle)
+    app.router.add_get("/v1/status", status)
+    configuration_api.add_routes(app, parts.standing, append, ask_domains)
+    audit_api.add_routes(app, parts.standing)
+    return app
+
+
+async def _listen(
+    stack: contextlib.AsyncExitStack,
+    runner: web.BaseRunner,
+    address: model.Address,
+) -> None:
+    await runner.setup()
+    stack.push_async_callback(runner.cleanup)
+    await web.TCPSite(runner, address.host, address.port).start()
+
+
+def _make_gauges(
+    parts: Parts, platform: store.Store
+) -> tuple[metrics.Gauge, ...]:
+    return (
+        metrics.Gauge(
+            "burdockdeal_in_flight",
+            "Calls in flight to the upstream.",
+            lambda: parts.gate.running,
+        ),
+        metrics.Gauge(
+            "burdockdeal_waiting",
+            "Calls that wait at the gate.",
+            lambda: parts.gate.waiting,
+        ),
+        metrics.Gauge(
+            "burdockdeal_members",
+            "Daemons that are known and not believed gone.",
+            lambda: len(parts.roster.peers) + 1,
+        ),
+        metrics.Gauge(
+            "burdockdeal_configuration_revision",
+            "The revision of the configuration in force here.",
+            lambda: parts.standing.revision,
+        ),
+        metrics.Gauge(
+            "burdockdeal_store_calls_total",
+            "Calls to the platform's store since the start.",
+            lambda: platform.calls,
+        ),
+    )
+
+
+@contextlib.asynccontextmanager
+async def run_daemon(settings: model.Settings) -> abc.AsyncIterator[Parts]:
+    """Run a daemon while the block runs.
+
+    :param settings: the daemon's settings.
+    """
+    parts = Parts(settings)
+    limits = settings.limits
+    local_addr = (settings.listen.peer.host, 0)
+    async with contextlib.AsyncExitStack() as stack:
+        platform = await stack.enter_async_context(store.Store(settings.store))
+        session = await stack.enter_async_context(
+            transfer.build_session(limits.header_bytes, local_addr)
+        )
+        control = await stack.enter_async_context(
+            aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(limit=0, local_addr=local_addr),
+                cookie_jar=aiohttp.DummyCookieJar(),
+            )
+        )
+        follower = configuration.Follower(
+            settings,
+            parts.standing,
+            platform,
+            control,
+            is_relay=parts.is_relay,
+        )
+        members = membership_service.Membership(
+            settings,
+            parts.roster,
+            platform,
+            control,
+            parts.chance,
+            revision=lambda: parts.standing.revision,
+            on_newer=follower.pull_from,
+        )
+        told = metrics.Metrics(_make_gauges(parts, platform))
+        local = owner.make_owner(
+            parts.side,
+            parts.gate,
+            session,
+            lambda: parts.snapshot,
+            parts.clock,
+        )
+        remote = peers.make_peer_opener(
+            session, settings.peer_token, parts.clock, parts.board.note_report
+        )
+        handle_call = owner.make_peer_handler(
+            local,
+            parts.load,
+            parts.clock,
+            settings.listen.peer,
+            limits.replay_bytes,
+        )
+        handle_entry = entry.make_entry(
+            snapshot=lambda: parts.snapshot,
+            choose=_make_choose(parts),
+            open_answer=_make_open_answer(parts, local, remote),
+            tallies=parts.board,
+            new_id=lambda: secrets.token_hex(8),
+            clock=parts.clock,
+            count=told.count,
+            replay_bytes=limits.replay_bytes,
+        )
+        append = writer.make_append(
+            platform,
+            follower,
+            parts.standing,
+            lambda: secrets.token_hex(8),
+            _wall_ms,
+        )
+        ask_domains = spread.make_ask_domains(
+            lambda: parts.roster.members, control, settings.peer_token
+        )
+        operator_app = _build_operator_app(
+            parts, platform, append, ask_domains, told
+        )
+        upstream_app = announce_api.build_app(
+            parts.side, lambda: parts.gate.running
+        )
+        dispatch = _make_peer_dispatch(parts, handle_call, follower, members)
+
+        def serve(handler: front.Handler) -> web.ServerRunner:
+            return web.ServerRunner(
+                front.Front(
+                    handler,
+                    header_bytes=limits.header_bytes,
+                    idle_s=limits.caller_idle_s,
+                )
+            )
+
+        await _listen(
+            stack,
+            web.AppRunner(operator_app, access_log=None),
+            settings.listen.operator,
+        )
+        await _listen(
+            stack,
+            web.AppRunner(upstream_app, access_log=None),
+            settings.listen.upstream,
+        )
+        await _listen(stack, serve(dispatch), settings.listen.peer)
+        await _listen(stack, serve(handle_entry), settings.listen.caller)
+        await stack.enter_async_context(follower)
+        await stack.enter_async_context(members)
+        yield parts
--- /dev/null
+++ b/packages/burdockdeal/burdockdeal/daemon/main.py
@@ -0,0 +1,77 @@
+"""The daemon's command."""
+
+import asyncio
+import gc
+import os
+import signal
+import sys
+
+from absl import logging
+import fire
+
+from burdockdeal.announce import decisions as announce
+from burdockdeal.core import errors
+from burdockdeal.core import journal
+from burdockdeal.daemon import assembly
+from burdockdeal.settings import loader
+from burdockdeal.settings import model
+
+_TICK_S = 0.1
+
+EXIT_OK = 0
+EXIT_SETTINGS = 2
+
+
+async def _serve(settings: model.Settings) -> None:
+    loop = asyncio.get_running_loop()
+    stopping = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    async with assembly.run_daemon(settings) as parts:
+        journal.record(
+            "daemon_started",
+            daemon=settings.daemon,
+            failure_domain=settings.failure_domain,
+            caller=settings.listen.caller,
+        )
+        gc.collect()
+        gc.freeze()
+        while not stopping.is_set():
+            parts.side.take(announce.Tick())
+            try:
+                await asyncio.wait_for(stopping.wait(), _TICK_S)
+            except TimeoutError:
+                continue
+    journal.record("daemon_stopped", daemon=settings.daemon)
+
+
+def serve(settings: str, *, verbose: bool = False) -> int:
+    """Run the daemon beside one upstream until SIGTERM.
+
+    :param settings: the settings file, JSON with comments.
+    :param verbose: log every request, not only the refused ones.
+    """
+    logging.use_absl_handler()
+    logging.set_verbosity(logging.DEBUG if verbose else logging.INFO)
+    try:
+        checked = loader.load(settings)
+    except errors.SettingsError as error:
+        for fault in error.faults:
+            print(f"{error.subject}: {fault}", file=sys.stderr)
+        return EXIT_SETTINGS
+    # libuv must not use io_uring, which the machines rule out.
+    os.environ["UV_USE_IO_URING"] = "0"
+    import uvloop
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(_serve(checked))
+    return EXIT_OK
+
+
+def run() -> None:
+    """Run the command."""
+    sys.exit(fire.Fire(serve, name="burdockdeald", serialize=lambda _: None))
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/packages/burdockdeal/burdockdeal/daemon/metrics.py
@@ -0,0 +1,56 @@
+"""The daemon's metrics."""
+
+from collections import abc
+import dataclasses
+
+from aiohttp import web
+import aioprometheus
+from aioprometheus import renderer
+
+from burdockdeal.core import verdict
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Gauge:
+    """A number that is read when metrics are asked for."""
+
+    name: str
+    doc: str
+    read: abc.Callable[[], float]
+
+
+class Metrics:
+    """Holds the registry of one daemon.
+
+    :param gauges: numbers read at each scrape.
+    """
+
+    def __init__(self, gauges: tuple[Gauge, ...]) -> None:
+        self._registry = aioprometheus.Registry()
+        self._requests = aioprometheus.Counter(
+            "burdockdeal_requests_total",
+            "Requests that ended, by rank and verdict.",
+            registry=self._registry,
+        )
+        self._gauges = tuple(
+            (
+                gauge,
+                aioprometheus.Gauge(
+                    gauge.name, gauge.doc, registry=self._registry
+                ),
+            )
+            for gauge in gauges
+        )
+
+    def count(self, rank: str, outcome: verdict.Verdict) -> None:
+        """Count a request that ended."""
+        self._requests.inc({"rank": rank, "verdict": outcome.value})
+
+    async def handle(self, request: web.Request) -> web.Response:
+        """Answer a scrape."""
+        for gauge, metric in self._gauges:
+            metric.set({}, gauge.read())
+        content, extra = renderer.render(
+            self._registry, request.headers.getall("Accept", [])
+        )
+        return web.Response(body=content, headers=extra)
--- /dev/null
+++ b/packages/burdockdeal/burdockdeal/measurement/__init__.py
@@ -0,0 +1,1 @@
+"""Probes of instances within the operator's budget."""
--- /dev/null
+++ b/packages/burdockdeal/burdockdeal/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which daemons live, where, and which upstream each serves."""
--- /dev/null
+++ b/packages/burdockdeal/burdockdeal/membership/roster.py
@@ -0,0 +1,102 @@
+"""The roster: what this daemon believes of all daemons."""
+
+from collections import abc
+import dataclasses
+
+from burdockdeal.announce import state as announce_state
+from burdockdeal.core import journal
+from burdockdeal.membership import decisions
+from burdockdeal.membership import messages
+
+
+class Roster:
+    """Holds the records of all daemons, its own first.
+
+    :param own: this daemon's record.
+    """
+
+    def __init__(self, own: messages.Member) -> None:
+        self.own = own
+        self._members = {own.daemon: own}
+        self._listeners: list[abc.Callable[[], None]] = []
+
+    @property
+    def members(self) -> tuple[messages.Member, ...]:
+        """Every daemon that is known, whatever its health."""
+        return tuple(self._members.values())
+
+    @property
+    def peers(self) -> tuple[messages.Member, ...]:
+        """The other daemons that are not believed gone."""
+        gone = (messages.Health.DEAD, messages.Health.LEFT)
+        return tuple(
+            member
+            for member in self._members.values()
+            if member.daemon != self.own.daemon and member.health not in gone
+        )
+
+    def find(self, daemon: str) -> messages.Member | None:
+        """Find a daemon's record."""
+        return self._members.get(daemon)
+
+    def on_change(self, listener: abc.Callable[[], None]) -> None:
+        """Call a function whenever a record changes."""
+        self._listeners.append(listener)
+
+    def hear(self, members: abc.Iterable[messages.Member]) -> None:
+        """Take in records that another daemon sent."""
+        changed = False
+        for heard in members:
+            if heard.daemon == self.own.daemon:
+                changed |= self._refute(heard)
+                continue
+            known = self._members.get(heard.daemon)
+            stands = decisions.merge(known, heard)
+            if stands is not known:
+                self._members[heard.daemon] = stands
+                self._log(known, stands)
+                changed = True
+        if changed:
+            self._notify()
+
+    def declare(self, **fields: object) -> None:
+        """Change this daemon's own record and make it the newest."""
+        serial = self.own.serial + 1
+        self.own = dataclasses.replace(self.own, serial=serial, **fields)
+        self._members[self.own.daemon] = self.own
+        self._notify()
+
+    def serving(self, service: str) -> tuple[messages.Member, ...]:
+        """List the daemons whose upstream serves a service."""
+        return tuple(
+            member
+            for member in self._members.values()
+            if member.service == service
+            and member.phase is announce_state.Phase.SERVING
+            and member.health
+            in (messages.Health.ALIVE, messages.Health.SUSPECT)
+        )
+
+    def _refute(self, heard: messages.Member) -> bool:
+        own = decisions.refute(self.own, heard)
+        if own is self.own:
+            return False
+        self.own = own
+        self._members[own.daemon] = own
+        journal.warn("member_refuted", heard=heard.health, serial=own.serial)
+        return True
+
+    def _log(
+        self, known: messages.Member | None, stands: messages.Member
+    ) -> None:
+        if known is None or known.health is not stands.health:
+            journal.record(
+                "member_health",
+                daemon=stands.daemon,
+                health=stands.health,
+                failure_domain=stands.failure_domain,
+            )
+
+    def _notify(self) -> None:
+        for listener in self._listeners:
+            listener()
--- /dev/null
+++ b/packages/burdockdeal/burdockdeal/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The client of the platform's key-value store."""
--- /dev/null
+++ b/packages/burdockdeal/burdockdeal/retry/__init__.py
@@ -0,0 +1,1 @@
+"""Whether a call is sent again, hedged or given up."""
--- /dev/null
+++ b/packages/burdockdeal/burdockdeal/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Which instance a call is sent to."""
--- /dev/null
+++ b/packages/burdockdeal/burdockdeal/serving/__init__.py
@@ -0,0 +1,1 @@
+"""The path of one request: entry, owner and transfer."""
--- /dev/null
+++ b/packages/burdockdeal/burdockdeal/serving/entry.py
@@ -0,0 +1,135 @@
+"""The entry: takes a caller's request and sees it answered."""
+
+import asyncio
+from collections import abc
+import contextlib
+
+from aiohttp import web
+
+from burdockdeal.core import call
+from burdockdeal.core import errors
+from burdockdeal.core import headers
+from burdockdeal.core import journal
+from burdockdeal.core import verdict
+from burdockdeal.membership import messages as membership
+from burdockdeal.retry import decisions as retry
+from burdockdeal.routing import board
+from burdockdeal.serving import bodies
+from burdockdeal.serving import classify
+from burdockdeal.serving import messages
+from burdockdeal.serving import refusals
+from burdockdeal.serving import transfer
+
+#: Choose an instance for a call, not among those tried.
+Choose = abc.Callable[[call.Call, frozenset[str]], membership.Member | None]
+
+#: Count an outcome: rank and verdict.
+Count = abc.Callable[[str, verdict.Verdict], None]
+
+
+def make_entry(
+    *,
+    snapshot: abc.Callable[[], classify.Snapshot | None],
+    choose: Choose,
+    open_answer: messages.OpenAnswer,
+    tallies: board.Board,
+    new_id: abc.Callable[[], str],
+    clock: abc.Callable[[], float],
+    count: Count,
+    replay_bytes: int,
+) -> abc.Callable[[web.BaseRequest], abc.Awaitable[web.StreamResponse]]:
+    """Make the handler of callers' requests."""
+
+    @contextlib.asynccontextmanager
+    async def watch_send(
+        send: messages.Send,
+    ) -> abc.AsyncIterator[messages.Answer]:
+        started = clock()
+        tallies.note_sent(send.daemon, send.incarnation)
+        try:
+            async with open_answer(send) as answer:
+                tallies.note_answer(
+                    send.daemon, send.incarnation, clock() - started
+                )
+                yield answer
+        finally:
+            tallies.note_done(send.daemon, send.incarnation)
+
+    async def answer_call(
+        request: web.BaseRequest, work: call.Call
+    ) -> web.StreamResponse:
+        outbound = messages.Outbound(
+            method=request.method,
+            target=request.raw_path,
+            headers=transfer.keep_end_to_end(request.headers),
+            body=await bodies.take_body(request, replay_bytes),
+        )
+        added = {
+            headers.VERDICT: verdict.Verdict.RAN.value,
+            headers.REQUEST_ID: work.request_id,
+        }
+        tried: frozenset[str] = frozenset()
+        while True:
+            member = choose(work, tried)
+            if member is None:
+                raise errors.NotRunError(verdict.Reason.NO_INSTANCE)
+            tried |= {member.daemon}
+            send = messages.Send(
+                request=work,
+                outbound=outbound,
+                daemon=member.daemon,
+                peer=member.peer,
+                incarnation=member.upstream_incarnation,
+                attempt=len(tried),
+            )
+            try:
+                async with watch_send(send) as answer:
+                    return await transfer.pass_on(
+                        request, answer.response, added
+                    )
+            except errors.CallError as error:
+                if not retry.may_resend(
+                    work,
+                    error.outcome,
+                    attempt=len(tried),
+                    replayable=outbound.body.replayable,
+                    now=clock(),
+                ):
+                    raise
+
+    async def handle(request: web.BaseRequest) -> web.StreamResponse:
+        request_id = new_id()
+        rank = ""
+        try:
+            standing = snapshot()
+            if standing is None:
+                raise errors.NotRunError(verdict.Reason.NOT_CONFIGURED)
+            work = classify.classify(
+                standing,
+                request.method,
+                request.path,
+                request.headers,
+                request_id=request_id,
+                now=clock(),
+            )
+            rank = work.rank
+            answer = await answer_call(request, work)
+            count(rank, verdict.Verdict.RAN)
+            journal.debug("request_answered", request_id=request_id, rank=rank)
+            return answer
+        except errors.CallError as error:
+            count(rank, error.outcome)
+            journal.record(
+                "request_refused",
+                request_id=request_id,
+                rank=rank,
+                verdict=error.outcome,
+                reason=error.reason,
+                detail=error.detail,
+            )
+            return refusals.build_refusal(error, request_id)
+        except asyncio.CancelledError:
+            journal.record("caller_gone", request_id=request_id, rank=rank)
+            raise
+
+    return handle
--- /dev/null
+++ b/packages/burdockdeal/burdockdeal/serving/front.py
@@ -0,0 +1,72 @@
+"""HTTP servers whose every answer of their own carries a verdict."""
+
+from collections import abc
+import http
+
+from aiohttp import http_exceptions
+from aiohttp import web
+from aiohttp import web_protocol
+
+from burdockdeal.core import errors
+from burdockdeal.core import journal
+from burdockdeal.core import verdict
+from burdockdeal.serving import refusals
+
+Handler = abc.Callable[[web.BaseRequest], abc.Awaitable[web.StreamResponse]]
+
+
+def _explain(exc: BaseException | None, status: int) -> errors.CallError:
+    if isinstance(exc, http_exceptions.LineTooLong):
+        return errors.NotRunError(verdict.Reason.HEADER_TOO_LARGE)
+    if status < http.HTTPStatus.INTERNAL_SERVER_ERROR:
+        return errors.NotRunError(verdict.Reason.MALFORMED)
+    return errors.MayHaveRunError(verdict.Reason.INTERNAL)
+
+
+class _Protocol(web_protocol.RequestHandler):
+    """Answers what could not be handled with a verdict."""
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        error = _explain(exc, status)
+        journal.warn(
+            "request_failed",
+            reason=error.reason,
+            error=repr(exc) if exc else message,
+            where=journal.trace(exc) if exc else None,
+        )
+        if request.writer.output_size > 0:
+            raise ConnectionError("an answer had begun")
+        response = refusals.build_refusal(error, "")
+        response.force_close()
+        return response
+
+
+class Front(web.Server):
+    """A low-level server for the path of requests.
+
+    :param handler: answers each request.
+    :param header_bytes: the largest line or field that is taken.
+    :param idle_s: seconds that an idle connection is kept.
+    """
+
+    def __init__(
+        self, handler: Handler, *, header_bytes: int, idle_s: float
+    ) -> None:
+        super().__init__(handler, handler_cancellation=True)
+        self._options = {
+            "access_log": None,
+            "auto_decompress": False,
+            "keepalive_timeout": idle_s,
+            "max_line_size": header_bytes,
+            "max_field_size": header_bytes,
+        }
+
+    def __call__(self) -> web_protocol.RequestHandler:
+        """Make the protocol of one connection."""
+        return _Protocol(self, loop=self._loop, **self._options)
--- /dev/null
+++ b/packages/burdockdeal/burdockdeal/serving/owner.py
@@ -0,0 +1,146 @@
+"""The owner: the only way into the upstream beside this daemon."""
+
+from collections import abc
+import contextlib
+
+import aiohttp
+from aiohttp import web
+
+from burdockdeal.admission import gate
+from burdockdeal.admission import state as admission
+from burdockdeal.announce import api as announce_api
+from burdockdeal.configuration import resources
+from burdockdeal.core import call
+from burdockdeal.core import codec
+from burdockdeal.core import errors
+from burdockdeal.core import headers
+from burdockdeal.core import verdict
+from burdockdeal.routing import state as routing
+from burdockdeal.serving import bodies
+from burdockdeal.serving import classify
+from burdockdeal.serving import messages
+from burdockdeal.serving import transfer
+from burdockdeal.settings import model
+
+Clock = abc.Callable[[], float]
+
+
+def _terms(snapshot: classify.Snapshot, rank: str) -> admission.RankTerms:
+    spec: resources.Rank | None = snapshot.ranks.get(rank)
+    if spec is None:
+        raise errors.NotRunError(verdict.Reason.UNKNOWN_RANK)
+    return admission.RankTerms(
+        name=rank,
+        urgency=spec.urgency,
+        worth=spec.worth,
+        target_s=spec.target_ms / 1000,
+        floor=spec.floor,
+    )
+
+
+def _upstream_headers(request: call.Call, now: float) -> dict[str, str]:
+    return {
+        headers.REQUEST_ID: request.request_id,
+        headers.RANK: request.rank,
+        headers.DEADLINE_MS: f"{(request.deadline - now) * 1000:.0f}",
+        headers.DEPTH: str(request.depth + 1),
+        headers.RETRY_TOKENS: str(request.retry_tokens),
+    }
+
+
+def make_owner(
+    side: announce_api.Side,
+    slots: gate.Gate,
+    session: aiohttp.ClientSession,
+    snapshot: abc.Callable[[], classify.Snapshot | None],
+    clock: Clock,
+) -> messages.OpenAnswer:
+    """Make the function that opens answers of the upstream beside us.
+
+    :param snapshot: returns the configuration in force, None before one.
+    """
+
+    def check(send: messages.Send) -> None:
+        if not side.may_start():
+            raise errors.NotRunError(verdict.Reason.DRAINING)
+        if send.incarnation != side.upstream.incarnation:
+            raise errors.NotRunError(verdict.Reason.STALE_INSTANCE)
+
+    @contextlib.asynccontextmanager
+    async def open_answer(
+        send: messages.Send,
+    ) -> abc.AsyncIterator[messages.Answer]:
+        standing = snapshot()
+        if standing is None:
+            raise errors.NotRunError(verdict.Reason.NOT_CONFIGURED)
+        check(send)
+        terms = _terms(standing, send.request.rank)
+        async with slots.hold_slot(terms, send.request.deadline):
+            # The wait at the gate may have been long.
+            check(send)
+            now = clock()
+            announced = side.upstream.announce
+            async with transfer.open_response(
+                session,
+                f"http://{announced.host}:{announced.port}",
+                send.outbound,
+                _upstream_headers(send.request, now),
+                remaining_s=send.request.deadline - now,
+                expect=False,
+            ) as response:
+                yield messages.Answer(response)
+
+    return open_answer
+
+
+def make_peer_handler(
+    open_answer: messages.OpenAnswer,
+    load: abc.Callable[[], routing.Report],
+    clock: Clock,
+    own_peer: model.Address,
+    replay_bytes: int,
+) -> abc.Callable[[web.BaseRequest], abc.Awaitable[web.StreamResponse]]:
+    """Make the handler of calls that other daemons send to this one.
+
+    :param load: returns the load that is put on each answer.
+    """
+
+    def report(error: errors.CallError | None = None) -> str:
+        told = messages.OwnerReport(
+            verdict=error.outcome if error else verdict.Verdict.RAN,
+            load=load(),
+            reason=error.reason if error else None,
+            detail=error.detail if error else "",
+        )
+        return codec.encode(told).decode()
+
+    async def handle(request: web.BaseRequest) -> web.StreamResponse:
+        envelope = codec.decode(
+            request.headers[headers.ENVELOPE], call.Envelope
+        )
+        outbound = messages.Outbound(
+            method=request.method,
+            target=request.raw_path,
+            headers=transfer.keep_end_to_end(request.headers),
+            body=await bodies.take_body(request, replay_bytes),
+        )
+        send = messages.Send(
+            request=call.unseal(envelope, clock()),
+            outbound=outbound,
+            daemon=envelope.instance,
+            peer=own_peer,
+            incarnation=envelope.incarnation,
+            attempt=envelope.attempt,
+        )
+        try:
+            async with open_answer(send) as answer:
+                return await transfer.pass_on(
+                    request, answer.response, {headers.REPORT: report()}
+                )
+        except errors.CallError as error:
+            return web.Response(
+                status=verdict.HTTP_STATUS[error.reason],
+                headers={headers.REPORT: report(error)},
+            )
+
+    return handle
--- /dev/null
+++ b/packages/burdockdeal/burdockdeal/serving/peers.py
@@ -0,0 +1,79 @@
+"""Sending calls to the owners of other upstreams."""
+
+from collections import abc
+import contextlib
+
+import aiohttp
+
+from burdockdeal.core import call
+from burdockdeal.core import codec
+from burdockdeal.core import errors
+from burdockdeal.core import headers
+from burdockdeal.core import verdict
+from burdockdeal.routing import state as routing
+from burdockdeal.serving import messages
+from burdockdeal.serving import transfer
+
+_ERRORS: dict[verdict.Verdict, type[errors.CallError]] = {
+    verdict.Verdict.NOT_RUN: errors.NotRunError,
+    verdict.Verdict.MAY_HAVE_RUN: errors.MayHaveRunError,
+    verdict.Verdict.RAN: errors.RanError,
+}
+
+
+def _read_report(response: aiohttp.ClientResponse) -> messages.OwnerReport:
+    raw = response.headers.get(headers.REPORT)
+    if raw is None:
+        raise errors.MayHaveRunError(
+            verdict.Reason.BROKEN_CONNECTION, "the owner gave no verdict"
+        )
+    try:
+        return codec.decode(raw, messages.OwnerReport)
+    except codec.MalformedError as error:
+        raise errors.MayHaveRunError(
+            verdict.Reason.BROKEN_CONNECTION, str(error)
+        ) from error
+
+
+def make_peer_opener(
+    session: aiohttp.ClientSession,
+    peer_token: str,
+    clock: abc.Callable[[], float],
+    on_report: abc.Callable[[str, int, routing.Report], None],
+) -> messages.OpenAnswer:
+    """Make the function that opens answers through other daemons.
+
+    :param on_report: called with daemon, incarnation and load of each.
+    """
+
+    @contextlib.asynccontextmanager
+    async def open_answer(
+        send: messages.Send,
+    ) -> abc.AsyncIterator[messages.Answer]:
+        now = clock()
+        envelope = call.seal(
+            send.request,
+            send.daemon,
+            send.incarnation,
+            send.attempt,
+            now,
+        )
+        async with transfer.open_response(
+            session,
+            f"http://{send.peer}",
+            send.outbound,
+            {
+                headers.ENVELOPE: codec.encode(envelope).decode(),
+                headers.PEER_TOKEN: peer_token,
+            },
+            remaining_s=send.request.deadline - now,
+            expect=send.outbound.body.streamed,
+        ) as response:
+            told = _read_report(response)
+            on_report(send.daemon, send.incarnation, told.load)
+            if told.reason is not None:
+                await response.read()
+                raise _ERRORS[told.verdict](told.reason, told.detail)
+            yield messages.Answer(response)
+
+    return open_answer
--- /dev/null
+++ b/packages/burdockdeal/burdockdeal/serving/transfer.py
@@ -0,0 +1,164 @@
+"""Sending a request on and passing its answer back."""
+
+import asyncio
+from collections import abc
+import contextlib
+
+import aiohttp
+from aiohttp import web
+import multidict
+import yarl
+
+from burdockdeal.core import errors
+from burdockdeal.core import headers
+from burdockdeal.core import verdict
+from burdockdeal.serving import messages
+
+_CONNECT_TIMEOUT_S = 1.0
+_IDLE_CONNECTION_S = 60.0
+_UNWANTED_DEFAULTS = (
+    "Accept",
+    "Accept-Encoding",
+    "Content-Type",
+    "User-Agent",
+)
+
+
+def build_session(
+    header_bytes: int, local_addr: tuple[str, int] | None = None
+) -> aiohttp.ClientSession:
+    """Build a client session that passes requests on as they are.
+
+    :param header_bytes: the largest head of an answer that is taken.
+    :param local_addr: the address that connections are made from.
+    """
+    session = aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(
+            limit=0,
+            keepalive_timeout=_IDLE_CONNECTION_S,
+            use_dns_cache=False,
+            local_addr=local_addr,
+        ),
+        cookie_jar=aiohttp.DummyCookieJar(),
+        auto_decompress=False,
+        skip_auto_headers=_UNWANTED_DEFAULTS,
+        max_line_size=header_bytes,
+        max_field_size=header_bytes,
+        timeout=aiohttp.ClientTimeout(
+            total=None, sock_connect=_CONNECT_TIMEOUT_S
+        ),
+    )
+    # aiohttp sends GET, PUT and DELETE again by itself when a reused
+    # connection breaks; whether a call may run twice is decided in retry.
+    session._retry_connection = False
+    return session
+
+
+def keep_end_to_end(
+    given: abc.Mapping[str, str],
+) -> multidict.CIMultiDict[str]:
+    """Copy the headers that go to the other end (RFC 9110, 7.6.1)."""
+    listed = given.get("Connection", "")
+    named = {name.strip().lower() for name in listed.split(",")}
+    dropped = headers.HOP_BY_HOP | headers.INTERNAL | named
+    kept: multidict.CIMultiDict[str] = multidict.CIMultiDict()
+    for name, value in given.items():
+        if name.lower() not in dropped:
+            kept.add(name, value)
+    return kept
+
+
+@contextlib.asynccontextmanager
+async def open_response(
+    session: aiohttp.ClientSession,
+    base: str,
+    outbound: messages.Outbound,
+    added: abc.Mapping[str, str],
+    *,
+    remaining_s: float,
+    expect: bool,
+) -> abc.AsyncIterator[aiohttp.ClientResponse]:
+    """Send a request and wait for the head of its answer.
+
+    :param base: scheme, address and port.
+    :param added: headers for this hop.
+    :param remaining_s: seconds until the head must be there.
+    :param expect: ask for 100 Continue before the body is sent.
+    :raises NotRunError: if nothing was sent.
+    :raises MayHaveRunError: if something was sent and no head came back.
+    """
+    outgoing = outbound.headers.copy()
+    outgoing.popall("Expect", None)
+    outgoing.update(added)
+    try:
+        async with asyncio.timeout(remaining_s):
+            response = await session.request(
+                outbound.method,
+                yarl.URL(base + outbound.target, encoded=True),
+                headers=outgoing,
+                data=outbound.body.open(),
+                allow_redirects=False,
+                expect100=expect,
+            )
+    except (
+        aiohttp.ClientConnectorError,
+        aiohttp.ConnectionTimeoutError,
+    ) as error:
+        raise errors.NotRunError(
+            verdict.Reason.UNREACHABLE, str(error)
+        ) from error
+    except TimeoutError as error:
+        raise errors.MayHaveRunError(verdict.Reason.TIMED_OUT) from error
+    except (aiohttp.ClientError, OSError) as error:
+        raise errors.MayHaveRunError(
+            verdict.Reason.BROKEN_CONNECTION, repr(error)
+        ) from error
+    try:
+        yield response
+    finally:
+        # A response that was read to its end has given its connection
+        # back; closing ends any other, and with it the upstream's work.
+        response.close()
+
+
+class CutAnswerError(errors.BurdockdealError):
+    """An answer broke off after a part of it was passed on."""
+
+
+async def pass_on(
+    request: web.BaseRequest,
+    response: aiohttp.ClientResponse,
+    added: abc.Mapping[str, str],
+) -> web.StreamResponse:
+    """Pass an answer on as it comes.
+
+    :param added: headers of burdockdeal's own.
+    :returns: the response, finished.
+    :raises CutAnswerError: if the answer broke off; the connection to
+        the client is then cut too, so that it can't be taken for whole.
+    """
+    kept = keep_end_to_end(response.headers)
+    kept.update(added)
+    try:
+        first = await response.content.readany()
+        if first and response.content.at_eof():
+            kept.popall("Content-Length", None)
+            return web.Response(
+                status=response.status,
+                reason=response.reason,
+                headers=kept,
+                body=first,
+            )
+        passed = web.StreamResponse(
+            status=response.status, reason=response.reason, headers=kept
+        )
+        await passed.prepare(request)
+        while first:
+            await passed.write(first)
+            first = await response.content.readany()
+        await passed.write_eof()
+    except (aiohttp.ClientPayloadError, aiohttp.ClientOSError) as error:
+        if request.transport is not None:
+            request.transport.abort()
+        raise CutAnswerError(repr(error)) from error
+    return passed
--- /dev/null
+++ b/packages/burdockdeal/burdockdeal/settings/__init__.py
@@ -0,0 +1,1 @@
+"""A daemon's settings: their model, loading and checking."""
--- /dev/null
+++ b/packages/burdockdeal/burdockdeal/settings/model.py
@@ -0,0 +1,149 @@
+"""The model of a daemon's settings."""
+
+import dataclasses
+import ipaddress
+import typing
+
+import msgspec
+
+from burdockdeal.core import checking
+from burdockdeal.core import errors
+
+Secret = typing.Annotated[str, msgspec.Meta(min_length=16)]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Address:
+    """Where a process listens or is reached, by IP number."""
+
+    host: str
+    port: checking.Port
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Operator:
+    """An operator who may change the configuration."""
+
+    name: checking.Name
+    token: Secret
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Listen:
+    """The addresses that a daemon listens on.
+
+    :param caller: callers' requests.
+    :param peer: other daemons.
+    :param upstream: the upstream beside the daemon.
+    :param operator: the resource interface, metrics and health.
+    """
+
+    caller: Address
+    peer: Address
+    upstream: Address
+    operator: Address
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limits:
+    """Bounds on what a daemon holds."""
+
+    connections: checking.PositiveInt = 2000
+    header_bytes: checking.PositiveInt = 16384
+    replay_bytes: checking.PositiveInt = 65536
+    caller_idle_s: checking.Positive = 75.0
+    stop_s: checking.Positive = 30.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Membership:
+    """Pace of the membership protocol, in seconds."""
+
+    period_s: checking.Positive = 1.0
+    timeout_s: checking.Positive = 0.3
+    suspicion_s: checking.Positive = 3.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Settings:
+    """A daemon's settings, checked whole and passed whole.
+
+    :param daemon: the daemon's name, unique in the fleet.
+    :param failure_domain: where the daemon runs.
+    :param region: the region of the failure domain.
+    :param peer_token: shared by the fleet's daemons.
+    :param store: the platform's store.
+    :param peers: peers to try when the store is away.
+    :param advertise: where other daemons reach this one, if not at
+        listen.peer.
+    :param policy: the routing policy's name.
+    """
+
+    daemon: checking.Name
+    failure_domain: checking.Name
+    listen: Listen
+    store: Address
+    peer_token: Secret
+    operators: tuple[Operator, ...]
+    region: checking.Name = "local"
+    peers: tuple[Address, ...] = ()
+    advertise: Address | None = None
+    policy: str = "hot_cold"
+    seed: int | None = None
+    limits: Limits = Limits()
+    membership: Membership = Membership()
+
+
+def _is_ip(host: str) -> bool:
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return False
+    return True
+
+
+def _addresses(settings: Settings) -> dict[str, Address]:
+    listed = {
+        f"listen.{field.name}": getattr(settings.listen, field.name)
+        for field in dataclasses.fields(settings.listen)
+    }
+    listed["store"] = settings.store
+    if settings.advertise is not None:
+        listed["advertise"] = settings.advertise
+    for index, peer in enumerate(settings.peers):
+        listed[f"peers[{index}]"] = peer
+    return listed
+
+
+def find_faults(settings: Settings) -> tuple[errors.Fault, ...]:
+    """Find faults that show only when the settings are seen whole.
+
+    :returns: the faults, empty if the settings can be used.
+    """
+    faults = [
+        errors.Fault(f"{path}.host", "an IP number is expected, not a name")
+        for path, address in _addresses(settings).items()
+        if not _is_ip(address.host)
+    ]
+    seen: dict[Address, str] = {}
+    for field in dataclasses.fields(settings.listen):
+        address = getattr(settings.listen, field.name)
+        if address in seen:
+            faults.append(
+                errors.Fault(
+                    f"listen.{field.name}", f"is the same as {seen[address]}"
+                )
+            )
+        seen.setdefault(address, f"listen.{field.name}")
+    if not settings.operators:
+        faults.append(errors.Fault("operators", "at least one is needed"))
+    names = [operator.name for operator in settings.operators]
+    tokens = [operator.token for operator in settings.operators]
+    if len(set(names)) < len(names) or len(set(tokens)) < len(tokens):
+        faults.append(
+            errors.Fault("operators", "names and tokens must differ")
+        )
+    return tuple(faults)
--- /dev/null
+++ b/packages/burdockdeal/burdockdeal/shutdown/__init__.py
@@ -0,0 +1,1 @@
+"""Graceful stop of a daemon."""
--- /dev/null
+++ b/packages/operator/burdockdeal_operator/__init__.py
@@ -0,0 +1,1 @@
+"""The operator's command."""
--- /dev/null
+++ b/packages/standins/burdockdeal_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for what stands outside the product, for tests only."""
