Keep test ports clear of outgoing connections; share fixtures

Cause: a port probed in the ephemeral range can be taken by any outgoing connection before the daemon listens, which would make runs differ. Change: ports are counted through 10000 to 32000, from a start that depends on the process; fixtures stand at the root, for every slice. Conclusion: test runs in parallel no longer meet by chance.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 PACKAGES := $(wildcard packages/*/pyproject.toml)
-SOURCES := packages tests
+SOURCES := conftest.py packages tests
 
 .PHONY: install demo test lint format bench slopes
 
--- a/packages/standins/burdockdeal_standins/fleet.py
+++ b/packages/standins/burdockdeal_standins/fleet.py
@@ -4,6 +4,8 @@
 from collections import abc
 import contextlib
 import dataclasses
+import itertools
+import os
 import pathlib
 import socket
 import sys
@@ -23,13 +25,32 @@
 PEER_TOKEN = "peer-token-of-the-tests"
 START_S = 20.0
 _LOG_TAIL_CHARS = 2000
+_FIRST_PORT = 10_000
+_LAST_PORT = 32_000
+_PORTS_PER_PROCESS = 211
 
 
-def free_port() -> int:
+def _count_ports() -> abc.Iterator[int]:
+    """Count through ports below those that outgoing connections take."""
+    span = _LAST_PORT - _FIRST_PORT
+    first = os.getpid() * _PORTS_PER_PROCESS
+    for step in itertools.count():
+        yield _FIRST_PORT + (first + step) % span
+
+
+_PORTS = _count_ports()
+
+
+def free_port(host: str = HOST) -> int:
     """Find a port that no one listens on."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+    for port in _PORTS:
+        with socket.socket() as probe:
+            try:
+                probe.bind((host, port))
+            except OSError:
+                continue
+            return port
+    raise AssertionError("the ports never end")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
