Make the path of one request correct HTTP

Cause: the path was thin. Only the first Connection field was read; an answer that ends with its connection (HTTP/1.0, or without a length) was passed on as whole; a break before the first byte of a body cut the caller off without a verdict; a caller that closed only its sending side lost its answer; the peer port refused without a verdict; a call whose deadline had passed could still be written to a connection.

Change: each of these mended. Answers that can't be shown to be whole are refused (RAN, BROKEN_CONNECTION). A half-closed caller is kept and probed by an interim 100 Continue, so that one that went away is still noticed.

Conclusion: aiohttp drops trailers, which HTTP allows; kept so.

--- a/packages/burdockdeal/burdockdeal/daemon/assembly.py
+++ b/packages/burdockdeal/burdockdeal/daemon/assembly.py
@@ -20,7 +20,9 @@
 from burdockdeal.configuration import writer
 from burdockdeal.core import call
 from burdockdeal.core import codec
+from burdockdeal.core import errors
 from burdockdeal.core import headers
+from burdockdeal.core import verdict
 from burdockdeal.daemon import messages
 from burdockdeal.daemon import metrics
 from burdockdeal.membership import decisions as membership_decisions
@@ -165,12 +167,12 @@
     async def dispatch(request: web.BaseRequest) -> web.StreamResponse:
         given = request.headers.get(headers.PEER_TOKEN, "").encode()
         if not secrets.compare_digest(given, token):
-            return web.Response(status=401)
+            raise errors.NotRunError(verdict.Reason.UNAUTHENTICATED)
         if headers.ENVELOPE in request.headers:
             return await handle_call(request)
         control = table.get(request.path)
         if control is None:
-            return web.Response(status=404)
+            raise errors.NotRunError(verdict.Reason.NO_RULE)
         return await control(request)
 
     return dispatch
--- a/packages/burdockdeal/burdockdeal/serving/bodies.py
+++ b/packages/burdockdeal/burdockdeal/serving/bodies.py
@@ -4,13 +4,14 @@
 
 from aiohttp import web
 
-_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+#: The interim answer.
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
 async def invite_body(request: web.BaseRequest) -> None:
     """Send 100 Continue to a client that waits for it."""
     if request.headers.get("Expect", "").lower() == "100-continue":
-        await request.writer.write(_CONTINUE)
+        await request.writer.write(CONTINUE)
         request.writer.output_size = 0
 
 
--- a/packages/burdockdeal/burdockdeal/serving/front.py
+++ b/packages/burdockdeal/burdockdeal/serving/front.py
@@ -7,15 +7,24 @@
 from aiohttp import web
 from aiohttp import web_protocol
 
+from burdockdeal.core import codec
 from burdockdeal.core import errors
 from burdockdeal.core import journal
 from burdockdeal.core import verdict
+from burdockdeal.serving import half_open
 from burdockdeal.serving import refusals
+from burdockdeal.serving import transfer
 
 Handler = abc.Callable[[web.BaseRequest], abc.Awaitable[web.StreamResponse]]
 
 
 def _explain(exc: BaseException | None, status: int) -> errors.CallError:
+    if isinstance(exc, errors.CallError):
+        return exc
+    if isinstance(exc, codec.MalformedError):
+        return errors.NotRunError(verdict.Reason.MALFORMED, str(exc))
+    if isinstance(exc, transfer.CutAnswerError):
+        return errors.RanError(verdict.Reason.BROKEN_CONNECTION, str(exc))
     if isinstance(exc, http_exceptions.LineTooLong):
         return errors.NotRunError(verdict.Reason.HEADER_TOO_LARGE)
     if status < http.HTTPStatus.INTERNAL_SERVER_ERROR:
@@ -26,6 +35,13 @@
 class _Protocol(web_protocol.RequestHandler):
     """Answers what could not be handled with a verdict."""
 
+    def eof_received(self) -> bool:
+        """Keep a half-closed connection until its request is answered.
+
+        :returns: whether the transport stays open for writing.
+        """
+        return half_open.keep(self)
+
     def handle_error(
         self,
         request: web.BaseRequest,
--- a/packages/burdockdeal/burdockdeal/serving/transfer.py
+++ b/packages/burdockdeal/burdockdeal/serving/transfer.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import abc
 import contextlib
+import http
 
 import aiohttp
 from aiohttp import web
@@ -16,6 +17,9 @@
 
 _CONNECT_TIMEOUT_S = 1.0
 _IDLE_CONNECTION_S = 60.0
+_BODILESS = frozenset(
+    {http.HTTPStatus.NO_CONTENT, http.HTTPStatus.NOT_MODIFIED}
+)
 _UNWANTED_DEFAULTS = (
     "Accept",
     "Accept-Encoding",
@@ -55,11 +59,14 @@
 
 
 def keep_end_to_end(
-    given: abc.Mapping[str, str],
+    given: multidict.MultiMapping[str],
 ) -> multidict.CIMultiDict[str]:
     """Copy the headers that go to the other end (RFC 9110, 7.6.1)."""
-    listed = given.get("Connection", "")
-    named = {name.strip().lower() for name in listed.split(",")}
+    named = {
+        name.strip().lower()
+        for line in given.getall("Connection", ())
+        for name in line.split(",")
+    }
     dropped = headers.HOP_BY_HOP | headers.INTERNAL | named
     kept: multidict.CIMultiDict[str] = multidict.CIMultiDict()
     for name, value in given.items():
@@ -68,6 +75,25 @@
     return kept
 
 
+def _check_framing(response: aiohttp.ClientResponse, method: str) -> None:
+    """Refuse an answer of which it can't be told whether it is whole.
+
+    :raises RanError: if it ends with its connection, or switches protocols.
+    """
+    if response.status < http.HTTPStatus.OK:
+        detail = f"the answer's status is {response.status}"
+        raise errors.RanError(verdict.Reason.BROKEN_CONNECTION, detail)
+    framed = (
+        method == "HEAD"
+        or response.status in _BODILESS
+        or "Content-Length" in response.headers
+        or "chunked" in response.headers.get("Transfer-Encoding", "").lower()
+    )
+    if not framed:
+        detail = "the answer has neither a Content-Length nor chunks"
+        raise errors.RanError(verdict.Reason.BROKEN_CONNECTION, detail)
+
+
 @contextlib.asynccontextmanager
 async def open_response(
     session: aiohttp.ClientSession,
@@ -87,6 +113,8 @@
     :raises NotRunError: if nothing was sent.
     :raises MayHaveRunError: if something was sent and no head came back.
     """
+    if remaining_s <= 0:
+        raise errors.NotRunError(verdict.Reason.DEADLINE_PASSED)
     outgoing = outbound.headers.copy()
     outgoing.popall("Expect", None)
     outgoing.update(added)
@@ -114,6 +142,7 @@
             verdict.Reason.BROKEN_CONNECTION, repr(error)
         ) from error
     try:
+        _check_framing(response, outbound.method)
         yield response
     finally:
         # A response that was read to its end has given its connection
@@ -134,6 +163,7 @@
 
     :param added: headers of burdockdeal's own.
     :returns: the response, finished.
+    :raises RanError: if the answer broke off before any of it was passed on.
     :raises CutAnswerError: if the answer broke off; the connection to
         the client is then cut too, so that it can't be taken for whole.
     """
@@ -141,24 +171,30 @@
     kept.update(added)
     try:
         first = await response.content.readany()
-        if first and response.content.at_eof():
-            kept.popall("Content-Length", None)
-            return web.Response(
-                status=response.status,
-                reason=response.reason,
-                headers=kept,
-                body=first,
-            )
-        passed = web.StreamResponse(
-            status=response.status, reason=response.reason, headers=kept
+    except (aiohttp.ClientError, OSError) as error:
+        # Nothing was passed on yet, so the client can be told plainly.
+        raise errors.RanError(
+            verdict.Reason.BROKEN_CONNECTION, repr(error)
+        ) from error
+    if first and response.content.at_eof():
+        kept.popall("Content-Length", None)
+        return web.Response(
+            status=response.status,
+            reason=response.reason,
+            headers=kept,
+            body=first,
         )
-        await passed.prepare(request)
+    passed = web.StreamResponse(
+        status=response.status, reason=response.reason, headers=kept
+    )
+    await passed.prepare(request)
+    try:
         while first:
             await passed.write(first)
             first = await response.content.readany()
-        await passed.write_eof()
-    except (aiohttp.ClientPayloadError, aiohttp.ClientOSError) as error:
+    except (aiohttp.ClientError, OSError) as error:
         if request.transport is not None:
             request.transport.abort()
         raise CutAnswerError(repr(error)) from error
+    await passed.write_eof()
     return passed
--- /dev/null
+++ b/packages/standins/burdockdeal_standins/scripted.py
@@ -0,0 +1,91 @@
+"""An upstream that writes the very bytes it is told to, in this process."""
+
+import asyncio
+from collections import abc
+import contextlib
+import dataclasses
+
+from burdockdeal.announce import messages
+from burdockdeal_standins import upstream
+
+#: Answer one connection.
+Talk = abc.Callable[
+    [asyncio.StreamReader, asyncio.StreamWriter], abc.Awaitable[None]
+]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Head:
+    """The head of a request as it came.
+
+    :param lines: the fields, each as it was written.
+    """
+
+    first: str
+    lines: tuple[str, ...]
+
+    def values(self, name: str) -> list[str]:
+        """List the values of a field, in their order."""
+        pairs = [line.split(":", 1) for line in self.lines]
+        return [
+            value.strip()
+            for key, value in pairs
+            if key.lower() == name.lower()
+        ]
+
+
+async def read_head(reader: asyncio.StreamReader) -> Head:
+    """Read the head of a request or an answer.
+
+    :raises IncompleteReadError: if the connection ends first.
+    """
+    raw = await reader.readuntil(b"\r\n\r\n")
+    first, *lines = raw.decode("latin-1").strip().split("\r\n")
+    return Head(first, tuple(lines))
+
+
+class Scripted:
+    """An upstream whose every connection is handled by a function.
+
+    :param daemon: host and port of the daemon's upstream interface.
+    """
+
+    def __init__(self, service: str, daemon: str, port: int) -> None:
+        self.daemon = daemon
+        self.port = port
+        self.service = service
+        self.talk: Talk | None = None
+        self.connections = 0
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Handle a connection."""
+        self.connections += 1
+        assert self.talk is not None
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            await self.talk(reader, writer)
+        writer.close()
+
+
+@contextlib.asynccontextmanager
+async def run_scripted(
+    service: str, daemon: str, port: int, *, incarnation: int = 1
+) -> abc.AsyncIterator[Scripted]:
+    """Run a scripted upstream and announce it while the block runs."""
+    scripted = Scripted(service, daemon, port)
+    server = await asyncio.start_server(scripted.accept, "127.0.0.1", port)
+    announce = messages.Announce(
+        service=service,
+        host="127.0.0.1",
+        port=port,
+        incarnation=incarnation,
+    )
+    worker = upstream.Worker(announce, 1)
+    beating = asyncio.create_task(upstream.announce_forever(worker, daemon))
+    try:
+        yield scripted
+    finally:
+        beating.cancel()
+        server.close()
