--- /dev/null
+++ b/packages/operator/burdockdeal_operator/client.py
@@ -0,0 +1,107 @@
+"""The client of the operators' resource interface."""
+
+import asyncio
+from collections import abc
+import dataclasses
+import typing
+
+import aiohttp
+
+from burdockdeal.configuration import messages
+from burdockdeal.core import codec
+from burdockdeal.core import errors
+
+_TIMEOUT_S = 15.0
+
+T = typing.TypeVar("T")
+
+
+class RefusedError(errors.BurdockdealError):
+    """The interface refused a call.
+
+    :param status: the HTTP status.
+    :param problem: what it said.
+    """
+
+    def __init__(self, status: int, problem: messages.Problem) -> None:
+        self.status = status
+        self.problem = problem
+        super().__init__(problem.error)
+
+
+class UnreachableError(errors.BurdockdealError):
+    """The daemon could not be asked."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Target:
+    """The daemon to ask.
+
+    :param address: host:port of its operator interface.
+    :param token: the operator's token.
+    """
+
+    address: str
+    token: str
+
+
+def _read_problem(raw: bytes) -> messages.Problem:
+    try:
+        return codec.decode(raw, messages.Problem)
+    except codec.MalformedError:
+        return messages.Problem(raw.decode(errors="replace").strip()[:200])
+
+
+async def ask(
+    target: Target,
+    method: str,
+    path: str,
+    kind: type[T],
+    *,
+    body: object = None,
+    headers: abc.Mapping[str, str] | None = None,
+    timeout_s: float = _TIMEOUT_S,
+) -> T:
+    """Call the interface.
+
+    :param kind: the message that is expected.
+    :returns: the message.
+    :raises RefusedError: if the interface refused the call.
+    :raises UnreachableError: if there was no answer.
+    """
+    sent = {"Authorization": f"Bearer {target.token}", **(headers or {})}
+    try:
+        async with (
+            aiohttp.ClientSession() as session,
+            session.request(
+                method,
+                f"http://{target.address}{path}",
+                headers=sent,
+                data=None if body is None else codec.encode(body),
+                timeout=aiohttp.ClientTimeout(total=timeout_s),
+            ) as response,
+        ):
+            raw = await response.read()
+            status = response.status
+    except (aiohttp.ClientError, asyncio.TimeoutError, ValueError) as error:
+        detail = str(error) or type(error).__name__
+        raise UnreachableError(f"{target.address}: {detail}") from error
+    if status != 200:
+        raise RefusedError(status, _read_problem(raw))
+    try:
+        return codec.decode(raw, kind)
+    except codec.MalformedError as error:
+        raise UnreachableError(f"{target.address}: {error}") from error
+
+
+async def find_generation(target: Target, kind: str, name: str) -> int:
+    """Find the generation of a resource, 0 if there is none."""
+    try:
+        document = await ask(
+            target, "GET", f"/v1/resources/{kind}/{name}", messages.Document
+        )
+    except RefusedError as error:
+        if error.status == 404:
+            return 0
+        raise
+    return document.generation
