Run a booking at most once: fences, issued keys, claims

Cause: a send whose answer was lost was told MAY_HAVE_RUN though its owner knew better; a daemon that was frozen would run what had lain in its buffers; a resend with the same Idempotency-Key ran again.

Change: the envelope carries when it was sent on the owner's own clock (a lower bound learned from its answers), so that the time left counts from there. The owner keeps a ledger of sends that started; an entry that lost an answer has the send fenced over a new connection. Keys are issued ahead and pinned to one daemon, or a caller's own and claimed in the store once the call has its slot; the owner keeps the one run of a key and its answer.

Measured: tests/test_bookings.py, 17 tests with real processes.

Conclusion: a keyed call is told NOT_RUN only if no earlier send with the key is known to have started; with the store away that can't be told for a caller's own key, which is answered MAY_HAVE_RUN (CLAIM_UNAVAILABLE).

--- a/packages/burdockdeal/burdockdeal/core/call.py
+++ b/packages/burdockdeal/burdockdeal/core/call.py
@@ -41,6 +41,10 @@
     :param instance: the instance that the entry chose.
     :param incarnation: the upstream's incarnation that the entry knows.
     :param attempt: 1 for the first send.
+    :param daemon_incarnation: the receiving daemon's, as the sender knows
+        it.
+    :param sent_at: the receiver's clock when it was sent, in seconds, at
+        the least; None if the sender never heard that clock.
     """
 
     request_id: str
@@ -54,10 +58,19 @@
     instance: str
     incarnation: int
     attempt: int
+    daemon_incarnation: int = 0
+    sent_at: float | None = None
 
 
 def seal(
-    call: Call, instance: str, incarnation: int, attempt: int, now: float
+    call: Call,
+    instance: str,
+    incarnation: int,
+    attempt: int,
+    now: float,
+    *,
+    daemon_incarnation: int = 0,
+    sent_at: float | None = None,
 ) -> Envelope:
     """Make the envelope for one send of a call.
 
@@ -76,20 +89,26 @@
         instance=instance,
         incarnation=incarnation,
         attempt=attempt,
+        daemon_incarnation=daemon_incarnation,
+        sent_at=sent_at,
     )
 
 
 def unseal(envelope: Envelope, now: float) -> Call:
     """Read the call out of an envelope.
 
+    The time that is left counts from when it was sent, where that is
+    known, so that what lay in a frozen process's buffers is late.
+
     :param now: monotonic time in seconds.
     :returns: the call, its deadline on this process's clock.
     """
+    sent_at = now if envelope.sent_at is None else envelope.sent_at
     return Call(
         request_id=envelope.request_id,
         service=envelope.service,
         rank=envelope.rank,
-        deadline=now + envelope.remaining_ms / 1000,
+        deadline=min(now, sent_at) + envelope.remaining_ms / 1000,
         depth=envelope.depth,
         retry_tokens=envelope.retry_tokens,
         idempotent=envelope.idempotent,
--- a/packages/burdockdeal/burdockdeal/core/errors.py
+++ b/packages/burdockdeal/burdockdeal/core/errors.py
@@ -100,15 +100,45 @@
 
 
 class NotRunError(CallError):
-    """No upstream ran the request, and none will."""
+    """No upstream ran the request, and none will.
+
+    :param settled: whether no earlier send with the same key ran either.
+    """
 
     outcome = verdict.Verdict.NOT_RUN
 
+    def __init__(
+        self,
+        reason: verdict.Reason,
+        detail: str = "",
+        *,
+        settled: bool = False,
+    ) -> None:
+        self.settled = settled
+        super().__init__(reason, detail)
+
+
+class KeyHeldError(NotRunError):
+    """Another daemon holds the call's key: only that one may run it.
+
+    :param daemon: its name.
+    :param incarnation: of that daemon.
+    """
+
+    def __init__(self, daemon: str, incarnation: int) -> None:
+        self.daemon = daemon
+        self.incarnation = incarnation
+        super().__init__(verdict.Reason.KEY_HELD, f"held by {daemon}")
+
 
 class MayHaveRunError(CallError):
     """An upstream may have run the request."""
 
 
+class LostAnswerError(MayHaveRunError):
+    """A request was sent, and its connection gave no answer."""
+
+
 class RanError(CallError):
     """An upstream ran the request, but its answer can't be given."""
 
--- a/packages/burdockdeal/burdockdeal/core/headers.py
+++ b/packages/burdockdeal/burdockdeal/core/headers.py
@@ -7,6 +7,7 @@
 DEADLINE_MS = "Burdockdeal-Deadline-Ms"
 DEPTH = "Burdockdeal-Depth"
 RETRY_TOKENS = "Burdockdeal-Retry-Tokens"
+INCARNATION = "Burdockdeal-Incarnation"
 IDEMPOTENCY_KEY = "Idempotency-Key"
 
 #: Between daemons only.
@@ -40,6 +41,7 @@
         DEADLINE_MS,
         DEPTH,
         RETRY_TOKENS,
+        INCARNATION,
         ENVELOPE,
         REPORT,
         PEER_TOKEN,
--- a/packages/burdockdeal/burdockdeal/daemon/assembly.py
+++ b/packages/burdockdeal/burdockdeal/daemon/assembly.py
@@ -13,6 +13,7 @@
 from burdockdeal.announce import api as announce_api
 from burdockdeal.announce import decisions as announce
 from burdockdeal.audit import api as audit_api
+from burdockdeal.bookings import assembly as bookings
 from burdockdeal.configuration import api as configuration_api
 from burdockdeal.configuration import resources
 from burdockdeal.configuration import service as configuration
@@ -156,8 +157,10 @@
     handle_call: front.Handler,
     follower: configuration.Follower,
     members: membership_service.Membership,
+    booked: bookings.Bookings,
 ) -> front.Handler:
     table = {
+        **booked.peer_handlers,
         "/v1/peer/exchange": members.handle_exchange,
         "/v1/peer/changes": follower.handle_changes,
         "/v1/peer/applied": follower.handle_applied,
@@ -304,26 +307,42 @@
             on_newer=follower.pull_from,
         )
         told = metrics.Metrics(_make_gauges(parts, platform))
-        local = owner.make_owner(
-            parts.side,
-            parts.gate,
-            session,
-            lambda: parts.snapshot,
-            parts.clock,
+        choose = _make_choose(parts)
+        booked = bookings.Bookings(
+            settings, parts.roster, platform, control, parts.clock
         )
-        remote = peers.make_peer_opener(
-            session, settings.peer_token, parts.clock, parts.board.note_report
+        local = booked.keep_runs(
+            owner.make_owner(
+                parts.side,
+                parts.gate,
+                session,
+                lambda: parts.snapshot,
+                parts.clock,
+                booked.ledger,
+                booked.prepare,
+            )
+        )
+        remote = booked.guard_sends(
+            peers.make_peer_opener(
+                session,
+                settings.peer_token,
+                parts.clock,
+                parts.board.note_report,
+                booked.clocks.note,
+            )
         )
         handle_call = owner.make_peer_handler(
             local,
             parts.load,
             parts.clock,
             settings.listen.peer,
+            parts.roster.own.incarnation,
             limits.replay_bytes,
         )
         handle_entry = entry.make_entry(
             snapshot=lambda: parts.snapshot,
-            choose=_make_choose(parts),
+            choose=choose,
+            pins=booked.pins,
             open_answer=_make_open_answer(parts, local, remote),
             tallies=parts.board,
             new_id=lambda: secrets.token_hex(8),
@@ -347,7 +366,10 @@
         upstream_app = announce_api.build_app(
             parts.side, lambda: parts.gate.running
         )
-        dispatch = _make_peer_dispatch(parts, handle_call, follower, members)
+        dispatch = _make_peer_dispatch(
+            parts, handle_call, follower, members, booked
+        )
+        handle_entry = booked.answer_keys(handle_entry, choose)
 
         def serve(handler: front.Handler) -> web.ServerRunner:
             return web.ServerRunner(
--- a/packages/burdockdeal/burdockdeal/serving/bodies.py
+++ b/packages/burdockdeal/burdockdeal/serving/bodies.py
@@ -27,6 +27,11 @@
         self._whole = whole
         self._started = False
 
+    @property
+    def whole(self) -> bytes | None:
+        """The bytes, None if they are streamed."""
+        return self._whole
+
     @property
     def streamed(self) -> bool:
         """Whether the body is passed on as it comes."""
--- a/packages/burdockdeal/burdockdeal/serving/entry.py
+++ b/packages/burdockdeal/burdockdeal/serving/entry.py
@@ -6,6 +6,8 @@
 
 from aiohttp import web
 
+from burdockdeal.bookings import guard
+from burdockdeal.bookings import messages as bookings
 from burdockdeal.core import call
 from burdockdeal.core import errors
 from burdockdeal.core import headers
@@ -31,6 +33,7 @@
     *,
     snapshot: abc.Callable[[], classify.Snapshot | None],
     choose: Choose,
+    pins: guard.Pins,
     open_answer: messages.OpenAnswer,
     tallies: board.Board,
     new_id: abc.Callable[[], str],
@@ -69,33 +72,45 @@
             headers.REQUEST_ID: work.request_id,
         }
         tried: frozenset[str] = frozenset()
+        pin = pins.find_pin(work)
+        attempts = 0
+        last: errors.CallError | None = None
         while True:
-            member = choose(work, tried)
+            member = pin or choose(work, tried)
             if member is None:
-                raise errors.NotRunError(verdict.Reason.NO_INSTANCE)
+                error = last or errors.NotRunError(verdict.Reason.NO_INSTANCE)
+                pin = await pins.review(work, error, pin)
+                continue
             tried |= {member.daemon}
+            attempts += 1
             send = messages.Send(
                 request=work,
                 outbound=outbound,
                 daemon=member.daemon,
                 peer=member.peer,
                 incarnation=member.upstream_incarnation,
-                attempt=len(tried),
+                attempt=attempts,
+                daemon_incarnation=member.incarnation,
             )
             try:
                 async with watch_send(send) as answer:
-                    return await transfer.pass_on(
-                        request, answer.response, added
-                    )
+                    return await transfer.pass_on(request, answer, added)
+            except errors.KeyHeldError as error:
+                if pin is not None or not outbound.body.replayable:
+                    raise
+                holder = bookings.Holder(error.daemon, error.incarnation)
+                pin = pins.find_holder(holder)
             except errors.CallError as error:
-                if not retry.may_resend(
+                last = error
+                if pin is None and retry.may_resend(
                     work,
                     error.outcome,
-                    attempt=len(tried),
+                    attempt=attempts,
                     replayable=outbound.body.replayable,
                     now=clock(),
                 ):
-                    raise
+                    continue
+                pin = await pins.review(work, error, pin)
 
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
         request_id = new_id()
--- a/packages/burdockdeal/burdockdeal/serving/messages.py
+++ b/packages/burdockdeal/burdockdeal/serving/messages.py
@@ -3,10 +3,12 @@
 from collections import abc
 import contextlib
 import dataclasses
+import typing
 
 import aiohttp
 import multidict
 
+from burdockdeal.bookings import messages as bookings
 from burdockdeal.core import call
 from burdockdeal.core import verdict
 from burdockdeal.routing import state as routing
@@ -28,14 +30,34 @@
     body: bodies.Body
 
 
+class Content(typing.Protocol):
+    """The body of an answer, such as aiohttp's StreamReader."""
+
+    async def readany(self) -> bytes:
+        """Read what has come, or wait; empty at the end."""
+
+    def at_eof(self) -> bool:
+        """Tell whether all was read."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answer:
     """An answer whose head has arrived.
 
-    :param response: the head, and the body as it comes.
+    :param content: the body, as it comes.
     """
 
-    response: aiohttp.ClientResponse
+    status: int
+    reason: str | None
+    headers: multidict.MultiMapping[str]
+    content: Content
+
+
+def read_answer(response: aiohttp.ClientResponse) -> Answer:
+    """Make an answer of a response whose head has arrived."""
+    return Answer(
+        response.status, response.reason, response.headers, response.content
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -43,12 +65,20 @@
     """What an owner adds to each answer for the entry.
 
     :param reason: why, if the verdict is not RAN.
+    :param incarnation: of the owner's daemon.
+    :param clock: the owner's monotonic time in seconds.
+    :param settled: whether no earlier send with the same key ran either.
+    :param holder: the daemon that holds the call's key, if another does.
     """
 
     verdict: verdict.Verdict
     load: routing.Report
     reason: verdict.Reason | None = None
     detail: str = ""
+    incarnation: int = 0
+    clock: float = 0.0
+    settled: bool = False
+    holder: bookings.Holder | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -59,6 +89,8 @@
     :param peer: where that daemon is reached.
     :param incarnation: the upstream's, as the sender knows it.
     :param attempt: 1 for the first send.
+    :param daemon_incarnation: the daemon's, as the sender knows it.
+    :param sent_at: the daemon's clock when it is sent, at the least.
     """
 
     request: call.Call
@@ -67,6 +99,8 @@
     peer: model.Address
     incarnation: int
     attempt: int
+    daemon_incarnation: int = 0
+    sent_at: float | None = None
 
 
 #: Open an answer to a send; raises CallError if there is none.
--- a/packages/burdockdeal/burdockdeal/serving/owner.py
+++ b/packages/burdockdeal/burdockdeal/serving/owner.py
@@ -9,6 +9,9 @@
 from burdockdeal.admission import gate
 from burdockdeal.admission import state as admission
 from burdockdeal.announce import api as announce_api
+from burdockdeal.bookings import ledger as ledgers
+from burdockdeal.bookings import messages as bookings_messages
+from burdockdeal.bookings import state as bookings
 from burdockdeal.configuration import resources
 from burdockdeal.core import call
 from burdockdeal.core import codec
@@ -38,8 +41,28 @@
     )
 
 
-def _upstream_headers(request: call.Call, now: float) -> dict[str, str]:
+def _name_send(
+    send: messages.Send,
+) -> tuple[bookings.SendId, int, float]:
+    request = send.request
+    name = bookings.SendId(request.request_id, send.attempt)
+    return name, send.daemon_incarnation, request.deadline
+
+
+def _check_upstream_ran(response: aiohttp.ClientResponse) -> None:
+    """Believe an upstream that says it refused a request.
+
+    :raises NotRunError: if it did.
+    """
+    if response.headers.get(headers.VERDICT) == verdict.Verdict.NOT_RUN:
+        detail = f"the upstream answered {response.status}"
+        raise errors.NotRunError(verdict.Reason.UPSTREAM_REFUSED, detail)
+
+
+def _upstream_headers(send: messages.Send, now: float) -> dict[str, str]:
+    request = send.request
     return {
+        headers.INCARNATION: str(send.incarnation),
         headers.REQUEST_ID: request.request_id,
         headers.RANK: request.rank,
         headers.DEADLINE_MS: f"{(request.deadline - now) * 1000:.0f}",
@@ -54,17 +77,28 @@
     session: aiohttp.ClientSession,
     snapshot: abc.Callable[[], classify.Snapshot | None],
     clock: Clock,
+    ledger: ledgers.Ledger,
+    prepare: abc.Callable[[messages.Send], abc.Awaitable[None]],
 ) -> messages.OpenAnswer:
     """Make the function that opens answers of the upstream beside us.
 
     :param snapshot: returns the configuration in force, None before one.
+    :param ledger: knows which sends may start.
+    :param prepare: called with each send once it has its slot.
     """
 
     def check(send: messages.Send) -> None:
         if not side.may_start():
             raise errors.NotRunError(verdict.Reason.DRAINING)
-        if send.incarnation != side.upstream.incarnation:
+        announced = side.upstream.announce
+        if (
+            send.incarnation != side.upstream.incarnation
+            or announced is None
+            or announced.service != send.request.service
+        ):
             raise errors.NotRunError(verdict.Reason.STALE_INSTANCE)
+        if not send.request.idempotent:
+            ledger.check(*_name_send(send))
 
     @contextlib.asynccontextmanager
     async def open_answer(
@@ -76,33 +110,48 @@
         check(send)
         terms = _terms(standing, send.request.rank)
         async with slots.hold_slot(terms, send.request.deadline):
-            # The wait at the gate may have been long.
+            await prepare(send)
+            # The waits may have been long. From here to the first byte
+            # that is written nothing else runs on the loop.
             check(send)
+            if not send.request.idempotent:
+                ledger.start(*_name_send(send))
             now = clock()
             announced = side.upstream.announce
             async with transfer.open_response(
                 session,
                 f"http://{announced.host}:{announced.port}",
                 send.outbound,
-                _upstream_headers(send.request, now),
+                _upstream_headers(send, now),
                 remaining_s=send.request.deadline - now,
                 expect=False,
             ) as response:
-                yield messages.Answer(response)
+                _check_upstream_ran(response)
+                yield messages.read_answer(response)
 
     return open_answer
 
 
+def _read_holder(
+    error: errors.CallError | None,
+) -> bookings_messages.Holder | None:
+    if isinstance(error, errors.KeyHeldError):
+        return bookings_messages.Holder(error.daemon, error.incarnation)
+    return None
+
+
 def make_peer_handler(
     open_answer: messages.OpenAnswer,
     load: abc.Callable[[], routing.Report],
     clock: Clock,
     own_peer: model.Address,
+    incarnation: int,
     replay_bytes: int,
 ) -> abc.Callable[[web.BaseRequest], abc.Awaitable[web.StreamResponse]]:
     """Make the handler of calls that other daemons send to this one.
 
     :param load: returns the load that is put on each answer.
+    :param incarnation: of this daemon.
     """
 
     def report(error: errors.CallError | None = None) -> str:
@@ -111,6 +160,10 @@
             load=load(),
             reason=error.reason if error else None,
             detail=error.detail if error else "",
+            incarnation=incarnation,
+            clock=clock(),
+            settled=isinstance(error, errors.NotRunError) and error.settled,
+            holder=_read_holder(error),
         )
         return codec.encode(told).decode()
 
@@ -131,11 +184,12 @@
             peer=own_peer,
             incarnation=envelope.incarnation,
             attempt=envelope.attempt,
+            daemon_incarnation=envelope.daemon_incarnation,
         )
         try:
             async with open_answer(send) as answer:
                 return await transfer.pass_on(
-                    request, answer.response, {headers.REPORT: report()}
+                    request, answer, {headers.REPORT: report()}
                 )
         except errors.CallError as error:
             return web.Response(
--- a/packages/burdockdeal/burdockdeal/serving/peers.py
+++ b/packages/burdockdeal/burdockdeal/serving/peers.py
@@ -15,22 +15,32 @@
 from burdockdeal.serving import transfer
 
 _ERRORS: dict[verdict.Verdict, type[errors.CallError]] = {
-    verdict.Verdict.NOT_RUN: errors.NotRunError,
     verdict.Verdict.MAY_HAVE_RUN: errors.MayHaveRunError,
     verdict.Verdict.RAN: errors.RanError,
 }
 
 
+def _read_error(
+    told: messages.OwnerReport, reason: verdict.Reason
+) -> errors.CallError:
+    if told.holder is not None:
+        holder = told.holder
+        return errors.KeyHeldError(holder.daemon, holder.incarnation)
+    if told.verdict is verdict.Verdict.NOT_RUN:
+        return errors.NotRunError(reason, told.detail, settled=told.settled)
+    return _ERRORS[told.verdict](reason, told.detail)
+
+
 def _read_report(response: aiohttp.ClientResponse) -> messages.OwnerReport:
     raw = response.headers.get(headers.REPORT)
     if raw is None:
-        raise errors.MayHaveRunError(
+        raise errors.LostAnswerError(
             verdict.Reason.BROKEN_CONNECTION, "the owner gave no verdict"
         )
     try:
         return codec.decode(raw, messages.OwnerReport)
     except codec.MalformedError as error:
-        raise errors.MayHaveRunError(
+        raise errors.LostAnswerError(
             verdict.Reason.BROKEN_CONNECTION, str(error)
         ) from error
 
@@ -40,10 +50,12 @@
     peer_token: str,
     clock: abc.Callable[[], float],
     on_report: abc.Callable[[str, int, routing.Report], None],
+    on_clock: abc.Callable[[str, int, float], None],
 ) -> messages.OpenAnswer:
     """Make the function that opens answers through other daemons.
 
     :param on_report: called with daemon, incarnation and load of each.
+    :param on_clock: called with daemon, its own incarnation and clock.
     """
 
     @contextlib.asynccontextmanager
@@ -57,6 +69,8 @@
             send.incarnation,
             send.attempt,
             now,
+            daemon_incarnation=send.daemon_incarnation,
+            sent_at=send.sent_at,
         )
         async with transfer.open_response(
             session,
@@ -71,9 +85,10 @@
         ) as response:
             told = _read_report(response)
             on_report(send.daemon, send.incarnation, told.load)
+            on_clock(send.daemon, told.incarnation, told.clock)
             if told.reason is not None:
                 await response.read()
-                raise _ERRORS[told.verdict](told.reason, told.detail)
-            yield messages.Answer(response)
+                raise _read_error(told, told.reason)
+            yield messages.read_answer(response)
 
     return open_answer
--- a/packages/burdockdeal/burdockdeal/serving/transfer.py
+++ b/packages/burdockdeal/burdockdeal/serving/transfer.py
@@ -111,7 +111,7 @@
     :param remaining_s: seconds until the head must be there.
     :param expect: ask for 100 Continue before the body is sent.
     :raises NotRunError: if nothing was sent.
-    :raises MayHaveRunError: if something was sent and no head came back.
+    :raises LostAnswerError: if something was sent and no head came back.
     """
     if remaining_s <= 0:
         raise errors.NotRunError(verdict.Reason.DEADLINE_PASSED)
@@ -136,9 +136,9 @@
             verdict.Reason.UNREACHABLE, str(error)
         ) from error
     except TimeoutError as error:
-        raise errors.MayHaveRunError(verdict.Reason.TIMED_OUT) from error
+        raise errors.LostAnswerError(verdict.Reason.TIMED_OUT) from error
     except (aiohttp.ClientError, OSError) as error:
-        raise errors.MayHaveRunError(
+        raise errors.LostAnswerError(
             verdict.Reason.BROKEN_CONNECTION, repr(error)
         ) from error
     try:
@@ -156,7 +156,7 @@
 
 async def pass_on(
     request: web.BaseRequest,
-    response: aiohttp.ClientResponse,
+    response: messages.Answer,
     added: abc.Mapping[str, str],
 ) -> web.StreamResponse:
     """Pass an answer on as it comes.
--- a/packages/burdockdeal/burdockdeal/settings/model.py
+++ b/packages/burdockdeal/burdockdeal/settings/model.py
@@ -49,13 +49,22 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Limits:
-    """Bounds on what a daemon holds."""
+    """Bounds on what a daemon holds.
+
+    :param stop_s: seconds that a graceful stop takes at most.
+    :param keys: idempotency keys that are remembered at once.
+    :param key_retention_s: seconds for which a key is remembered.
+    :param claims_per_s: keys of callers' own that are claimed a second.
+    """
 
     connections: checking.PositiveInt = 2000
     header_bytes: checking.PositiveInt = 16384
     replay_bytes: checking.PositiveInt = 65536
     caller_idle_s: checking.Positive = 75.0
     stop_s: checking.Positive = 30.0
+    keys: checking.PositiveInt = 20_000
+    key_retention_s: checking.Positive = 600.0
+    claims_per_s: checking.Positive = 5.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tests/test_bookings.py
@@ -0,0 +1,328 @@
+"""At most once: bookings under kills, freezes, cuts and resends."""
+
+import asyncio
+from collections import abc
+import contextlib
+import dataclasses
+import signal
+
+import aiohttp
+import conftest
+import pytest
+
+from burdockdeal_standins import fleet as standins
+from burdockdeal_standins import relay
+from burdockdeal_standins import scripted
+from burdockdeal_standins import store
+from burdockdeal_standins import upstream
+
+CLEAR = relay.Behaviour()
+SLOW = upstream.Behaviour(service_ms=800, jitter=0)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Told:
+    """What a caller was told."""
+
+    status: int
+    verdict: str
+    reason: str
+    request_id: str
+    text: str
+
+
+async def book(
+    fleet: standins.Fleet,
+    node: str,
+    key: str | None = None,
+    *,
+    body: bytes = b"two rims",
+    path: str = "/bookings",
+    deadline_ms: int = 10_000,
+) -> Told:
+    given = {"Burdockdeal-Deadline-Ms": str(deadline_ms)}
+    if key is not None:
+        given["Idempotency-Key"] = key
+    async with fleet.session.post(
+        fleet.nodes[node].caller_url + path, data=body, headers=given
+    ) as response:
+        return Told(
+            response.status,
+            response.headers["Burdockdeal-Verdict"],
+            response.headers.get("Burdockdeal-Reason", ""),
+            response.headers["Burdockdeal-Request-Id"],
+            await response.text(),
+        )
+
+
+async def runs(fleet: standins.Fleet) -> list[upstream.Run]:
+    """List the runs at all upstreams that still live."""
+    found: list[upstream.Run] = []
+    for node in fleet.nodes.values():
+        if node.upstream is not None and node.upstream.returncode is None:
+            found += (await fleet.record(node)).runs
+    return found
+
+
+async def issue(fleet: standins.Fleet, node: str) -> str:
+    url = f"{fleet.nodes[node].caller_url}/burdockdeal/v1/keys"
+    async with fleet.session.post(f"{url}?service=bookings") as response:
+        assert response.status == 200, await response.text()
+        return (await response.json())["key"]
+
+
+async def slow_down(
+    fleet: standins.Fleet, behaviour: upstream.Behaviour = SLOW
+) -> None:
+    for name in ("d2", "d3"):
+        await fleet.behave(fleet.nodes[name], behaviour)
+
+
+async def find_runner(fleet: standins.Fleet) -> standins.Node:
+    """Wait for the first run and return where it is."""
+    where: list[standins.Node] = []
+
+    async def has_run() -> bool:
+        for node in fleet.nodes.values():
+            if node.upstream and (await fleet.record(node)).runs:
+                where.append(node)
+        return bool(where)
+
+    await fleet.wait_until(has_run, "a run")
+    return where[0]
+
+
+@pytest.mark.parametrize("issued", [False, True])
+async def test_a_resend_gets_the_first_answer(
+    small: standins.Fleet, issued: bool
+) -> None:
+    await slow_down(small)
+    key = await issue(small, "d3") if issued else "workshop-7"
+    # Through three daemons at once, then once more through each.
+    first = await asyncio.gather(
+        *(book(small, name, key) for name in ("d1", "d2", "d3"))
+    )
+    again = [await book(small, name, key) for name in ("d1", "d2", "d3")]
+    assert {told.verdict for told in (*first, *again)} == {"RAN"}
+    assert {told.text for told in first} == {"bookings read 8 bytes\n"}
+    assert len(await runs(small)) == 1
+    other = await book(small, "d1", key, body=b"three rims")
+    assert (other.status, other.verdict) == (422, "NOT_RUN")
+    assert other.reason == "KEY_CONFLICT"
+    assert len(await runs(small)) == 1
+
+
+async def test_store_down(small: standins.Fleet) -> None:
+    key = await issue(small, "d1")
+    await small.set_store_faults(store.Faults(outage=True))
+    for _ in range(2):
+        own = await book(small, "d1", "own-1")
+        # Whether an earlier send with the key ran can't be told.
+        assert own.verdict == "MAY_HAVE_RUN"
+        assert own.reason == "CLAIM_UNAVAILABLE"
+    assert not await runs(small)
+    assert (await book(small, "d1", key)).verdict == "RAN"
+    assert (await book(small, "d1")).verdict == "RAN"
+    await small.set_store_faults(store.Faults())
+    told = [await book(small, name, "own-1") for name in ("d1", "d2")]
+    assert [one.verdict for one in told] == ["RAN", "RAN"]
+    assert len(await runs(small)) == 3
+
+
+async def test_a_claim_whose_answer_is_lost(small: standins.Fleet) -> None:
+    await book(small, "d2", "warm")
+    await book(small, "d3", "warm-too")
+    await small.set_store_faults(store.Faults(lose_answers=1))
+    told = [await book(small, name, "own-2") for name in ("d1", "d2", "d3")]
+    assert {one.verdict for one in told} == {"RAN"}
+    assert len(await runs(small)) == 3
+
+
+@pytest.mark.parametrize("issued", [False, True])
+async def test_entry_killed_in_mid_request(
+    small: standins.Fleet, issued: bool
+) -> None:
+    await slow_down(small)
+    key = await issue(small, "d1") if issued else "own-3"
+    sent = asyncio.create_task(book(small, "d1", key))
+    await find_runner(small)
+    small.nodes["d1"].daemon.kill()
+    with pytest.raises(aiohttp.ClientError):
+        await sent
+    told = [await book(small, name, key) for name in ("d2", "d3")]
+    assert {one.verdict for one in told} == {"RAN"}
+    assert {one.text for one in told} == {"bookings read 8 bytes\n"}
+    assert len(await runs(small)) == 1
+
+
+@pytest.mark.parametrize("kind", ["none", "own", "issued"])
+async def test_owner_killed_in_mid_request(
+    small: standins.Fleet, kind: str
+) -> None:
+    await slow_down(small)
+    keys = {"none": None, "own": "own-4", "issued": await issue(small, "d1")}
+    key = keys[kind]
+    sent = asyncio.create_task(book(small, "d1", key))
+    node = await find_runner(small)
+    node.daemon.kill()
+    first = await sent
+    assert first.verdict == "MAY_HAVE_RUN"
+    assert [run.request_id for run in await runs(small)] == [first.request_id]
+    if key is None:
+        return
+    await node.daemon.wait()
+    await small.start_daemon(node.settings)
+    other = "d2" if node.place.name == "d3" else "d3"
+    for _ in range(3):
+        told = await book(small, other, key)
+        assert told.verdict == "MAY_HAVE_RUN"
+    assert len(await runs(small)) == 1
+
+
+async def test_upstream_replaced_at_the_same_address(
+    small: standins.Fleet,
+) -> None:
+    await slow_down(small)
+    sent = asyncio.create_task(book(small, "d1", "own-5"))
+    node = await find_runner(small)
+    assert node.upstream is not None
+    node.upstream.kill()
+    await node.upstream.wait()
+    assert (await sent).verdict == "MAY_HAVE_RUN"
+    replaced = await small.start_upstream(
+        node.place, node.settings, node.upstream_port
+    )
+    small.nodes[node.place.name] = dataclasses.replace(node, upstream=replaced)
+    await small.wait_for_port(node.upstream_port, replaced)
+    for name in ("d1", "d2", "d3"):
+        told = await book(small, name, "own-5")
+        assert (told.verdict, told.reason) == ("MAY_HAVE_RUN", "ANSWER_GONE")
+    assert not await runs(small)
+
+
+async def test_a_large_answer_is_not_kept(small: standins.Fleet) -> None:
+    await slow_down(small, upstream.Behaviour(answer_bytes=500_000))
+    first = await book(small, "d1", "own-6")
+    assert len(first.text) > 500_000
+    again = await book(small, "d2", "own-6")
+    assert (again.verdict, again.reason) == ("RAN", "ANSWER_GONE")
+    assert len(await runs(small)) == 1
+
+
+async def test_a_large_body_with_a_key(small: standins.Fleet) -> None:
+    for name in ("d1", "d2"):
+        told = await book(small, name, "own-7", body=b"x" * 300_000)
+        assert told.text == "bookings read 300000 bytes\n"
+    assert len(await runs(small)) == 1
+
+
+@contextlib.contextmanager
+def frozen(node: standins.Node) -> abc.Iterator[None]:
+    """Freeze a daemon while the block runs."""
+    node.daemon.send_signal(signal.SIGSTOP)
+    try:
+        yield
+    finally:
+        node.daemon.send_signal(signal.SIGCONT)
+
+
+async def settle(fleet: standins.Fleet, node: standins.Node) -> None:
+    """Wait until a daemon that was frozen has worked off its buffers."""
+    for _ in range(3):
+        async with fleet.session.get(f"{node.operator_url}/healthz") as told:
+            assert told.status == 200
+        await asyncio.sleep(0.1)
+
+
+@pytest.mark.parametrize("keyed", [False, True])
+async def test_a_frozen_owner_starts_nothing_that_is_late(
+    small: standins.Fleet, keyed: bool
+) -> None:
+    """Fails if the time left counts from when a request is read."""
+    await book(small, "d1")
+    before = len(await runs(small))
+    nodes = [small.nodes[name] for name in ("d2", "d3")]
+    key = await issue(small, "d1") if keyed else None
+    with contextlib.ExitStack() as stack:
+        for node in nodes:
+            stack.enter_context(frozen(node))
+        told = await book(small, "d1", key, deadline_ms=400)
+    assert told.verdict in ("MAY_HAVE_RUN", "NOT_RUN")
+    for node in nodes:
+        await settle(small, node)
+    assert len(await runs(small)) == before
+
+
+async def test_a_lost_send_is_fenced_and_taken_elsewhere(
+    fleet: standins.Fleet,
+) -> None:
+    """The link to the owner breaks while its daemon is frozen."""
+    d2 = fleet.settle(standins.Place("d2", "queensferry"))
+    link = await fleet.add_relay(str(d2.listen.peer))
+    d2 = dataclasses.replace(
+        d2,
+        advertise=dataclasses.replace(d2.listen.peer, port=link.port),
+    )
+    await fleet.add_all([standins.Place("d1", "shotton")])
+    place = standins.Place("d2", "queensferry", "bookings")
+    port = standins.free_port()
+    node = standins.Node(
+        place,
+        d2,
+        await fleet.start_daemon(d2),
+        await fleet.start_upstream(place, d2, port),
+        port,
+    )
+    fleet.nodes["d2"] = node
+    await conftest.declare_basics(fleet, fleet.nodes["d1"])
+    await book(fleet, "d1")
+    before = len(await runs(fleet))
+    with frozen(node):
+        sent = asyncio.create_task(book(fleet, "d1"))
+        await asyncio.sleep(0.3)
+        await link.behave(relay.Behaviour(cut=True))
+        await link.behave(CLEAR)
+        await asyncio.sleep(0.2)
+    told = await sent
+    await settle(fleet, node)
+    ran = [run.request_id for run in await runs(fleet)]
+    if told.verdict == "NOT_RUN":
+        assert told.request_id not in ran
+    assert len(ran) <= before + 1
+    assert "event=send_judged" in fleet.log("d1")
+
+
+async def test_a_caller_gone_loses_no_booking(small: standins.Fleet) -> None:
+    await slow_down(small)
+    listen = small.nodes["d1"].settings.listen.caller
+    _, writer = await asyncio.open_connection(listen.host, listen.port)
+    writer.write(
+        b"POST /bookings HTTP/1.1\r\nHost: h\r\nIdempotency-Key: own-8\r\n"
+        b"Content-Length: 8\r\n\r\ntwo rims"
+    )
+    await find_runner(small)
+    writer.transport.abort()
+    told = await book(small, "d2", "own-8")
+    assert told.text == "bookings read 8 bytes\n"
+    assert len(await runs(small)) == 1
+
+
+async def test_an_upstream_may_refuse(fleet: standins.Fleet) -> None:
+    node = await fleet.add(standins.Place("d1", "shotton"))
+    daemon = str(node.settings.listen.upstream)
+    port = standins.free_port()
+    async with scripted.run_scripted("bookings", daemon, port) as refusing:
+
+        async def talk(reader, writer) -> None:
+            head = await scripted.read_head(reader)
+            assert head.values("Burdockdeal-Incarnation") == ["1"]
+            writer.write(
+                b"HTTP/1.1 503 Busy\r\nBurdockdeal-Verdict: NOT_RUN\r\n"
+                b"Content-Length: 0\r\n\r\n"
+            )
+            await writer.drain()
+
+        refusing.talk = talk
+        await conftest.declare_basics(fleet, node)
+        told = await book(fleet, "d1")
+        assert (told.verdict, told.reason) == ("NOT_RUN", "UPSTREAM_REFUSED")
