--- a/packages/burdockdeal/burdockdeal/bookings/api.py
+++ b/packages/burdockdeal/burdockdeal/bookings/api.py
@@ -69,15 +69,14 @@
 
     async def claim(service: str, key: str) -> None:
         name = store_claims.name_key(service, key)
-        before = runs().note_claim(name, True)
         try:
-            step = await claims.claim(service, key, idle_here=before)
+            step = await claims.claim(service, key, runs().note_claim(name))
         except errors.KeyHeldError:
-            runs().note_claim(name, False)
+            runs().note_held(name, False)
             raise
         if step is state.ClaimStep.TELL_UNSURE:
             raise errors.MayHaveRunError(verdict.Reason.KEY_UNKNOWN)
-        runs().note_held(name)
+        runs().note_held(name, True)
 
     async def prepare(send: serving.Send) -> None:
         key = send.request.idempotency_key
--- a/packages/burdockdeal/burdockdeal/bookings/assembly.py
+++ b/packages/burdockdeal/burdockdeal/bookings/assembly.py
@@ -57,7 +57,6 @@
         store_claims = claims.Claims(
             platform,
             self._holder,
-            _new_id,
             clock,
             retention_s=limits.key_retention_s,
             per_second=limits.claims_per_s,
@@ -90,6 +89,7 @@
         self._runs = runs.Runs(
             open_owner,
             self._clock,
+            _new_id,
             limit=limits.keys,
             retention_s=limits.key_retention_s,
         )
--- a/packages/burdockdeal/burdockdeal/bookings/claims.py
+++ b/packages/burdockdeal/burdockdeal/bookings/claims.py
@@ -36,7 +36,6 @@
     All claims of one retention time share a lease, which is not renewed.
 
     :param own: this daemon.
-    :param new_id: returns ids that are unique in the fleet.
     :param clock: returns monotonic time in seconds.
     """
 
@@ -44,7 +43,6 @@
         self,
         platform: store.Store,
         own: messages.Holder,
-        new_id: abc.Callable[[], str],
         clock: abc.Callable[[], float],
         *,
         retention_s: float,
@@ -52,7 +50,6 @@
     ) -> None:
         self._store = platform
         self._own = own
-        self._new_id = new_id
         self._clock = clock
         self._retention_s = retention_s
         self._per_second = per_second
@@ -63,18 +60,18 @@
         self._lease_until = 0.0
 
     async def claim(
-        self, service: str, key: str, *, idle_here: bool
+        self, service: str, key: str, claim_id: str
     ) -> state.ClaimStep:
         """Claim a key for this daemon.
 
-        :param idle_here: whether this daemon knows that it claimed the
-            key before and ran nothing.
+        :param claim_id: the same for each try, unless the key was
+            forgotten between them.
         :returns: RUN or TELL_UNSURE.
         :raises KeyHeldError: if another daemon holds it.
         :raises NotRunError: if the store could not be asked.
         """
         self._take_token()
-        claim = messages.Claim(self._own, self._new_id())
+        claim = messages.Claim(self._own, claim_id)
         try:
             standing = await self._write(name_key(service, key), claim)
         except errors.PlatformError as error:
@@ -82,8 +79,7 @@
         step = decisions.decide_claim(
             standing,
             own=self._own,
-            claim_id=claim.claim_id,
-            idle_here=idle_here,
+            claim_id=claim_id,
         )
         if step is state.ClaimStep.SEND_TO_HOLDER:
             assert standing is not None
--- a/packages/burdockdeal/burdockdeal/bookings/decisions.py
+++ b/packages/burdockdeal/burdockdeal/bookings/decisions.py
@@ -84,25 +84,21 @@
     *,
     own: messages.Holder,
     claim_id: str,
-    idle_here: bool,
 ) -> state.ClaimStep:
     """Decide what a claim that stands in the store means.
 
     :param own: this daemon.
-    :param claim_id: what this daemon tried to write.
-    :param idle_here: whether this daemon knows that it claimed the key
-        before and ran nothing.
+    :param claim_id: what this daemon has tried to write since it last
+        began to remember the key; nothing ran since then.
     """
     if standing is None:
         return state.ClaimStep.REFUSE
     if standing.claim_id == claim_id:
         return state.ClaimStep.RUN
-    if standing.holder != own:
-        return state.ClaimStep.SEND_TO_HOLDER
-    # Claimed by this very process, which has forgotten what came of it.
-    if not idle_here:
+    if standing.holder == own:
+        # Claimed by this very process, which has forgotten what came of it.
         return state.ClaimStep.TELL_UNSURE
-    return state.ClaimStep.RUN
+    return state.ClaimStep.SEND_TO_HOLDER
 
 
 def is_expired(issued_at: float, retention_s: float, now: float) -> bool:
--- a/packages/burdockdeal/burdockdeal/bookings/runs.py
+++ b/packages/burdockdeal/burdockdeal/bookings/runs.py
@@ -78,16 +78,18 @@
     """One key and its run.
 
     :param mark: the fingerprint of the request that first came with it.
+    :param claim_id: names its claim in the store.
     :param until: monotonic time in seconds at which it is forgotten.
     """
 
-    def __init__(self, mark: str, until: float) -> None:
+    def __init__(self, mark: str, claim_id: str, until: float) -> None:
         self.mark = mark
+        self.claim_id = claim_id
         self.until = until
         self.stage = state.KeyStage.IDLE
         # A claim of this daemon's may stand; one does.
         self.claimed = False
-        self.holds = False
+        self.held = False
         self.kept: Kept | None = None
         self.live: serving.Answer | None = None
         self.failure: errors.CallError | None = None
@@ -102,6 +104,7 @@
 
     :param open_owner: opens the answer of the upstream beside it.
     :param clock: returns monotonic time in seconds.
+    :param new_id: returns ids that are unique in the fleet.
     :param limit: keys that are remembered at once.
     """
 
@@ -109,6 +112,7 @@
         self,
         open_owner: serving.OpenAnswer,
         clock: abc.Callable[[], float],
+        new_id: abc.Callable[[], str],
         *,
         limit: int,
         retention_s: float,
@@ -116,6 +120,7 @@
     ) -> None:
         self._open_owner = open_owner
         self._clock = clock
+        self._new_id = new_id
         self._limit = limit
         self._retention_s = retention_s
         self._total_bytes = total_bytes
@@ -131,18 +136,18 @@
         """How many runs are under way."""
         return len(self._tasks)
 
-    def note_claim(self, name: str, claimed: bool) -> bool:
-        """Note whether a claim of this daemon's may stand for a key.
+    def note_claim(self, name: str) -> str:
+        """Note that a claim of this daemon's may stand for a key.
 
-        :returns: whether one might have stood before, with nothing run.
+        :returns: the claim's id, the same until the key is forgotten.
         """
         run = self._runs[name]
-        before, run.claimed = run.claimed, claimed
-        return before
+        run.claimed = True
+        return run.claim_id
 
-    def note_held(self, name: str) -> None:
-        """Note that this daemon's claim stands for a key."""
-        self._runs[name].holds = True
+    def note_held(self, name: str, held: bool) -> None:
+        """Note whether this daemon's claim stands for a key."""
+        self._runs[name].claimed = self._runs[name].held = held
 
     @contextlib.asynccontextmanager
     async def open_answer(
@@ -207,7 +212,7 @@
         except errors.NotRunError as error:
             run.stage = state.KeyStage.IDLE
             run.failure = error
-            error.settled = run.holds
+            error.settled = run.held
             if not run.claimed:
                 del self._runs[name]
         except errors.CallError as error:
@@ -285,7 +290,7 @@
             raise errors.NotRunError(verdict.Reason.OVERLOADED, detail)
         # A claim lives so long; the key is not forgotten before.
         kept_s = self._retention_s * (claims.LEASE_RETENTIONS + 1)
-        run = _Run(mark, self._clock() + kept_s)
+        run = _Run(mark, self._new_id(), self._clock() + kept_s)
         self._runs[name] = run
         return run
 
--- a/tests/test_bookings.py
+++ b/tests/test_bookings.py
@@ -124,6 +124,8 @@
     assert (await book(small, "d1", key)).verdict == "RAN"
     assert (await book(small, "d1")).verdict == "RAN"
     await small.set_store_faults(store.Faults())
+    # A daemon leaves a store alone for a second after it was away.
+    await asyncio.sleep(1.2)
     told = [await book(small, name, "own-1") for name in ("d1", "d2")]
     assert [one.verdict for one in told] == ["RAN", "RAN"]
     assert len(await runs(small)) == 3
