Make membership a SWIM with suspicion, incarnations and healing

Cause: daemons swapped whole rosters twice a second and none was ever believed dead; at 23,000 members one exchange would carry megabytes. The roster keeps indexes by service and domain. A slice that crashes ends the daemon, and every log record, a library's too, is one line of pairs. Seen before the change of main: a crashed slice left the daemon running without membership for the rest of its life.

--- a/packages/burdockdeal/burdockdeal/core/journal.py
+++ b/packages/burdockdeal/burdockdeal/core/journal.py
@@ -1,14 +1,49 @@
 """Structured logs: one line of key=value pairs an event."""
 
+import datetime
 import json
+import logging as standard_logging
 import pathlib
 import traceback
 
+from absl import flags
 from absl import logging
 
 _TRACE_FRAMES = 4
 
 
+class _LineFormatter(standard_logging.Formatter):
+    """Writes every record, a library's too, as one line of pairs."""
+
+    def format(self, record: standard_logging.LogRecord) -> str:
+        message = record.getMessage()
+        if not message.startswith("event="):
+            error = record.exc_info[1] if record.exc_info else None
+            message = format_event(
+                "library",
+                logger=record.name,
+                message=message,
+                error=repr(error) if error else None,
+                where=trace(error) if error else None,
+            )
+        moment = datetime.datetime.fromtimestamp(record.created, datetime.UTC)
+        at = moment.strftime("%Y-%m-%dT%H:%M:%S.%fZ")
+        return f"at={at} level={record.levelname} {message}"
+
+
+def install(*, verbose: bool) -> None:
+    """Send the logs of this process to standard error.
+
+    :param verbose: log every request, not only the refused ones.
+    """
+    flags.FLAGS.mark_as_parsed()
+    logging.use_absl_handler()
+    logging.set_verbosity(logging.DEBUG if verbose else logging.INFO)
+    logging.get_absl_handler().setFormatter(_LineFormatter())
+    for noisy in ("mode", "asyncio", "burdockdeal"):
+        standard_logging.getLogger(noisy).setLevel(standard_logging.WARNING)
+
+
 def _is_plain(char: str) -> bool:
     return " " < char <= "~" and char not in '"='
 
--- a/packages/burdockdeal/burdockdeal/daemon/assembly.py
+++ b/packages/burdockdeal/burdockdeal/daemon/assembly.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 from aiohttp import web
+import mode
 
 from burdockdeal.admission import gate
 from burdockdeal.announce import api as announce_api
@@ -23,10 +24,11 @@
 from burdockdeal.core import headers
 from burdockdeal.daemon import messages
 from burdockdeal.daemon import metrics
-from burdockdeal.membership import decisions as membership_decisions
+from burdockdeal.membership import contacts
 from burdockdeal.membership import messages as membership
 from burdockdeal.membership import roster
 from burdockdeal.membership import service as membership_service
+from burdockdeal.membership import transport
 from burdockdeal.platform import store
 from burdockdeal.routing import board
 from burdockdeal.routing import policies
@@ -40,7 +42,6 @@
 from burdockdeal.serving import transfer
 from burdockdeal.settings import model
 
-_RELAYS_PER_DOMAIN = 2
 _OPEN_PATHS = frozenset({"/healthz", "/readyz", "/metrics"})
 
 
@@ -72,9 +73,10 @@
         self.board = board.Board(settings.failure_domain, self.clock)
         self.gate = gate.Gate(self.clock, self._slots, self._queue_limit)
         self.snapshot: classify.Snapshot | None = None
+        self.services: tuple[mode.Service, ...] = ()
         self.side.on_change(self._declare_upstream)
         self.standing.on_change(self._take_configuration)
-        self.roster.on_change(lambda: self.board.forget(self.roster.members))
+        self.roster.on_change(self._take_member)
 
     def _slots(self) -> int:
         upstream = self.side.upstream
@@ -99,16 +101,26 @@
             slots=announced.slots if announced else 0,
         )
 
+    def _take_member(
+        self, known: membership.Member | None, stands: membership.Member
+    ) -> None:
+        if known is not None:
+            self.board.forget(known, stands)
+
     def _take_configuration(self) -> None:
         self.snapshot = classify.build_snapshot(self.standing.configuration)
 
+    def find_crashed(self) -> str | None:
+        """Name a service that crashed and why, None if all run."""
+        for service in self.services:
+            if service.crashed:
+                return f"{service.label}: {service.crash_reason!r}"
+        return None
+
     def is_relay(self) -> bool:
         """Tell whether this daemon watches the store for its domain."""
         domain = self.settings.failure_domain
-        relays = membership_decisions.choose_relays(
-            self.roster.members, domain, _RELAYS_PER_DOMAIN
-        )
-        return self.settings.daemon in relays
+        return self.settings.daemon in self.roster.relays(domain)
 
     def load(self) -> routing.Report:
         """Tell the load beside this daemon, as put on each answer."""
@@ -129,7 +141,7 @@
     ) -> membership.Member | None:
         views = [
             parts.board.view(member)
-            for member in parts.roster.serving(work.service)
+            for member in parts.roster.serving(work.service).values()
             if member.daemon not in tried
         ]
         return policy(views).member if views else None
@@ -156,7 +168,9 @@
     members: membership_service.Membership,
 ) -> front.Handler:
     table = {
-        "/v1/peer/exchange": members.handle_exchange,
+        "/v1/peer/ping": members.handle_ping,
+        "/v1/peer/ping-request": members.handle_ping_request,
+        "/v1/peer/page": members.handle_page,
         "/v1/peer/changes": follower.handle_changes,
         "/v1/peer/applied": follower.handle_applied,
     }
@@ -250,7 +264,7 @@
         metrics.Gauge(
             "burdockdeal_members",
             "Daemons that are known and not believed gone.",
-            lambda: len(parts.roster.peers) + 1,
+            lambda: parts.roster.size,
         ),
         metrics.Gauge(
             "burdockdeal_configuration_revision",
@@ -295,9 +309,10 @@
         members = membership_service.Membership(
             settings,
             parts.roster,
-            platform,
-            control,
+            transport.make_post(control, settings.peer_token),
+            contacts.make_meet(parts.roster, platform, parts.clock),
             parts.chance,
+            parts.clock,
             revision=lambda: parts.standing.revision,
             on_newer=follower.pull_from,
         )
@@ -368,6 +383,7 @@
         )
         await _listen(stack, serve(dispatch), settings.listen.peer)
         await _listen(stack, serve(handle_entry), settings.listen.caller)
-        await stack.enter_async_context(follower)
-        await stack.enter_async_context(members)
+        parts.services = (follower, members)
+        for service in parts.services:
+            await stack.enter_async_context(service)
         yield parts
--- a/packages/burdockdeal/burdockdeal/daemon/main.py
+++ b/packages/burdockdeal/burdockdeal/daemon/main.py
@@ -6,7 +6,6 @@
 import signal
 import sys
 
-from absl import logging
 import fire
 
 from burdockdeal.announce import decisions as announce
@@ -19,10 +18,11 @@
 _TICK_S = 0.1
 
 EXIT_OK = 0
+EXIT_CRASHED = 1
 EXIT_SETTINGS = 2
 
 
-async def _serve(settings: model.Settings) -> None:
+async def _serve(settings: model.Settings) -> int:
     loop = asyncio.get_running_loop()
     stopping = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -38,11 +38,18 @@
         gc.freeze()
         while not stopping.is_set():
             parts.side.take(announce.Tick())
+            crash = parts.find_crashed()
+            if crash is not None:
+                # The platform replaces a daemon that ends; one that runs
+                # on without a part of itself would mislead it.
+                journal.warn("daemon_crashed", reason=crash)
+                return EXIT_CRASHED
             try:
                 await asyncio.wait_for(stopping.wait(), _TICK_S)
             except TimeoutError:
                 continue
     journal.record("daemon_stopped", daemon=settings.daemon)
+    return EXIT_OK
 
 
 def serve(settings: str, *, verbose: bool = False) -> int:
@@ -51,8 +58,7 @@
     :param settings: the settings file, JSON with comments.
     :param verbose: log every request, not only the refused ones.
     """
-    logging.use_absl_handler()
-    logging.set_verbosity(logging.DEBUG if verbose else logging.INFO)
+    journal.install(verbose=verbose)
     try:
         checked = loader.load(settings)
     except errors.SettingsError as error:
@@ -64,13 +70,12 @@
     import uvloop
 
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(_serve(checked))
-    return EXIT_OK
+        return runner.run(_serve(checked))
 
 
 def run() -> None:
     """Run the command."""
-    sys.exit(fire.Fire(serve, name="burdockdeald", serialize=lambda _: None))
+    sys.exit(fire.Fire(serve, name="burdockdeald", serialize=lambda _: ""))
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/packages/burdockdeal/burdockdeal/membership/contacts.py
@@ -0,0 +1,90 @@
+"""The list of contacts in the store: a few for each failure domain."""
+
+from collections import abc
+
+from burdockdeal.core import codec
+from burdockdeal.core import errors
+from burdockdeal.membership import decisions
+from burdockdeal.membership import messages
+from burdockdeal.membership import roster
+from burdockdeal.platform import store
+from burdockdeal.settings import model
+
+#: Where the contacts stand in the store.
+PREFIX = "members/"
+
+#: Seconds between two looks at the contacts, by a daemon that has peers.
+LOOK_S = 30.0
+
+#: Find contacts that are not known yet; True to look at once.
+Meet = abc.Callable[[bool], abc.Awaitable[list[model.Address]]]
+
+
+def make_meet(
+    standing: roster.Roster,
+    platform: store.Store,
+    clock: abc.Callable[[], float],
+) -> Meet:
+    """Make the function that looks at the contacts in the store.
+
+    It enters this daemon where contacts are missing or gone.
+    """
+    looked_at = -LOOK_S
+
+    def must_enter(listed: messages.Contacts) -> bool:
+        own = standing.own
+        if any(contact.daemon == own.daemon for contact in listed.contacts):
+            return messages.Contact(own.daemon, own.peer) not in (
+                listed.contacts
+            )
+        full = len(listed.contacts) >= decisions.CONTACTS_PER_DOMAIN
+        known = standing.in_domain(own.failure_domain)
+        stale = any(contact.daemon not in known for contact in listed.contacts)
+        return not full or stale or standing.size == 1
+
+    async def enter() -> None:
+        own = standing.own
+        key = PREFIX + own.failure_domain
+        entry = await platform.get(key)
+        listed = messages.Contacts(())
+        if entry is not None:
+            listed = codec.decode(entry.value, messages.Contacts)
+        if not must_enter(listed):
+            return
+        contact = messages.Contact(own.daemon, own.peer)
+        changed = decisions.add_contact(listed, contact)
+        value = codec.encode(changed).decode()
+        try:
+            await platform.put(
+                key, value, version=entry.version if entry else 0
+            )
+        except errors.StoreConflictError:
+            # Another daemon was faster; the next look tries again.
+            return
+
+    async def meet(at_once: bool) -> list[model.Address]:
+        nonlocal looked_at
+        if not at_once and clock() - looked_at < LOOK_S:
+            return []
+        looked_at = clock()
+        await enter()
+        listing = await platform.list(PREFIX)
+        listed = [
+            contact
+            for entry in listing.entries
+            for contact in codec.decode(
+                entry.value, messages.Contacts
+            ).contacts
+        ]
+        return [
+            contact.peer
+            for contact in listed
+            if not _is_known(standing, contact.daemon)
+        ]
+
+    return meet
+
+
+def _is_known(standing: roster.Roster, daemon: str) -> bool:
+    member = standing.find(daemon)
+    return member is not None and member.health not in messages.GONE
--- a/packages/burdockdeal/burdockdeal/membership/messages.py
+++ b/packages/burdockdeal/burdockdeal/membership/messages.py
@@ -16,6 +16,10 @@
     LEFT = "LEFT"
 
 
+#: The healths of daemons that are not expected to answer.
+GONE = frozenset({Health.DEAD, Health.LEFT})
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Member:
     """A daemon and the upstream beside it.
@@ -39,15 +43,71 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Exchange:
-    """One side of an exchange between two daemons.
+class Claim:
+    """What is believed of the health of a daemon's record.
+
+    A third of a member's bytes, since most of what is passed on in bad
+    times is health.
+    """
+
+    daemon: str
+    incarnation: int
+    serial: int
+    health: Health
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ping:
+    """A probe, or its answer, with news passed on beside it.
 
-    :param revision: the configuration's revision that the sender applies.
+    :param sender: the sender's own record.
+    :param revision: the configuration's revision that it applies.
+    :param members: records that are news.
+    :param claims: healths that are news.
     """
 
-    sender: str
+    sender: Member
     revision: int
+    members: tuple[Member, ...] = ()
+    claims: tuple[Claim, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PingRequest:
+    """Asks a daemon to probe another in the sender's place."""
+
+    daemon: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PingResult:
+    """Whether the probed daemon answered."""
+
+    answered: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PageRequest:
+    """Asks for the records in which two rosters differ.
+
+    :param first: the first bucket that is wanted.
+    :param sums: the asker's sum of each bucket, empty for a newcomer;
+        buckets with the same sum are left out.
+    """
+
+    first: int = 0
+    sums: tuple[int, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Page:
+    """A part of a roster.
+
+    :param following: the bucket to ask for next, None at the end.
+    """
+
     members: tuple[Member, ...]
+    following: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/burdockdeal/burdockdeal/membership/service.py
+++ b/packages/burdockdeal/burdockdeal/membership/service.py
@@ -1,32 +1,43 @@
-"""The membership service: joining and exchanging records."""
+"""The membership service: probing, joining and comparing rosters."""
 
 import asyncio
 from collections import abc
 import random
 
-import aiohttp
 from aiohttp import web
 import mode
 
 from burdockdeal.core import codec
 from burdockdeal.core import errors
-from burdockdeal.core import headers
 from burdockdeal.core import journal
+from burdockdeal.membership import contacts
 from burdockdeal.membership import decisions
 from burdockdeal.membership import messages
+from burdockdeal.membership import pages
 from burdockdeal.membership import roster
-from burdockdeal.platform import store
+from burdockdeal.membership import transport
 from burdockdeal.settings import model
 
-CONTACTS_PREFIX = "members/"
+#: Seconds that a daemon that is gone is remembered.
+REMEMBER_GONE_S = 86_400.0
 
-_FANOUT = 2
-_PERIODS_BETWEEN_CONTACTS = 5
+#: Seconds between two comparisons of the whole roster with a peer.
+COMPARE_S = 60.0
+
+#: Periods between two tries to reach a daemon that is believed dead.
+_PERIODS_BETWEEN_REVIVALS = 5
+
+#: A tick later than this many periods shows that this process stood still.
+_PAUSE_PERIODS = 3.0
+
+_JOIN_TIMEOUT_S = 5.0
 
 
 class Membership(mode.Service):
-    """Finds the other daemons and exchanges records with them.
+    """Finds the other daemons, probes them and spreads what is news.
 
+    :param post: posts a message to another daemon.
+    :param meet: returns addresses from the store's list of contacts.
     :param revision: returns the configuration's revision in force here.
     :param on_newer: called with a peer whose configuration is newer.
     """
@@ -35,126 +46,262 @@
         self,
         settings: model.Settings,
         standing: roster.Roster,
-        platform: store.Store,
-        session: aiohttp.ClientSession,
+        post: transport.Post,
+        meet: contacts.Meet,
         chance: random.Random,
+        clock: abc.Callable[[], float],
         *,
         revision: abc.Callable[[], int],
         on_newer: abc.Callable[[model.Address], None],
     ) -> None:
         super().__init__()
         self._settings = settings
+        self._pace = settings.membership
         self._roster = standing
-        self._store = platform
-        self._session = session
+        self._post = post
+        self._meet = meet
         self._chance = chance
+        self._clock = clock
         self._revision = revision
         self._on_newer = on_newer
+        self._order: list[str] = []
+        self._suspects: dict[str, float] = {}
+        self._gone_at: dict[str, float] = {}
+        self._compared_at = clock()
+        standing.on_change(self._note_change)
 
     @mode.Service.task
-    async def _exchange_forever(self) -> None:
+    async def _probe_forever(self) -> None:
+        period_s = self._pace.period_s
+        due = self._clock()
+        number = 0
         while not self.should_stop:
-            peers = [member.peer for member in self._roster.peers]
-            chosen = self._chance.sample(peers, min(_FANOUT, len(peers)))
-            for peer in chosen or self._settings.peers:
-                await self._exchange(peer)
-            await self.sleep(self._settings.membership.period_s)
+            await self.sleep(max(0.0, due - self._clock()))
+            late_s = self._clock() - due
+            due = self._clock() + period_s
+            if late_s > _PAUSE_PERIODS * period_s:
+                # What this process did not hear while it stood still says
+                # nothing about the others.
+                journal.warn("loop_paused", late_ms=round(late_s * 1000))
+                self._grant_time(late_s)
+            number += 1
+            self._end_suspicions()
+            target = self._next_target()
+            if target is not None:
+                self.add_future(self._probe(target))
+            if number % _PERIODS_BETWEEN_REVIVALS == 0:
+                self._revive_one()
 
     @mode.Service.task
     async def _join_forever(self) -> None:
         while not self.should_stop:
             try:
-                await self._publish_contact()
-                for address in await self._read_contacts():
-                    await self._exchange(address)
+                await self._join()
             except errors.PlatformError as error:
                 journal.warn("contacts_unavailable", error=error)
-            pause = self._settings.membership.period_s
-            if self._roster.peers:
-                pause *= _PERIODS_BETWEEN_CONTACTS
-            await self.sleep(pause)
-
-    async def _publish_contact(self) -> None:
-        key = CONTACTS_PREFIX + self._settings.failure_domain
-        entry = await self._store.get(key)
-        contacts = messages.Contacts(())
-        if entry is not None:
-            contacts = codec.decode(entry.value, messages.Contacts)
-        own = messages.Contact(self._roster.own.daemon, self._roster.own.peer)
-        full = len(contacts.contacts) >= decisions.CONTACTS_PER_DOMAIN
-        if own in contacts.contacts or (full and self._roster.peers):
+            pause_s = self._pace.period_s
+            await self.sleep(pause_s * (1 + self._chance.random()))
+
+    async def _join(self) -> None:
+        if self._roster.size == 1:
+            known = list(self._settings.peers)
+            try:
+                known += await self._meet(True)
+            finally:
+                for address in known:
+                    if await self._load_roster(address):
+                        break
             return
-        await self._store.put(
-            key,
-            codec.encode(decisions.add_contact(contacts, own)).decode(),
-            version=entry.version if entry else 0,
-        )
+        self._roster.joined = True
+        if self._is_relay():
+            # Contacts that are not known stand for a part of the fleet
+            # that this part has lost.
+            for address in await self._meet(False):
+                await self._load_roster(address)
+        if self._clock() - self._compared_at > COMPARE_S:
+            self._compared_at = self._clock()
+            chosen = self._chance.choice(self._roster.peers)
+            await self._load_roster(chosen.peer)
 
-    async def _read_contacts(self) -> list[model.Address]:
-        listing = await self._store.list(CONTACTS_PREFIX)
-        known = {member.daemon for member in self._roster.peers}
-        known.add(self._roster.own.daemon)
-        return [
-            contact.peer
-            for entry in listing.entries
-            for contact in codec.decode(
-                entry.value, messages.Contacts
-            ).contacts
-            if contact.daemon not in known
-        ]
+    def _is_relay(self) -> bool:
+        own = self._roster.own
+        return own.daemon in self._roster.relays(own.failure_domain)
 
-    async def _exchange(self, address: model.Address) -> None:
+    async def _load_roster(self, address: model.Address) -> bool:
+        """Load the records in which a peer's roster differs."""
         if address == self._roster.own.peer:
+            return False
+        first: int | None = 0
+        while first is not None:
+            request = messages.PageRequest(first, self._roster.sums)
+            page = await self._post(
+                address,
+                "/v1/peer/page",
+                request,
+                messages.Page,
+                _JOIN_TIMEOUT_S,
+            )
+            if page is None:
+                return False
+            self._roster.hear(page.members)
+            first = page.following
+        return await self._ping(address, "") is not None
+
+    def _next_target(self) -> messages.Member | None:
+        while True:
+            if not self._order:
+                self._order = [peer.daemon for peer in self._roster.peers]
+                self._chance.shuffle(self._order)
+            if not self._order:
+                return None
+            member = self._roster.find(self._order.pop())
+            if member and member.health not in messages.GONE:
+                return member
+
+    async def _probe(self, target: messages.Member) -> None:
+        if await self._ping(target.peer, target.daemon):
             return
-        try:
-            async with self._session.post(
-                f"http://{address}/v1/peer/exchange",
-                data=codec.encode(self._own_side()),
-                headers={headers.PEER_TOKEN: self._settings.peer_token},
-                timeout=aiohttp.ClientTimeout(
-                    total=self._settings.membership.timeout_s
-                ),
-            ) as response:
-                response.raise_for_status()
-                raw = await response.read()
-            self._take(codec.decode(raw, messages.Exchange), address)
-        except (
-            aiohttp.ClientError,
-            asyncio.TimeoutError,
-            codec.MalformedError,
-            OSError,
-        ) as error:
-            journal.debug("exchange_failed", peer=address, error=repr(error))
-
-    def _own_side(self) -> messages.Exchange:
-        return messages.Exchange(
-            sender=self._roster.own.daemon,
+        peers = [p for p in self._roster.peers if p.daemon != target.daemon]
+        helpers = self._chance.sample(
+            peers, min(decisions.HELPERS, len(peers))
+        )
+        request = messages.PingRequest(target.daemon)
+        results = await asyncio.gather(
+            *(
+                self._post(
+                    helper.peer,
+                    "/v1/peer/ping-request",
+                    request,
+                    messages.PingResult,
+                    2 * self._pace.timeout_s,
+                )
+                for helper in helpers
+            )
+        )
+        if not any(result and result.answered for result in results):
+            # Only the record that was probed is suspected, not a newer
+            # one that was heard of meanwhile.
+            claim = decisions.make_claim(target)
+            suspect = messages.Claim(
+                claim.daemon,
+                claim.incarnation,
+                claim.serial,
+                messages.Health.SUSPECT,
+            )
+            self._roster.hear_claims([suspect])
+
+    async def _ping(self, address: model.Address, daemon: str) -> bool:
+        """Probe a daemon.
+
+        :param daemon: who must answer, empty for anyone.
+        """
+        answer = await self._post(
+            address,
+            "/v1/peer/ping",
+            self._make_ping(daemon),
+            messages.Ping,
+            self._pace.timeout_s,
+        )
+        if answer is None:
+            return False
+        self._hear(answer)
+        return daemon in ("", answer.sender.daemon)
+
+    def _make_ping(self, daemon: str = "") -> messages.Ping:
+        standing = self._roster
+        limit = decisions.spread_limit(standing.size)
+        members = [
+            standing.find(name) for name in standing.news.take_members(limit)
+        ]
+        named = list(standing.news.take_claims(limit))
+        if daemon and daemon not in named:
+            # What is believed of the one that is probed, so that it can
+            # defend itself.
+            named.append(daemon)
+        found = filter(None, map(standing.find, named))
+        return messages.Ping(
+            sender=standing.own,
             revision=self._revision(),
-            members=self._roster.members,
+            members=tuple(filter(None, members)),
+            claims=tuple(map(decisions.make_claim, found)),
         )
 
-    def _take(
-        self, exchange: messages.Exchange, address: model.Address
+    def _hear(self, ping: messages.Ping) -> None:
+        self._roster.hear((ping.sender, *ping.members))
+        self._roster.hear_claims(ping.claims)
+        if ping.revision > self._revision():
+            self._on_newer(ping.sender.peer)
+
+    def _note_change(
+        self, known: messages.Member | None, stands: messages.Member
     ) -> None:
-        self._roster.hear(exchange.members)
-        if exchange.revision > self._revision():
-            self._on_newer(address)
-
-    async def handle_exchange(self, request: web.BaseRequest) -> web.Response:
-        """Answer another daemon's exchange."""
-        exchange = codec.decode(await request.read(), messages.Exchange)
-        sender = next(
-            (
-                member
-                for member in exchange.members
-                if member.daemon == exchange.sender
-            ),
-            None,
-        )
-        self._roster.hear(exchange.members)
-        if sender is not None and exchange.revision > self._revision():
-            self._on_newer(sender.peer)
-        return web.Response(
-            body=codec.encode(self._own_side()),
-            content_type="application/json",
+        daemon = stands.daemon
+        if stands.health is not messages.Health.SUSPECT:
+            self._suspects.pop(daemon, None)
+        elif known is None or known.health is not messages.Health.SUSPECT:
+            self._suspects[daemon] = self._clock() + decisions.suspicion_s(
+                self._pace.period_s,
+                self._pace.suspicion_s,
+                self._roster.size,
+            )
+        if stands.health in messages.GONE:
+            self._gone_at[daemon] = self._clock()
+        else:
+            self._gone_at.pop(daemon, None)
+
+    def _grant_time(self, late_s: float) -> None:
+        self._suspects = {
+            daemon: until + late_s for daemon, until in self._suspects.items()
+        }
+
+    def _end_suspicions(self) -> None:
+        now = self._clock()
+        for daemon in decisions.find_expired(self._suspects, now):
+            domain = self._roster.find(daemon).failure_domain
+            if not decisions.is_cut(
+                self._roster.suspects_in(domain),
+                len(self._roster.in_domain(domain)),
+            ):
+                self._roster.believe(daemon, messages.Health.DEAD)
+        for daemon, at in list(self._gone_at.items()):
+            if now - at > REMEMBER_GONE_S:
+                del self._gone_at[daemon]
+                self._roster.forget(daemon)
+
+    def _revive_one(self) -> None:
+        dead = [
+            member
+            for member in self._roster.gone
+            if member.health is messages.Health.DEAD
+        ]
+        if dead:
+            chosen = self._chance.choice(dead)
+            self.add_future(self._ping(chosen.peer, chosen.daemon))
+
+    async def handle_ping(self, request: web.BaseRequest) -> web.Response:
+        """Answer a probe."""
+        ping = codec.decode(await request.read(), messages.Ping)
+        self._hear(ping)
+        return _reply(self._make_ping())
+
+    async def handle_ping_request(
+        self, request: web.BaseRequest
+    ) -> web.Response:
+        """Probe a daemon in another's place."""
+        wanted = codec.decode(await request.read(), messages.PingRequest)
+        member = self._roster.find(wanted.daemon)
+        answered = member is not None and await self._ping(
+            member.peer, member.daemon
         )
+        return _reply(messages.PingResult(bool(answered)))
+
+    async def handle_page(self, request: web.BaseRequest) -> web.Response:
+        """Answer a daemon that compares its roster with ours."""
+        wanted = codec.decode(await request.read(), messages.PageRequest)
+        return _reply(pages.make_page(self._roster, wanted))
+
+
+def _reply(message: object) -> web.Response:
+    return web.Response(
+        body=codec.encode(message), content_type="application/json"
+    )
--- a/packages/burdockdeal/burdockdeal/routing/board.py
+++ b/packages/burdockdeal/burdockdeal/routing/board.py
@@ -74,11 +74,16 @@
             latency_s=tally.latency_s,
         )
 
-    def forget(self, standing: abc.Iterable[messages.Member]) -> None:
-        """Drop the tallies of instances that no longer stand."""
-        keep = {
-            (member.daemon, member.upstream_incarnation) for member in standing
-        }
-        for key in self._tallies.keys() - keep:
-            if not self._tallies[key].sent:
-                del self._tallies[key]
+    def forget(self, known: messages.Member, stands: messages.Member) -> None:
+        """Drop the tally of an instance that no longer stands.
+
+        :param known: its record before.
+        :param stands: its record now.
+        """
+        same = known.upstream_incarnation == stands.upstream_incarnation
+        if same and stands.health not in messages.GONE:
+            return
+        key = (known.daemon, known.upstream_incarnation)
+        tally = self._tallies.get(key)
+        if tally is not None and not tally.sent:
+            del self._tallies[key]
