Run experiments with real processes from scenario files

Cause: decisions under load and faults can't be weighed without one command that brings them about and judges the outcome.

Change: make bench lays a deployment out over loopback prefixes, one relay for each failure domain, drives it with an open load and closes with one line of JSON. Scenarios and deployments are checked data files. Runs are judged by the upstream stand-ins' own notes, which outlive a SIGKILL. A relay passes many links; an upstream calls on through its own daemon.

--- /dev/null
+++ b/packages/bench/burdockdeal_bench/caller.py
@@ -0,0 +1,98 @@
+"""The load generator: sends each request when it is due, answered or not."""
+
+import asyncio
+from collections import abc
+import os
+import pathlib
+import time
+
+import aiohttp
+import fire
+
+from burdockdeal.core import codec
+from burdockdeal.core import headers
+from burdockdeal_bench import plan
+
+_UPLOAD_PARTS = 10
+
+
+async def _upload(request: plan.Request) -> abc.AsyncIterator[bytes]:
+    size = request.body_bytes
+    for part in range(_UPLOAD_PARTS):
+        begin = size * part // _UPLOAD_PARTS
+        end = size * (part + 1) // _UPLOAD_PARTS
+        yield b"x" * (end - begin)
+        await asyncio.sleep(request.upload_s / _UPLOAD_PARTS)
+
+
+def _open_body(request: plan.Request) -> object:
+    if request.upload_s:
+        return _upload(request)
+    return b"x" * request.body_bytes or None
+
+
+async def _send(
+    session: aiohttp.ClientSession, request: plan.Request, due: float
+) -> plan.Outcome:
+    lag_s = time.monotonic() - due
+    extra = (
+        {"Content-Length": str(request.body_bytes)} if request.upload_s else {}
+    )
+    try:
+        async with session.request(
+            request.method,
+            request.entry + request.path,
+            data=_open_body(request),
+            headers=extra,
+        ) as answer:
+            await answer.read()
+    except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        return plan.Outcome(
+            number=request.number,
+            latency_s=time.monotonic() - due,
+            lag_s=lag_s,
+            error=type(error).__name__,
+        )
+    return plan.Outcome(
+        number=request.number,
+        latency_s=time.monotonic() - due,
+        lag_s=lag_s,
+        verdict=answer.headers.get(headers.VERDICT, ""),
+        reason=answer.headers.get(headers.REASON, ""),
+        status=answer.status,
+        request_id=answer.headers.get(headers.REQUEST_ID, ""),
+    )
+
+
+async def send_all(plan_: plan.Plan) -> plan.Outcomes:
+    """Send the requests of a plan at their times."""
+    async with aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0),
+        cookie_jar=aiohttp.DummyCookieJar(),
+        timeout=aiohttp.ClientTimeout(total=plan_.timeout_s),
+    ) as session:
+        # A caller that sends again by itself would hide what it saw.
+        session._retry_connection = False
+        sent = []
+        for request in plan_.requests:
+            due = plan_.start_at + request.due_s
+            wait_s = due - time.monotonic()
+            if wait_s > 0:
+                await asyncio.sleep(wait_s)
+            sent.append(asyncio.create_task(_send(session, request, due)))
+        return plan.Outcomes(tuple(await asyncio.gather(*sent)))
+
+
+def run(*, plan_file: str, outcome_file: str) -> None:
+    """Send the requests of a plan and write down what became of them."""
+    os.environ["UV_USE_IO_URING"] = "0"
+    import uvloop
+
+    wanted = codec.decode(pathlib.Path(plan_file).read_bytes(), plan.Plan)
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        outcomes = runner.run(send_all(wanted))
+    pathlib.Path(outcome_file).write_bytes(codec.encode(outcomes))
+
+
+if __name__ == "__main__":
+    fire.Fire(run)
--- /dev/null
+++ b/packages/bench/burdockdeal_bench/report.py
@@ -0,0 +1,288 @@
+"""The report on a run: arithmetic on outcomes, ledgers and samples."""
+
+import collections
+from collections import abc
+import dataclasses
+
+from hdrh import histogram
+
+from burdockdeal.configuration import resources
+from burdockdeal.core import verdict
+from burdockdeal_bench import plan
+from burdockdeal_bench import scenario as scenarios
+from burdockdeal_bench import scrape
+from burdockdeal_standins import store
+from burdockdeal_standins import upstream
+
+_MAX_LATENCY_US = 120_000_000
+_DIGITS = 3
+_SERVER_ERROR = 500
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Latency:
+    """Latency of the answers, in milliseconds; None without any."""
+
+    p50_ms: float | None
+    p99_ms: float | None
+    p999_ms: float | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RankReport:
+    """What became of one rank's requests.
+
+    :param answered: whole answers of an upstream, below status 500.
+    :param failed: whole answers of an upstream from status 500 on.
+    :param no_verdict: no whole answer, or one without a verdict.
+    :param kept_share: answers a second after the unloaded part, over
+        those in it; None if either part was offered nothing.
+    :param loaded: latency of what was due after the unloaded part.
+    :param unloaded: latency of what was due in the unloaded part.
+    """
+
+    rank: str
+    sent: int
+    answered: int
+    failed: int
+    not_run: int
+    may_have_run: int
+    no_verdict: int
+    answered_share: float
+    kept_share: float | None
+    loaded: Latency
+    unloaded: Latency
+    reasons: dict[str, int]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Measuring:
+    """The cost of measuring; None where no daemon has the counter.
+
+    :param worst_probes_per_s: of any daemon between two scrapes, which
+        are about a second apart.
+    :param budget: what is allowed.
+    """
+
+    probes: int | None
+    bytes: int | None
+    probes_per_answer: float | None
+    bytes_per_answer: float | None
+    worst_probes_per_s: float | None
+    worst_bytes_per_s: float | None
+    budget: resources.Budget
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Report:
+    """The report on one run.
+
+    :param tries_per_first_try: sends over first sends, None where no
+        daemon has the counters.
+    :param ran_twice: requests that are not idempotent and ran twice.
+    :param not_run_but_ran: requests told NOT_RUN that ran.
+    :param foreign_answers: answers with the id of another request.
+    :param runs: runs that the upstreams noted.
+    :param lag_p99_ms: how late the generators sent.
+    """
+
+    scenario: str
+    deployment: str
+    policy: str
+    seed: int
+    duration_s: float
+    ranks: tuple[RankReport, ...]
+    measuring: Measuring
+    store_calls: store.Counts
+    tries_per_first_try: float | None
+    runs: int
+    most_runs_per_request: int
+    ran_twice: int
+    not_run_but_ran: int
+    foreign_answers: int
+    lag_p99_ms: float | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Evidence:
+    """All that a run left behind.
+
+    :param ledger: the runs that the upstreams noted as they began.
+    :param store_calls: calls during the run.
+    """
+
+    requests: tuple[plan.Request, ...]
+    outcomes: tuple[plan.Outcome, ...]
+    ledger: tuple[upstream.Run, ...]
+    samples: tuple[scrape.Sample, ...]
+    store_calls: store.Counts
+
+
+def summarise(latencies_s: abc.Iterable[float]) -> Latency:
+    """Summarise latencies in seconds."""
+    kept = histogram.HdrHistogram(1, _MAX_LATENCY_US, _DIGITS)
+    for latency_s in latencies_s:
+        kept.record_value(
+            min(_MAX_LATENCY_US, max(1, round(latency_s * 1_000_000)))
+        )
+    if not kept.get_total_count():
+        return Latency(None, None, None)
+    at = kept.get_value_at_percentile
+    return Latency(*(round(at(share) / 1000, 2) for share in (50, 99, 99.9)))
+
+
+def _ratio(
+    over: float | None, under: float | None, digits: int = 3
+) -> float | None:
+    if over is None or not under:
+        return None
+    return round(over / under, digits)
+
+
+def _is_answered(outcome: plan.Outcome) -> bool:
+    return (
+        not outcome.error
+        and outcome.verdict == verdict.Verdict.RAN
+        and outcome.status < _SERVER_ERROR
+    )
+
+
+def _judge(outcome: plan.Outcome) -> str:
+    """Name the class that an outcome is counted in."""
+    if outcome.error or not outcome.verdict:
+        return "no_verdict"
+    if outcome.verdict != verdict.Verdict.RAN:
+        return outcome.verdict.lower()
+    return "answered" if _is_answered(outcome) else "failed"
+
+
+Pair = tuple[plan.Request, plan.Outcome]
+
+
+def _report_rank(
+    rank: str, pairs: list[Pair], scenario: scenarios.Scenario
+) -> RankReport:
+    classes = collections.Counter(_judge(outcome) for _, outcome in pairs)
+    answers = [pair for pair in pairs if _is_answered(pair[1])]
+    unloaded = [p for p in answers if p[0].due_s < scenario.unloaded_s]
+    loaded = [p for p in answers if p[0].due_s >= scenario.unloaded_s]
+    rate = len(unloaded) / scenario.unloaded_s
+    loaded_s = scenario.duration_s - scenario.unloaded_s
+    offered = any(r.due_s >= scenario.unloaded_s for r, _ in pairs)
+    return RankReport(
+        rank=rank,
+        sent=len(pairs),
+        answered=classes["answered"],
+        failed=classes["failed"],
+        not_run=classes["not_run"],
+        may_have_run=classes["may_have_run"],
+        no_verdict=classes["no_verdict"],
+        answered_share=round(classes["answered"] / len(pairs), 4),
+        kept_share=_ratio(len(loaded) / loaded_s, rate) if offered else None,
+        loaded=summarise(outcome.latency_s for _, outcome in loaded),
+        unloaded=summarise(outcome.latency_s for _, outcome in unloaded),
+        reasons=dict(
+            sorted(
+                collections.Counter(
+                    outcome.reason or outcome.error
+                    for _, outcome in pairs
+                    if outcome.reason or outcome.error
+                ).items()
+            )
+        ),
+    )
+
+
+def _report_ranks(
+    experiment: scenarios.Experiment, pairs: list[Pair]
+) -> tuple[RankReport, ...]:
+    ranks = sorted(
+        experiment.deployment.ranks, key=lambda rank: rank.spec.urgency
+    )
+    by_rank: dict[str, list[Pair]] = {rank.name: [] for rank in ranks}
+    for pair in pairs:
+        by_rank[pair[0].rank].append(pair)
+    return tuple(
+        _report_rank(rank, listed, experiment.scenario)
+        for rank, listed in by_rank.items()
+        if listed
+    )
+
+
+def _report_measuring(
+    samples: tuple[scrape.Sample, ...], answered: int, budget: resources.Budget
+) -> Measuring:
+    probes = scrape.total(samples, scrape.PROBES)
+    size = scrape.total(samples, scrape.PROBE_BYTES)
+    return Measuring(
+        probes=None if probes is None else round(probes),
+        bytes=None if size is None else round(size),
+        probes_per_answer=_ratio(probes, answered, 4),
+        bytes_per_answer=_ratio(size, answered, 2),
+        worst_probes_per_s=scrape.worst_per_second(samples, scrape.PROBES),
+        worst_bytes_per_s=scrape.worst_per_second(samples, scrape.PROBE_BYTES),
+        budget=budget,
+    )
+
+
+def count_runs(
+    ledger: abc.Iterable[upstream.Run],
+) -> collections.Counter[str]:
+    """Count runs by path, which is unique to a call of a request.
+
+    The path is the caller's own, so that a daemon that gave a request a
+    second id could not hide a second run.
+    """
+    return collections.Counter(run.path for run in ledger)
+
+
+def build_report(
+    experiment: scenarios.Experiment,
+    evidence: Evidence,
+    *,
+    policy: str,
+    seed: int,
+) -> Report:
+    """Build the report on a run."""
+    deployment = experiment.deployment
+    by_number = {request.number: request for request in evidence.requests}
+    pairs = [
+        (by_number[outcome.number], outcome) for outcome in evidence.outcomes
+    ]
+    runs = count_runs(evidence.ledger)
+    ids = {run.path: run.request_id for run in evidence.ledger}
+    risky = {work.name for work in deployment.works if not work.harmless}
+    answered = sum(_is_answered(outcome) for _, outcome in pairs)
+    first_sends = scrape.total(evidence.samples, scrape.FIRST_SENDS)
+    return Report(
+        scenario=experiment.scenario.name,
+        deployment=deployment.name,
+        policy=policy,
+        seed=seed,
+        duration_s=experiment.scenario.duration_s,
+        ranks=_report_ranks(experiment, pairs),
+        measuring=_report_measuring(
+            evidence.samples, answered, deployment.budget
+        ),
+        store_calls=evidence.store_calls,
+        tries_per_first_try=_ratio(
+            scrape.total(evidence.samples, scrape.SENDS), first_sends
+        ),
+        runs=sum(runs.values()),
+        most_runs_per_request=max(runs.values(), default=0),
+        ran_twice=sum(
+            request.work in risky and runs[request.path] > 1
+            for request in evidence.requests
+        ),
+        not_run_but_ran=sum(
+            outcome.verdict == verdict.Verdict.NOT_RUN
+            and runs[request.path] > 0
+            for request, outcome in pairs
+        ),
+        foreign_answers=sum(
+            _is_answered(outcome)
+            and ids.get(request.path, outcome.request_id) != outcome.request_id
+            for request, outcome in pairs
+        ),
+        lag_p99_ms=summarise(o.lag_s for o in evidence.outcomes).p99_ms,
+    )
--- /dev/null
+++ b/packages/bench/burdockdeal_bench/scenario.py
@@ -0,0 +1,258 @@
+"""Scenarios: what callers send and what goes wrong, as data."""
+
+from collections import abc
+import dataclasses
+import enum
+import pathlib
+import typing
+
+import json5
+
+from burdockdeal.core import checking
+from burdockdeal.core import errors
+from burdockdeal_bench import deployment as deployments
+
+_FOLDER = pathlib.Path(__file__).parent
+_SUFFIX = ".json5"
+
+T = typing.TypeVar("T")
+
+
+class ScenarioError(errors.CheckError):
+    """A scenario or deployment file is wrong."""
+
+
+class Action(enum.StrEnum):
+    """What an event does."""
+
+    SLOW = "SLOW"
+    FAIL_FAST = "FAIL_FAST"
+    LIE = "LIE"
+    HANG = "HANG"
+    TRUNCATE = "TRUNCATE"
+    SILENCE = "SILENCE"
+    DRAIN = "DRAIN"
+    RECOVER = "RECOVER"
+    START_UPSTREAM = "START_UPSTREAM"
+    KILL_UPSTREAM = "KILL_UPSTREAM"
+    KILL_DAEMON = "KILL_DAEMON"
+    TERMINATE_DAEMON = "TERMINATE_DAEMON"
+    START_DAEMON = "START_DAEMON"
+    STOP_DAEMON = "STOP_DAEMON"
+    CONTINUE_DAEMON = "CONTINUE_DAEMON"
+    STOP_UPSTREAM = "STOP_UPSTREAM"
+    CONTINUE_UPSTREAM = "CONTINUE_UPSTREAM"
+    CUT_DOMAIN = "CUT_DOMAIN"
+    SWALLOW_DOMAIN = "SWALLOW_DOMAIN"
+    DELAY_DOMAIN = "DELAY_DOMAIN"
+    HEAL_DOMAIN = "HEAL_DOMAIN"
+    STORE_OUTAGE = "STORE_OUTAGE"
+    STORE_DELAY = "STORE_DELAY"
+    STORE_LOSE_ANSWERS = "STORE_LOSE_ANSWERS"
+    STORE_RECOVER = "STORE_RECOVER"
+
+
+#: What the number of an event means, for the actions that need one.
+VALUE_UNITS: dict[Action, str] = {
+    Action.SLOW: "times the service time",
+    Action.DELAY_DOMAIN: "milliseconds one way",
+    Action.STORE_DELAY: "milliseconds a call",
+    Action.STORE_LOSE_ANSWERS: "writes",
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Load:
+    """Requests of one kind of work, at random times.
+
+    :param rate_per_s: requests a second, as a mean.
+    :param from_s: seconds from the start of the run.
+    :param to_s: seconds from the start, None for the end of the run.
+    """
+
+    work: checking.Name
+    rate_per_s: checking.Positive
+    from_s: deployments.Amount = 0.0
+    to_s: checking.Positive | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Event:
+    """Something that happens during the run.
+
+    :param at_s: seconds from the start of the run.
+    :param place: the place; its failure domain for the DOMAIN actions.
+    :param value: see VALUE_UNITS.
+    """
+
+    at_s: deployments.Amount
+    action: Action
+    place: str = ""
+    value: deployments.Amount = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Scenario:
+    """One experiment.
+
+    :param duration_s: seconds in which requests are sent.
+    :param unloaded_s: seconds from the start that count as unloaded; the
+        rest is compared with them.
+    :param deployment: a shipped one's name, or a file beside this one.
+    :param own_deployment: the deployment itself, in place of a name.
+    :param works: kinds of work besides the deployment's own.
+    """
+
+    name: checking.Name
+    duration_s: checking.Positive
+    unloaded_s: checking.Positive
+    loads: tuple[Load, ...]
+    about: str = ""
+    deployment: str = "hinge"
+    own_deployment: deployments.Deployment | None = None
+    events: tuple[Event, ...] = ()
+    works: tuple[deployments.Work, ...] = ()
+    cold: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Experiment:
+    """A scenario with its deployment, both checked."""
+
+    scenario: Scenario
+    deployment: deployments.Deployment
+
+
+def _parse(
+    kind: type[T],
+    text: str,
+    subject: str,
+    find_faults: abc.Callable[[T], tuple[errors.Fault, ...]],
+) -> T:
+    try:
+        raw = json5.loads(text)
+    except ValueError as error:
+        fault = errors.Fault("", f"not JSON with comments: {error}")
+        raise ScenarioError(subject, (fault,)) from error
+    value, faults = checking.check(kind, raw)
+    if value is not None:
+        faults = find_faults(value)
+    if value is None or faults:
+        raise ScenarioError(subject, faults)
+    return value
+
+
+def _read(name: str, shipped: str, beside: pathlib.Path) -> tuple[str, str]:
+    """Read a file by its shipped name or path.
+
+    :returns: its text and path.
+    """
+    path = _FOLDER / shipped / f"{name}{_SUFFIX}"
+    if not path.is_file():
+        path = beside / name
+    try:
+        return path.read_text(encoding="utf-8"), str(path)
+    except (OSError, UnicodeDecodeError) as error:
+        known = ", ".join(list_names(shipped))
+        fault = errors.Fault(
+            "", f"can't be read ({error.__class__.__name__}); known: {known}"
+        )
+        raise ScenarioError(name, (fault,)) from error
+
+
+def list_names(shipped: str = "scenarios") -> tuple[str, ...]:
+    """List what is shipped in a folder."""
+    found = (_FOLDER / shipped).glob(f"*{_SUFFIX}")
+    return tuple(sorted(path.stem for path in found))
+
+
+def _find_time_faults(scenario: Scenario) -> abc.Iterator[errors.Fault]:
+    if scenario.unloaded_s >= scenario.duration_s:
+        yield errors.Fault("unloaded_s", "is not below duration_s")
+    if not scenario.loads:
+        yield errors.Fault("loads", "at least one is needed")
+    for index, load in enumerate(scenario.loads):
+        end = load.to_s or scenario.duration_s
+        if not load.from_s < end <= scenario.duration_s:
+            yield errors.Fault(
+                f"loads[{index}].to_s",
+                "is not between from_s and duration_s",
+            )
+    for index, event in enumerate(scenario.events):
+        if event.at_s > scenario.duration_s:
+            yield errors.Fault(f"events[{index}].at_s", "is after the end")
+        if event.action in VALUE_UNITS and not event.value:
+            unit = VALUE_UNITS[event.action]
+            yield errors.Fault(f"events[{index}].value", f"is missing: {unit}")
+
+
+def _find_name_faults(
+    scenario: Scenario, deployment: deployments.Deployment
+) -> abc.Iterator[errors.Fault]:
+    works = {work.name for work in deployment.works}
+    places = {place.name for place in deployment.places}
+    for index, load in enumerate(scenario.loads):
+        if load.work not in works:
+            known = ", ".join(sorted(works))
+            yield errors.Fault(
+                f"loads[{index}].work",
+                f"no work is named {load.work}; known: {known}",
+            )
+    for index, event in enumerate(scenario.events):
+        of_store = event.action.startswith("STORE")
+        if not of_store and event.place not in places:
+            known = ", ".join(sorted(places))
+            yield errors.Fault(
+                f"events[{index}].place",
+                f"no place is named {event.place!r}; known: {known}",
+            )
+    for index, name in enumerate(scenario.cold):
+        if name not in places:
+            yield errors.Fault(f"cold[{index}]", f"no place is named {name}")
+
+
+def find_faults(scenario: Scenario) -> tuple[errors.Fault, ...]:
+    """Find faults that show only when a scenario is seen whole."""
+    return tuple(_find_time_faults(scenario))
+
+
+def _combine(
+    scenario: Scenario, base: deployments.Deployment
+) -> deployments.Deployment:
+    return dataclasses.replace(
+        base,
+        works=base.works + scenario.works,
+        places=tuple(
+            dataclasses.replace(place, cold=place.name in scenario.cold)
+            if scenario.cold
+            else place
+            for place in base.places
+        ),
+    )
+
+
+def load(name: str, *, deployment: str = "") -> Experiment:
+    """Load a scenario and its deployment.
+
+    :param name: a shipped scenario's name, or a path.
+    :param deployment: used in place of the one that the file names.
+    :raises ScenarioError: with every fault, named by its field.
+    """
+    text, path = _read(name, "scenarios", pathlib.Path())
+    scenario = _parse(Scenario, text, path, find_faults)
+    base = None if deployment else scenario.own_deployment
+    if base is None:
+        beside = pathlib.Path() if deployment else pathlib.Path(path).parent
+        text, source = _read(
+            deployment or scenario.deployment, "deployments", beside
+        )
+        base = _parse(
+            deployments.Deployment, text, source, deployments.find_faults
+        )
+    combined = _combine(scenario, base)
+    faults = deployments.find_faults(combined) + tuple(
+        _find_name_faults(scenario, combined)
+    )
+    if faults:
+        raise ScenarioError(path, faults)
+    return Experiment(scenario, combined)
--- /dev/null
+++ b/packages/bench/burdockdeal_bench/tests/test_experiment.py
@@ -0,0 +1,48 @@
+"""One short experiment from end to end."""
+
+import dataclasses
+
+from burdockdeal_bench import experiment as experiments
+from burdockdeal_bench import scenario as scenarios
+
+_PLACES = 3
+
+
+def _shorten() -> scenarios.Experiment:
+    shipped = scenarios.load("steady")
+    deployment = dataclasses.replace(
+        shipped.deployment, places=shipped.deployment.places[:_PLACES]
+    )
+    scenario = scenarios.Scenario(
+        name="short",
+        duration_s=2.0,
+        unloaded_s=1.0,
+        loads=(
+            scenarios.Load("urgent", 20.0),
+            scenarios.Load("deep", 2.0, to_s=1.0),
+        ),
+        events=(
+            scenarios.Event(1.0, scenarios.Action.CUT_DOMAIN, "p3"),
+            scenarios.Event(1.2, scenarios.Action.HEAL_DOMAIN, "p3"),
+            scenarios.Event(1.3, scenarios.Action.KILL_UPSTREAM, "p2"),
+        ),
+    )
+    return scenarios.Experiment(scenario, deployment)
+
+
+async def test_a_short_experiment() -> None:
+    told = await experiments.run_experiment(
+        _shorten(), policy="round_robin", seed=3
+    )
+    assert told.ran_twice == 0
+    assert told.not_run_but_ran == 0
+    assert told.foreign_answers == 0
+    urgent = told.ranks[0]
+    assert urgent.rank == "optician"
+    assert urgent.sent > 20
+    assert urgent.answered > 0
+    # The runs of the upstream that was killed are still counted, and a
+    # call that is 8 deep counts as 8.
+    answered = sum(rank.answered for rank in told.ranks)
+    assert told.runs >= answered
+    assert told.store_calls.reads > 0
--- /dev/null
+++ b/packages/bench/burdockdeal_bench/tests/test_scenario.py
@@ -0,0 +1,124 @@
+"""The checker of scenarios."""
+
+import pathlib
+
+import pytest
+
+from burdockdeal_bench import main
+from burdockdeal_bench import scenario as scenarios
+from burdockdeal_bench import stage
+
+_MINIMAL = """
+{name: "mine", duration_s: 2, unloaded_s: 1,
+ loads: [{work: "urgent", rate_per_s: 5}]}
+"""
+
+
+def _faults_of(text: str, folder: pathlib.Path) -> set[str]:
+    path = folder / "mine.json5"
+    path.write_text(text)
+    with pytest.raises(scenarios.ScenarioError) as caught:
+        scenarios.load(str(path))
+    return {fault.field for fault in caught.value.faults}
+
+
+@pytest.mark.parametrize("name", scenarios.list_names())
+@pytest.mark.parametrize("deployment", scenarios.list_names("deployments"))
+def test_what_is_shipped_has_no_faults(name: str, deployment: str) -> None:
+    loaded = scenarios.load(name, deployment=deployment)
+    assert loaded.deployment.name == deployment
+
+
+def test_the_scenarios_that_were_asked_for_are_shipped() -> None:
+    assert set(scenarios.list_names()) >= {
+        "steady",
+        "sudden_slowdown",
+        "liar",
+        "fail_fast",
+        "drain",
+        "cold_start",
+        "flood_least_urgent",
+        "flood_most_urgent",
+        "slow_uploads",
+        "domain_cut",
+        "deep_calls",
+    }
+
+
+def test_a_file_of_ones_own(tmp_path: pathlib.Path) -> None:
+    path = tmp_path / "mine.json5"
+    path.write_text(_MINIMAL)
+    assert scenarios.load(str(path)).scenario.name == "mine"
+
+
+def test_a_deployment_beside_the_file(tmp_path: pathlib.Path) -> None:
+    (tmp_path / "field.json5").write_text(
+        """{name: "field", link_ms: 1,
+            places: [{name: "p1", failure_domain: "a", service: "s"}],
+            services: [{name: "s"}],
+            ranks: [{name: "r", spec: {urgency: 0, worth: 1,
+                                       target_ms: 9}}],
+            works: [{name: "urgent", service: "s", rank: "r"}]}"""
+    )
+    path = tmp_path / "mine.json5"
+    path.write_text(
+        _MINIMAL.replace("{name", '{deployment: "field.json5", name')
+    )
+    assert scenarios.load(str(path)).deployment.name == "field"
+
+
+def test_every_fault_is_named(tmp_path: pathlib.Path) -> None:
+    wrong = """{name: "Mine", duration_s: -2, unloaded_s: 1, colour: 3,
+        loads: [{work: "urgent"}, {work: "urgent", rate_per_s: "many"}],
+        events: [{at_s: 1, action: "EXPLODE"}]}"""
+    assert _faults_of(wrong, tmp_path) == {
+        "name",
+        "duration_s",
+        "colour",
+        "loads[0].rate_per_s",
+        "loads[1].rate_per_s",
+        "events[0].action",
+    }
+
+
+def test_faults_of_the_whole(tmp_path: pathlib.Path) -> None:
+    wrong = """{name: "mine", duration_s: 2, unloaded_s: 2,
+        loads: [{work: "urgent", rate_per_s: 5, from_s: 1, to_s: 3}],
+        events: [{at_s: 9, action: "SLOW", place: "p1"}]}"""
+    assert _faults_of(wrong, tmp_path) == {
+        "unloaded_s",
+        "loads[0].to_s",
+        "events[0].at_s",
+        "events[0].value",
+    }
+
+
+def test_names_that_are_not_there(tmp_path: pathlib.Path) -> None:
+    wrong = """{name: "mine", duration_s: 2, unloaded_s: 1, cold: ["p99"],
+        works: [{name: "odd", service: "none", rank: "none"}],
+        loads: [{work: "none", rate_per_s: 5}],
+        events: [{at_s: 1, action: "DRAIN", place: "p98"}]}"""
+    assert _faults_of(wrong, tmp_path) == {
+        "cold[0]",
+        "works[7].service",
+        "works[7].rank",
+        "loads[0].work",
+        "events[0].place",
+    }
+
+
+def test_a_missing_file_and_a_broken_one(tmp_path: pathlib.Path) -> None:
+    assert _faults_of("{name:", tmp_path) == {""}
+    with pytest.raises(scenarios.ScenarioError, match=r"known: .*steady"):
+        scenarios.load("no-such-scenario")
+
+
+def test_every_action_does_something() -> None:
+    assert set(stage.HAPPENINGS) == set(scenarios.Action)
+
+
+def test_wrong_input_ends_with_2(capsys: pytest.CaptureFixture[str]) -> None:
+    assert main.main(scenario="no-such-scenario") == main.EXIT_INPUT
+    assert main.main(policy="no-such-policy") == main.EXIT_INPUT
+    assert main.main(scenario="steady", check=True) == main.EXIT_OK
+    assert "no policy is named" in capsys.readouterr().err
--- a/packages/standins/burdockdeal_standins/fleet.py
+++ b/packages/standins/burdockdeal_standins/fleet.py
@@ -148,7 +148,10 @@
         await self.wait_for_port(self.store_port, self.store)
 
     async def wait_for_port(
-        self, port: int, process: asyncio.subprocess.Process
+        self,
+        port: int,
+        process: asyncio.subprocess.Process,
+        host: str = HOST,
     ) -> None:
         """Wait until a port takes connections.
 
@@ -158,7 +161,7 @@
         async def listens() -> bool:
             assert process.returncode is None, self.all_logs()
             try:
-                _, writer = await asyncio.open_connection(HOST, port)
+                _, writer = await asyncio.open_connection(host, port)
             except OSError:
                 return False
             writer.close()
@@ -208,13 +211,18 @@
         process = await self.start(
             "burdockdeal.daemon.main", settings.daemon, settings=path
         )
-        await self.wait_for_port(settings.listen.caller.port, process)
+        await self.wait_for_port(
+            settings.listen.caller.port, process, settings.listen.caller.host
+        )
         return process
 
     async def start_upstream(
         self, place: Place, settings: model.Settings, port: int
     ) -> asyncio.subprocess.Process:
-        """Start the upstream of a place."""
+        """Start the upstream of a place.
+
+        Each run that it starts is noted in PLACE.ledger, in the folder.
+        """
         return await self.start(
             "burdockdeal_standins.upstream",
             f"{place.name}-upstream",
@@ -225,6 +233,8 @@
             connections=place.connections,
             service_ms=place.service_ms,
             warm_up_s=place.warm_up_s,
+            ledger=self.folder / f"{place.name}.ledger",
+            onward=settings.listen.caller,
         )
 
     async def add(self, place: Place, **changes: object) -> Node:
@@ -339,6 +349,39 @@
         await self.wait_for_port(admin_port, process)
         return Relay(self.session, port, admin_port)
 
+    async def add_domain_relay(
+        self,
+        host: str,
+        targets: abc.Mapping[str, model.Address],
+        *,
+        delay_ms: float = 0.0,
+    ) -> "Relay":
+        """Start the relay of a failure domain, one port for each daemon.
+
+        :param host: the domain's own address; connections from it and
+            its neighbours in the last number pass clear.
+        :param targets: the peer address of each daemon.
+        """
+        near = host.rsplit(".", 1)[0] + "."
+        ports = [free_port(host) for _ in targets]
+        admin_port = free_port()
+        process = await self.start(
+            "burdockdeal_standins.relay",
+            f"relay-{admin_port}",
+            host=host,
+            port=",".join(map(str, ports)),
+            target=",".join(map(str, targets.values())),
+            admin_port=admin_port,
+            delay_ms=delay_ms,
+            near=near,
+        )
+        await self.wait_for_port(admin_port, process, host)
+        addresses = {
+            name: model.Address(host, port)
+            for name, port in zip(targets, ports, strict=True)
+        }
+        return Relay(self.session, ports[0], admin_port, host, near, addresses)
+
     def all_logs(self) -> str:
         """Read the ends of all processes' outputs."""
         paths = sorted(self.folder.glob("*.log"))
@@ -354,15 +397,24 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Relay:
-    """A relay that runs."""
+    """A relay that runs.
+
+    :param near: how the addresses begin that pass clear.
+    :param addresses: where each daemon is reached through the relay.
+    """
 
     session: aiohttp.ClientSession
     port: int
     admin_port: int
+    host: str = HOST
+    near: str = ""
+    addresses: abc.Mapping[str, model.Address] = dataclasses.field(
+        default_factory=dict
+    )
 
     async def behave(self, behaviour: relay.Behaviour) -> None:
         """Set how the link behaves."""
-        url = f"http://{HOST}:{self.admin_port}/admin/behaviour"
+        url = f"http://{self.host}:{self.admin_port}/admin/behaviour"
         async with self.session.put(
             url, data=codec.encode(behaviour)
         ) as response:
--- a/packages/standins/burdockdeal_standins/relay.py
+++ b/packages/standins/burdockdeal_standins/relay.py
@@ -1,12 +1,14 @@
 """A relay between processes: it delays, cuts and swallows.
 
-Each relay listens on one port and passes connections to one target. Its
-behaviour is set through /admin/behaviour on a port of its own.
+Each port that a relay listens on passes connections to one target. Its
+behaviour, the same for all of them, is set through /admin/behaviour on a
+port of its own.
 """
 
 import asyncio
 import contextlib
 import dataclasses
+import functools
 
 from aiohttp import web
 import fire
@@ -123,10 +125,18 @@
             end.close()
 
 
+def _pair_links(
+    port: int | tuple[int, ...], target: str | tuple[str, ...]
+) -> list[tuple[int, str]]:
+    ports = port if isinstance(port, tuple) else (port,)
+    targets = target.split(",") if isinstance(target, str) else target
+    return list(zip(ports, targets, strict=True))
+
+
 def serve(
     *,
-    port: int,
-    target: str,
+    port: int | tuple[int, ...],
+    target: str | tuple[str, ...],
     admin_port: int,
     host: str = "127.0.0.1",
     delay_ms: float = 0.0,
@@ -134,29 +144,32 @@
 ) -> None:
     """Run a relay until SIGTERM.
 
+    :param port: where it listens; several, parted by commas, for as many
+        targets.
     :param target: host:port that connections are passed to.
     :param delay_ms: one way, in milliseconds.
     :param near: how the addresses begin from which the link is clear.
     """
 
     async def main() -> None:
-        link = Link(target, Behaviour(delay_ms=delay_ms, near=near))
+        behaviour = Behaviour(delay_ms=delay_ms, near=near)
+        links: list[Link] = []
 
         async def set_behaviour(request: web.Request) -> web.Response:
-            link.set(codec.decode(await request.read(), Behaviour))
-            return web.Response(body=codec.encode(link.behaviour))
-
-        server = await asyncio.start_server(
-            lambda reader, writer: _pass_connection(link, reader, writer),
-            host,
-            port,
-        )
-        app = web.Application()
-        app.router.add_put("/admin/behaviour", set_behaviour)
-        try:
+            wanted = codec.decode(await request.read(), Behaviour)
+            for link in links:
+                link.set(wanted)
+            return web.Response(body=codec.encode(wanted))
+
+        async with contextlib.AsyncExitStack() as stack:
+            for number, onward in _pair_links(port, target):
+                links.append(Link(onward, behaviour))
+                accept = functools.partial(_pass_connection, links[-1])
+                server = await asyncio.start_server(accept, host, number)
+                stack.callback(server.close)
+            app = web.Application()
+            app.router.add_put("/admin/behaviour", set_behaviour)
             await process.serve_app(app, host, admin_port)
-        finally:
-            server.close()
 
     asyncio.run(main())
 
--- a/packages/standins/burdockdeal_standins/upstream.py
+++ b/packages/standins/burdockdeal_standins/upstream.py
@@ -5,10 +5,13 @@
 """
 
 import asyncio
+from collections import abc
 import contextlib
 import dataclasses
+import pathlib
 import random
 import time
+import typing
 
 import aiohttp
 from aiohttp import web
@@ -19,6 +22,8 @@
 from burdockdeal.core import headers
 from burdockdeal_standins import process
 
+_SESSION = web.AppKey("session", aiohttp.ClientSession)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Behaviour:
@@ -73,10 +78,24 @@
 
 
 class Worker:
-    """The upstream's state."""
+    """The upstream's state.
+
+    :param ledger: a file that takes a line at the start of each run, so
+        that the record outlives the process; None for none.
+    :param onward: the daemon's caller interface, for calls that call on.
+    """
 
-    def __init__(self, announce: messages.Announce, seed: int) -> None:
+    def __init__(
+        self,
+        announce: messages.Announce,
+        seed: int,
+        *,
+        ledger: typing.BinaryIO | None = None,
+        onward: str = "",
+    ) -> None:
         self.announce = announce
+        self.ledger = ledger
+        self.onward = onward
         self.behaviour = Behaviour()
         self.chance = random.Random(seed)
         self.slots = asyncio.Semaphore(announce.slots)
@@ -99,6 +118,9 @@
         )
     )
 
+    if worker.ledger is not None:
+        worker.ledger.write(codec.encode(worker.runs[index]) + b"\n")
+
     def note(**fields: object) -> None:
         worker.runs[index] = dataclasses.replace(worker.runs[index], **fields)
 
@@ -134,9 +156,53 @@
     return response
 
 
+#: Passed on to the calls that a call makes.
+_PASSED_ON = (
+    headers.DEADLINE_MS,
+    headers.DEPTH,
+    headers.RANK,
+    headers.RETRY_TOKENS,
+)
+
+
+async def _call_on(
+    worker: Worker, session: aiohttp.ClientSession, request: web.Request
+) -> int:
+    """Make the call that a call with deeper=N in its query makes.
+
+    :returns: the status of its answer, 200 if there is none to make.
+    """
+    deeper = int(request.query.get("deeper", "0"))
+    if not deeper or not worker.onward:
+        return 200
+    query = {**request.query, "deeper": str(deeper - 1)}
+    kept = {
+        name: request.headers[name]
+        for name in _PASSED_ON
+        if name in request.headers
+    }
+    try:
+        async with session.get(
+            f"http://{worker.onward}{request.path}",
+            params=query,
+            headers=kept,
+        ) as answer:
+            await answer.read()
+            return answer.status
+    except (aiohttp.ClientError, OSError):
+        return 502
+
+
 def build_app(worker: Worker) -> web.Application:
     """Build the upstream's HTTP interface."""
 
+    async def keep_session(app: web.Application) -> abc.AsyncIterator[None]:
+        async with aiohttp.ClientSession() as session:
+            # One call on, one request: none is sent again by aiohttp.
+            session._retry_connection = False
+            app[_SESSION] = session
+            yield
+
     async def serve_call(request: web.Request) -> web.StreamResponse:
         behaviour = worker.behaviour
         if behaviour.fail_fast:
@@ -153,6 +219,9 @@
                 if behaviour.hang:
                     await asyncio.sleep(3600)
                 await asyncio.sleep(behaviour.service_ms * (1 + spread) / 1000)
+                status = await _call_on(worker, request.app[_SESSION], request)
+                if status != 200:
+                    return web.Response(status=502, text=f"got {status}\n")
                 return await _answer(worker, request, size)
 
     async def set_behaviour(request: web.Request) -> web.Response:
@@ -166,6 +235,7 @@
         )
 
     app = web.Application()
+    app.cleanup_ctx.append(keep_session)
     app.router.add_put("/admin/behaviour", set_behaviour)
     app.router.add_get("/admin/record", show_record)
     app.router.add_route("*", "/{path:.*}", serve_call)
@@ -224,11 +294,16 @@
     service_ms: float = 5.0,
     seed: int = 1,
     incarnation: int = 0,
+    ledger: str = "",
+    onward: str = "",
 ) -> None:
     """Run an upstream until SIGTERM.
 
     :param daemon: host:port of the daemon's upstream interface.
     :param incarnation: 0 to take the wall clock in milliseconds.
+    :param ledger: a file that takes a line for each run that starts.
+    :param onward: host:port of the daemon's caller interface, for calls
+        with deeper=N in their query.
     """
     announce = messages.Announce(
         service=service,
@@ -240,8 +315,8 @@
         warm_up_s=warm_up_s,
     )
 
-    async def main() -> None:
-        worker = Worker(announce, seed)
+    async def main(notes: typing.BinaryIO | None) -> None:
+        worker = Worker(announce, seed, ledger=notes, onward=onward)
         worker.behaviour = Behaviour(service_ms=service_ms)
         beating = asyncio.create_task(announce_forever(worker, daemon))
         try:
@@ -249,7 +324,12 @@
         finally:
             beating.cancel()
 
-    asyncio.run(main())
+    with contextlib.ExitStack() as stack:
+        notes = None
+        if ledger:
+            path = pathlib.Path(ledger)
+            notes = stack.enter_context(path.open("ab", buffering=0))
+        asyncio.run(main(notes))
 
 
 if __name__ == "__main__":
