--- a/packages/bench/burdockdeal_bench/experiment.py
+++ b/packages/bench/burdockdeal_bench/experiment.py
@@ -65,7 +65,7 @@
     )
 
 
-def _subtract(after: store.Counts, before: store.Counts) -> store.Counts:
+def subtract(after: store.Counts, before: store.Counts) -> store.Counts:
     return store.Counts(
         *(
             getattr(after, field.name) - getattr(before, field.name)
@@ -103,7 +103,7 @@
         outcomes=outcomes,
         ledger=_read_ledger(stage),
         samples=tuple(samples),
-        store_calls=_subtract(await fleet.store_counts(), calls_before),
+        store_calls=subtract(await fleet.store_counts(), calls_before),
     )
 
 
