Admit calls by rank, with floors, targets and worth

Cause: the gate queued by urgency alone. A flood of the most urgent rank starved every other, a flood of any rank filled the queue for all, and calls waited past the time at which their answer is of use.

Change: each rank has a line with a credit in slot-seconds. A rank whose floor is owed goes first, then the most urgent; what a rank doesn't ask for is lent out. The queue has the same floors, past which the least worthy makes room. A call is refused at once if the expected wait, from the calls ahead, the service times and the rank's own turns, passes its target. Streamed bodies hold a bounded share of the slots. The service time is the median of the last 15, or how long a full gate has stood still, and goes onto each answer.

--- a/packages/burdockdeal/burdockdeal/admission/state.py
+++ b/packages/burdockdeal/burdockdeal/admission/state.py
@@ -18,15 +18,106 @@
     floor: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Room:
+    """What the upstream takes now.
+
+    :param slots: calls that may run at once.
+    :param uploads: slots that streamed bodies may hold at once.
+    :param queue_limit: calls that may wait.
+    """
+
+    slots: int
+    uploads: int
+    queue_limit: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ticket:
     """A call at the gate.
 
     :param arrived: monotonic time in seconds.
     :param deadline: monotonic time in seconds.
+    :param streamed: whether its body is passed on as it comes.
     """
 
     number: int
     terms: RankTerms
     arrived: float
     deadline: float
+    streamed: bool = False
+
+    @property
+    def due(self) -> float:
+        """When its wait is too long: monotonic time in seconds."""
+        return min(self.arrived + self.terms.target_s, self.deadline)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Line:
+    """One rank's work at the gate.
+
+    :param running: calls in flight, the uploads among them.
+    :param uploads: calls in flight whose body is streamed.
+    :param waiting: calls that wait, the uploads among them.
+    :param waiting_uploads: calls that wait with a streamed body.
+    :param credit: slot-seconds that its floor has it owed; below 0 if it
+        had more than its floor.
+    :param credited_at: when the credit was brought up to date.
+    :param started_at: when a call that had waited was last started, or
+        the first call began to wait, whichever is later.
+    :param interval_s: smoothed time between two such starts.
+    """
+
+    terms: RankTerms
+    running: int = 0
+    uploads: int = 0
+    waiting: int = 0
+    waiting_uploads: int = 0
+    credit: float = 0.0
+    credited_at: float = 0.0
+    started_at: float = 0.0
+    interval_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pace:
+    """How fast the upstream works.
+
+    :param samples: the newest service times, in seconds.
+    :param service_s: their median.
+    :param upload_s: smoothed time that an upload holds a slot.
+    :param moved_at: when a call last started or ended.
+    """
+
+    samples: tuple[float, ...] = ()
+    service_s: float = 0.0
+    upload_s: float = 0.0
+    moved_at: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Gathering:
+    """All that the decisions at the gate look at.
+
+    :param lines: by the rank's name.
+    """
+
+    lines: dict[str, Line]
+    room: Room
+    pace: Pace
+
+    @property
+    def running(self) -> int:
+        """How many calls are in flight."""
+        return sum(line.running for line in self.lines.values())
+
+    @property
+    def uploads(self) -> int:
+        """How many calls in flight have a streamed body."""
+        return sum(line.uploads for line in self.lines.values())
+
+    @property
+    def waiting(self) -> int:
+        """How many calls wait."""
+        return sum(line.waiting for line in self.lines.values())
--- a/packages/burdockdeal/burdockdeal/configuration/resources.py
+++ b/packages/burdockdeal/burdockdeal/configuration/resources.py
@@ -18,10 +18,14 @@
     :param max_ejected_share: the largest share of its instances that
         routing may leave out at once.
     :param queue_limit: calls that may wait beside one upstream.
+    :param upload_share: the share of an upstream's slots that uploads may
+        hold at once, at least one slot; bodies that are read whole before
+        they are sent on don't count.
     """
 
     max_ejected_share: Share = 0.5
     queue_limit: checking.PositiveInt = 64
+    upload_share: Share = 0.34
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/burdockdeal/burdockdeal/daemon/assembly.py
+++ b/packages/burdockdeal/burdockdeal/daemon/assembly.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 
 from burdockdeal.admission import gate
+from burdockdeal.admission import state as admission
 from burdockdeal.announce import api as announce_api
 from burdockdeal.announce import decisions as announce
 from burdockdeal.audit import api as audit_api
@@ -41,6 +42,7 @@
 from burdockdeal.settings import model
 
 _RELAYS_PER_DOMAIN = 2
+_DEFAULT_SERVICE = resources.Service()
 _OPEN_PATHS = frozenset({"/healthz", "/readyz", "/metrics"})
 
 
@@ -70,7 +72,7 @@
         self.side = announce_api.Side(self.clock)
         self.standing = configuration.Standing()
         self.board = board.Board(settings.failure_domain, self.clock)
-        self.gate = gate.Gate(self.clock, self._slots, self._queue_limit)
+        self.gate = gate.Gate(self.clock, self._room)
         self.snapshot: classify.Snapshot | None = None
         self.side.on_change(self._declare_upstream)
         self.standing.on_change(self._take_configuration)
@@ -83,11 +85,16 @@
         share = announce.ramp(upstream, self.clock())
         return max(1, round(upstream.announce.slots * share))
 
-    def _queue_limit(self) -> int:
+    def _room(self) -> admission.Room:
         service = self.roster.own.service
-        if self.snapshot and service in self.snapshot.services:
-            return self.snapshot.services[service].queue_limit
-        return resources.Service().queue_limit
+        services = self.snapshot.services if self.snapshot else {}
+        spec = services.get(service, _DEFAULT_SERVICE)
+        slots = self._slots()
+        return admission.Room(
+            slots=slots,
+            uploads=max(1, int(slots * spec.upload_share)),
+            queue_limit=spec.queue_limit,
+        )
 
     def _declare_upstream(self) -> None:
         upstream = self.side.upstream
@@ -113,7 +120,10 @@
     def load(self) -> routing.Report:
         """Tell the load beside this daemon, as put on each answer."""
         return routing.Report(
-            self.gate.running, self.gate.waiting, self._slots()
+            in_flight=self.gate.running,
+            waiting=self.gate.waiting,
+            slots=self._slots(),
+            service_ms=round(self.gate.service_s * 1000, 3),
         )
 
     def missing(self) -> tuple[str, ...]:
--- a/packages/burdockdeal/burdockdeal/serving/owner.py
+++ b/packages/burdockdeal/burdockdeal/serving/owner.py
@@ -75,7 +75,11 @@
             raise errors.NotRunError(verdict.Reason.NOT_CONFIGURED)
         check(send)
         terms = _terms(standing, send.request.rank)
-        async with slots.hold_slot(terms, send.request.deadline):
+        async with slots.hold_slot(
+            terms,
+            send.request.deadline,
+            streamed=send.outbound.body.streamed,
+        ):
             # The wait at the gate may have been long.
             check(send)
             now = clock()
