--- a/packages/bench/burdockdeal_bench/experiment.py
+++ b/packages/bench/burdockdeal_bench/experiment.py
@@ -66,6 +66,7 @@
 
 
 def subtract(after: store.Counts, before: store.Counts) -> store.Counts:
+    """Count the calls between two readings of the store's counts."""
     return store.Counts(
         *(
             getattr(after, field.name) - getattr(before, field.name)
