--- a/packages/burdockdeal/burdockdeal/daemon/assembly.py
+++ b/packages/burdockdeal/burdockdeal/daemon/assembly.py
@@ -8,8 +8,10 @@
 
 import aiohttp
 from aiohttp import web
+import mode
 
 from burdockdeal.admission import gate
+from burdockdeal.admission import state as admission
 from burdockdeal.announce import api as announce_api
 from burdockdeal.announce import decisions as announce
 from burdockdeal.audit import api as audit_api
@@ -26,10 +28,11 @@
 from burdockdeal.core import verdict
 from burdockdeal.daemon import messages
 from burdockdeal.daemon import metrics
-from burdockdeal.membership import decisions as membership_decisions
+from burdockdeal.membership import contacts
 from burdockdeal.membership import messages as membership
 from burdockdeal.membership import roster
 from burdockdeal.membership import service as membership_service
+from burdockdeal.membership import transport
 from burdockdeal.platform import store
 from burdockdeal.routing import board
 from burdockdeal.routing import policies
@@ -43,7 +46,7 @@
 from burdockdeal.serving import transfer
 from burdockdeal.settings import model
 
-_RELAYS_PER_DOMAIN = 2
+_DEFAULT_SERVICE = resources.Service()
 _OPEN_PATHS = frozenset({"/healthz", "/readyz", "/metrics"})
 
 
@@ -73,11 +76,12 @@
         self.side = announce_api.Side(self.clock)
         self.standing = configuration.Standing()
         self.board = board.Board(settings.failure_domain, self.clock)
-        self.gate = gate.Gate(self.clock, self._slots, self._queue_limit)
+        self.gate = gate.Gate(self.clock, self._room)
         self.snapshot: classify.Snapshot | None = None
+        self.services: tuple[mode.Service, ...] = ()
         self.side.on_change(self._declare_upstream)
         self.standing.on_change(self._take_configuration)
-        self.roster.on_change(lambda: self.board.forget(self.roster.members))
+        self.roster.on_change(self._take_member)
 
     def _slots(self) -> int:
         upstream = self.side.upstream
@@ -86,11 +90,16 @@
         share = announce.ramp(upstream, self.clock())
         return max(1, round(upstream.announce.slots * share))
 
-    def _queue_limit(self) -> int:
+    def _room(self) -> admission.Room:
         service = self.roster.own.service
-        if self.snapshot and service in self.snapshot.services:
-            return self.snapshot.services[service].queue_limit
-        return resources.Service().queue_limit
+        services = self.snapshot.services if self.snapshot else {}
+        spec = services.get(service, _DEFAULT_SERVICE)
+        slots = self._slots()
+        return admission.Room(
+            slots=slots,
+            uploads=max(1, int(slots * spec.upload_share)),
+            queue_limit=spec.queue_limit,
+        )
 
     def _declare_upstream(self) -> None:
         upstream = self.side.upstream
@@ -102,21 +111,34 @@
             slots=announced.slots if announced else 0,
         )
 
+    def _take_member(
+        self, known: membership.Member | None, stands: membership.Member
+    ) -> None:
+        if known is not None:
+            self.board.forget(known, stands)
+
     def _take_configuration(self) -> None:
         self.snapshot = classify.build_snapshot(self.standing.configuration)
 
+    def find_crashed(self) -> str | None:
+        """Name a service that crashed and why, None if all run."""
+        for service in self.services:
+            if service.crashed:
+                return f"{service.label}: {service.crash_reason!r}"
+        return None
+
     def is_relay(self) -> bool:
         """Tell whether this daemon watches the store for its domain."""
         domain = self.settings.failure_domain
-        relays = membership_decisions.choose_relays(
-            self.roster.members, domain, _RELAYS_PER_DOMAIN
-        )
-        return self.settings.daemon in relays
+        return self.settings.daemon in self.roster.relays(domain)
 
     def load(self) -> routing.Report:
         """Tell the load beside this daemon, as put on each answer."""
         return routing.Report(
-            self.gate.running, self.gate.waiting, self._slots()
+            in_flight=self.gate.running,
+            waiting=self.gate.waiting,
+            slots=self._slots(),
+            service_ms=round(self.gate.service_s * 1000, 3),
         )
 
     def missing(self) -> tuple[str, ...]:
@@ -132,7 +154,7 @@
     ) -> membership.Member | None:
         views = [
             parts.board.view(member)
-            for member in parts.roster.serving(work.service)
+            for member in parts.roster.serving(work.service).values()
             if member.daemon not in tried
         ]
         return policy(views).member if views else None
@@ -161,7 +183,9 @@
 ) -> front.Handler:
     table = {
         **booked.peer_handlers,
-        "/v1/peer/exchange": members.handle_exchange,
+        "/v1/peer/ping": members.handle_ping,
+        "/v1/peer/ping-request": members.handle_ping_request,
+        "/v1/peer/page": members.handle_page,
         "/v1/peer/changes": follower.handle_changes,
         "/v1/peer/applied": follower.handle_applied,
     }
@@ -255,7 +279,7 @@
         metrics.Gauge(
             "burdockdeal_members",
             "Daemons that are known and not believed gone.",
-            lambda: len(parts.roster.peers) + 1,
+            lambda: parts.roster.size,
         ),
         metrics.Gauge(
             "burdockdeal_configuration_revision",
@@ -300,9 +324,10 @@
         members = membership_service.Membership(
             settings,
             parts.roster,
-            platform,
-            control,
+            transport.make_post(control, settings.peer_token),
+            contacts.make_meet(parts.roster, platform, parts.clock),
             parts.chance,
+            parts.clock,
             revision=lambda: parts.standing.revision,
             on_newer=follower.pull_from,
         )
@@ -392,6 +417,7 @@
         )
         await _listen(stack, serve(dispatch), settings.listen.peer)
         await _listen(stack, serve(handle_entry), settings.listen.caller)
-        await stack.enter_async_context(follower)
-        await stack.enter_async_context(members)
+        parts.services = (follower, members)
+        for service in parts.services:
+            await stack.enter_async_context(service)
         yield parts
--- a/packages/burdockdeal/burdockdeal/serving/owner.py
+++ b/packages/burdockdeal/burdockdeal/serving/owner.py
@@ -109,7 +109,11 @@
             raise errors.NotRunError(verdict.Reason.NOT_CONFIGURED)
         check(send)
         terms = _terms(standing, send.request.rank)
-        async with slots.hold_slot(terms, send.request.deadline):
+        async with slots.hold_slot(
+            terms,
+            send.request.deadline,
+            streamed=send.outbound.body.streamed,
+        ):
             await prepare(send)
             # The waits may have been long. From here to the first byte
             # that is written nothing else runs on the loop.
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -427,7 +427,7 @@
 
 async def test_garbage_at_the_peer_port(stage: Stage) -> None:
     token = f"Burdockdeal-Peer-Token: {standins.PEER_TOKEN}\r\n".encode()
-    start = b"POST /v1/peer/exchange HTTP/1.1\r\nHost: h\r\n"
+    start = b"POST /v1/peer/ping HTTP/1.1\r\nHost: h\r\n"
     envelope = b"Burdockdeal-Envelope: {}\r\n"
     end = b"Content-Length: 2\r\n\r\n{]"
     for raw, status in (
