Leave and stop without cutting or losing anything

Cause: a heartbeat that lay in a frozen daemon's buffer renewed the lease of an upstream that had left; a drain was forgotten once its lease lapsed (DRAINING, LAPSED, then SERVING by the next heartbeat); a daemon ended at once on SIGTERM.

Change: a heartbeat sends back the clock of the daemon's newest answer and the lease counts from there; an upstream serves from its first heartbeat on; a drain stays for its incarnation; an address that takes no connection is left alone for half a second. A daemon that is asked to stop tells the fleet it has LEFT, starts nothing beside its upstream, still serves callers through others for a second with Connection: close, then takes no more connections and ends when nothing is in flight, after limits.stop_s at the latest, or at a second signal.

--- a/packages/burdockdeal/burdockdeal/announce/api.py
+++ b/packages/burdockdeal/burdockdeal/announce/api.py
@@ -21,9 +21,10 @@
     """
 
     def __init__(self, clock: abc.Callable[[], float]) -> None:
-        self._clock = clock
+        self.clock = clock
         self._listeners: list[abc.Callable[[], None]] = []
         self.upstream = state.Upstream()
+        self._closed = False
 
     def on_change(self, listener: abc.Callable[[], None]) -> None:
         """Call a function whenever the phase or incarnation changes."""
@@ -32,7 +33,7 @@
     def take(self, event: decisions.Event) -> None:
         """Take an event into account."""
         before = self.upstream
-        self.upstream = decisions.step(before, event, self._clock())
+        self.upstream = decisions.step(before, event, self.clock())
         changed = (
             before.phase is not self.upstream.phase
             or before.incarnation != self.upstream.incarnation
@@ -49,7 +50,13 @@
 
     def may_start(self) -> bool:
         """Tell whether a new call may start now."""
-        return decisions.may_start(self.upstream, self._clock())
+        if self._closed:
+            return False
+        return decisions.may_start(self.upstream, self.clock())
+
+    def close(self) -> None:
+        """Start no new calls, whatever the upstream says."""
+        self._closed = True
 
 
 def _reply(message: object, status: int = 200) -> web.Response:
@@ -79,7 +86,10 @@
                 refused = messages.Refused("another incarnation", known)
                 return _reply(refused, 409)
             accepted = messages.Accepted(
-                decisions.HEARTBEAT_S, decisions.LEASE_S, in_flight()
+                decisions.HEARTBEAT_S,
+                decisions.LEASE_S,
+                in_flight(),
+                side.clock(),
             )
             return _reply(accepted)
 
--- a/packages/burdockdeal/burdockdeal/announce/decisions.py
+++ b/packages/burdockdeal/burdockdeal/announce/decisions.py
@@ -10,7 +10,10 @@
 HEARTBEAT_S = 0.5
 
 #: Seconds without a heartbeat after which an upstream gets no new calls.
-LEASE_S = 2.0
+LEASE_S = 2.5
+
+#: Seconds between two tries to reach an upstream that still announces.
+BAR_S = 0.5
 
 Phase = state.Phase
 
@@ -20,7 +23,18 @@
     """Time has passed."""
 
 
-Event = messages.Announce | messages.Heartbeat | messages.Drain | Tick
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unreachable:
+    """Its address took no connection."""
+
+
+Event = (
+    messages.Announce
+    | messages.Heartbeat
+    | messages.Drain
+    | Unreachable
+    | Tick
+)
 
 
 def _announce(
@@ -29,17 +43,10 @@
     if event.incarnation < upstream.incarnation:
         return upstream
     if event.incarnation == upstream.incarnation:
-        phase = (
-            Phase.DRAINING
-            if upstream.phase is Phase.DRAINING
-            else Phase.SERVING
-        )
-        return dataclasses.replace(
-            upstream, phase=phase, announce=event, heard_at=now
-        )
-    return state.Upstream(
-        phase=Phase.SERVING, announce=event, heard_at=now, since=now
-    )
+        return dataclasses.replace(upstream, announce=event)
+    # It serves from its first heartbeat on: an announce may be old, as
+    # after a pause of this process, and a heartbeat shows its age.
+    return state.Upstream(phase=Phase.LAPSED, announce=event, since=now)
 
 
 def _beat(
@@ -47,11 +54,16 @@
 ) -> state.Upstream:
     if event.incarnation != upstream.incarnation:
         return upstream
-    leaving = event.draining or upstream.phase is Phase.DRAINING
+    heard_at = max(upstream.heard_at, min(now, event.echo))
+    phase = Phase.SERVING
+    if event.draining or upstream.phase is Phase.DRAINING:
+        phase = Phase.DRAINING
+    elif now - heard_at > LEASE_S:
+        phase = Phase.LAPSED
     return dataclasses.replace(
         upstream,
-        phase=Phase.DRAINING if leaving else Phase.SERVING,
-        heard_at=now,
+        phase=phase,
+        heard_at=heard_at,
         reported_in_flight=event.in_flight,
         reported_healthy=event.healthy,
     )
@@ -62,11 +74,18 @@
 ) -> state.Upstream:
     if event.incarnation != upstream.incarnation:
         return upstream
-    return dataclasses.replace(upstream, phase=Phase.DRAINING, heard_at=now)
+    return dataclasses.replace(upstream, phase=Phase.DRAINING)
+
+
+def _bar(
+    upstream: state.Upstream, event: Unreachable, now: float
+) -> state.Upstream:
+    return dataclasses.replace(upstream, barred_until=now + BAR_S)
 
 
 def _tick(upstream: state.Upstream, event: Tick, now: float) -> state.Upstream:
-    if now - upstream.heard_at <= LEASE_S or upstream.phase is Phase.ABSENT:
+    lapses = upstream.phase is Phase.SERVING
+    if not lapses or now - upstream.heard_at <= LEASE_S:
         return upstream
     return dataclasses.replace(upstream, phase=Phase.LAPSED)
 
@@ -75,6 +94,7 @@
     messages.Announce: _announce,
     messages.Heartbeat: _beat,
     messages.Drain: _drain,
+    Unreachable: _bar,
     Tick: _tick,
 }
 
@@ -96,7 +116,9 @@
     that a daemon that was paused gives up before anything else runs.
     """
     return (
-        upstream.phase is Phase.SERVING and now - upstream.heard_at <= LEASE_S
+        upstream.phase is Phase.SERVING
+        and now - upstream.heard_at <= LEASE_S
+        and now >= upstream.barred_until
     )
 
 
--- a/packages/burdockdeal/burdockdeal/announce/messages.py
+++ b/packages/burdockdeal/burdockdeal/announce/messages.py
@@ -36,9 +36,12 @@
     :param in_flight: calls that it says it runs.
     :param healthy: what it says of its health; a hint, never trusted.
     :param draining: whether it wants no new calls.
+    :param echo: the clock of the daemon's newest answer. It shows that the
+        heartbeat is no older than that, also when it lay in a buffer.
     """
 
     incarnation: checking.PositiveInt
+    echo: float
     in_flight: checking.Count = 0
     healthy: bool = True
     draining: bool = False
@@ -57,11 +60,13 @@
 
     :param heartbeat_s: seconds between heartbeats.
     :param lease_s: seconds without one after which it gets no new calls.
+    :param clock: to be sent back in the next heartbeat.
     """
 
     heartbeat_s: float
     lease_s: float
     in_flight: int
+    clock: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/burdockdeal/burdockdeal/announce/state.py
+++ b/packages/burdockdeal/burdockdeal/announce/state.py
@@ -19,7 +19,9 @@
 class Upstream:
     """The upstream beside this daemon.
 
-    :param heard_at: monotonic time of its last message, in seconds.
+    :param heard_at: monotonic time at which it surely lived, in seconds.
+    :param barred_until: no call is tried before, since its address took
+        no connection.
     :param since: monotonic time at which it announced itself.
     :param reported_in_flight: what it said itself, a hint.
     """
@@ -27,6 +29,7 @@
     phase: Phase = Phase.ABSENT
     announce: messages.Announce | None = None
     heard_at: float = 0.0
+    barred_until: float = 0.0
     since: float = 0.0
     reported_in_flight: int = 0
     reported_healthy: bool = True
--- a/packages/burdockdeal/burdockdeal/daemon/assembly.py
+++ b/packages/burdockdeal/burdockdeal/daemon/assembly.py
@@ -1,5 +1,6 @@
 """Assembly of a daemon out of its slices."""
 
+import asyncio
 from collections import abc
 import contextlib
 import random
@@ -45,8 +46,12 @@
 from burdockdeal.serving import peers
 from burdockdeal.serving import transfer
 from burdockdeal.settings import model
+from burdockdeal.shutdown import state as shutdown
+from burdockdeal.shutdown import stopping
 
 _DEFAULT_SERVICE = resources.Service()
+#: Seconds that connections are given when all is done, or is cut off.
+_CUT_S = 0.1
 _OPEN_PATHS = frozenset({"/healthz", "/readyz", "/metrics"})
 
 
@@ -78,6 +83,7 @@
         self.board = board.Board(settings.failure_domain, self.clock)
         self.gate = gate.Gate(self.clock, self._room)
         self.snapshot: classify.Snapshot | None = None
+        self.stopping: stopping.Stopping
         self.services: tuple[mode.Service, ...] = ()
         self.side.on_change(self._declare_upstream)
         self.standing.on_change(self._take_configuration)
@@ -256,10 +262,40 @@
     stack: contextlib.AsyncExitStack,
     runner: web.BaseRunner,
     address: model.Address,
-) -> None:
+) -> web.TCPSite:
     await runner.setup()
     stack.push_async_callback(runner.cleanup)
-    await web.TCPSite(runner, address.host, address.port).start()
+    site = web.TCPSite(runner, address.host, address.port)
+    await site.start()
+    return site
+
+
+def _make_stopping(
+    parts: Parts,
+    booked: bookings.Bookings,
+    fronts: abc.Sequence[front.Front],
+    callers: web.TCPSite,
+) -> stopping.Stopping:
+    closing: set[asyncio.Task[None]] = set()
+
+    def leave() -> None:
+        parts.side.close()
+        parts.roster.declare(health=membership.Health.LEFT)
+        for server in fronts:
+            server.closing = True
+
+    def refuse_connections() -> None:
+        closing.add(asyncio.create_task(callers.stop()))
+
+    return stopping.Stopping(
+        shutdown.Terms(stopping.LINGER_S, parts.settings.limits.stop_s),
+        lambda: booked.active + sum(server.busy for server in fronts),
+        {
+            shutdown.Phase.LEAVING: leave,
+            shutdown.Phase.FINISHING: refuse_connections,
+        },
+        parts.clock,
+    )
 
 
 def _make_gauges(
@@ -397,26 +433,34 @@
         handle_entry = booked.answer_keys(handle_entry, choose)
 
         def serve(handler: front.Handler) -> web.ServerRunner:
-            return web.ServerRunner(
-                front.Front(
-                    handler,
-                    header_bytes=limits.header_bytes,
-                    idle_s=limits.caller_idle_s,
-                )
+            server = front.Front(
+                handler,
+                header_bytes=limits.header_bytes,
+                idle_s=limits.caller_idle_s,
             )
+            fronts.append(server)
+            return web.ServerRunner(server, shutdown_timeout=_CUT_S)
 
+        fronts: list[front.Front] = []
         await _listen(
             stack,
-            web.AppRunner(operator_app, access_log=None),
+            web.AppRunner(
+                operator_app, access_log=None, shutdown_timeout=_CUT_S
+            ),
             settings.listen.operator,
         )
         await _listen(
             stack,
-            web.AppRunner(upstream_app, access_log=None),
+            web.AppRunner(
+                upstream_app, access_log=None, shutdown_timeout=_CUT_S
+            ),
             settings.listen.upstream,
         )
         await _listen(stack, serve(dispatch), settings.listen.peer)
-        await _listen(stack, serve(handle_entry), settings.listen.caller)
+        site = await _listen(
+            stack, serve(handle_entry), settings.listen.caller
+        )
+        parts.stopping = _make_stopping(parts, booked, fronts, site)
         parts.services = (follower, members)
         for service in parts.services:
             await stack.enter_async_context(service)
--- a/packages/burdockdeal/burdockdeal/daemon/main.py
+++ b/packages/burdockdeal/burdockdeal/daemon/main.py
@@ -24,10 +24,9 @@
 
 async def _serve(settings: model.Settings) -> int:
     loop = asyncio.get_running_loop()
-    stopping = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopping.set)
     async with assembly.run_daemon(settings) as parts:
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, parts.stopping.ask)
         journal.record(
             "daemon_started",
             daemon=settings.daemon,
@@ -36,7 +35,7 @@
         )
         gc.collect()
         gc.freeze()
-        while not stopping.is_set():
+        while not parts.stopping.ended:
             parts.side.take(announce.Tick())
             crash = parts.find_crashed()
             if crash is not None:
@@ -44,10 +43,8 @@
                 # on without a part of itself would mislead it.
                 journal.warn("daemon_crashed", reason=crash)
                 return EXIT_CRASHED
-            try:
-                await asyncio.wait_for(stopping.wait(), _TICK_S)
-            except TimeoutError:
-                continue
+            parts.stopping.tick()
+            await asyncio.sleep(_TICK_S)
     journal.record("daemon_stopped", daemon=settings.daemon)
     return EXIT_OK
 
--- a/packages/burdockdeal/burdockdeal/serving/front.py
+++ b/packages/burdockdeal/burdockdeal/serving/front.py
@@ -63,6 +63,16 @@
         return response
 
 
+class _Request(web.BaseRequest):
+    """A request whose connection ends with it once the server closes."""
+
+    @property
+    def keep_alive(self) -> bool:
+        server = self.protocol._manager
+        closing = server is None or server.closing
+        return not closing and not self._message.should_close
+
+
 class Front(web.Server):
     """A low-level server for the path of requests.
 
@@ -74,7 +84,11 @@
     def __init__(
         self, handler: Handler, *, header_bytes: int, idle_s: float
     ) -> None:
-        super().__init__(handler, handler_cancellation=True)
+        super().__init__(
+            self._count(handler),
+            request_factory=self._make_own_request,
+            handler_cancellation=True,
+        )
         self._options = {
             "access_log": None,
             "auto_decompress": False,
@@ -82,7 +96,32 @@
             "max_line_size": header_bytes,
             "max_field_size": header_bytes,
         }
+        self._active = 0
+        #: Whether each connection ends with its next answer.
+        self.closing = False
 
     def __call__(self) -> web_protocol.RequestHandler:
         """Make the protocol of one connection."""
         return _Protocol(self, loop=self._loop, **self._options)
+
+    @property
+    def busy(self) -> int:
+        """How many requests are handled, or answers not yet sent off."""
+        return self._active + sum(
+            protocol.transport is not None
+            and protocol.transport.get_write_buffer_size() > 0
+            for protocol in self.connections
+        )
+
+    def _count(self, handler: Handler) -> Handler:
+        async def handle(request: web.BaseRequest) -> web.StreamResponse:
+            self._active += 1
+            try:
+                return await handler(request)
+            finally:
+                self._active -= 1
+
+        return handle
+
+    def _make_own_request(self, message, payload, protocol, writer, task):
+        return _Request(message, payload, protocol, writer, task, self._loop)
--- a/packages/burdockdeal/burdockdeal/serving/owner.py
+++ b/packages/burdockdeal/burdockdeal/serving/owner.py
@@ -9,6 +9,7 @@
 from burdockdeal.admission import gate
 from burdockdeal.admission import state as admission
 from burdockdeal.announce import api as announce_api
+from burdockdeal.announce import decisions as announce
 from burdockdeal.bookings import ledger as ledgers
 from burdockdeal.bookings import messages as bookings_messages
 from burdockdeal.bookings import state as bookings
@@ -100,6 +101,15 @@
         if not send.request.idempotent:
             ledger.check(*_name_send(send))
 
+    @contextlib.contextmanager
+    def watch_address() -> abc.Iterator[None]:
+        try:
+            yield
+        except errors.NotRunError as error:
+            if error.reason is verdict.Reason.UNREACHABLE:
+                side.take(announce.Unreachable())
+            raise
+
     @contextlib.asynccontextmanager
     async def open_answer(
         send: messages.Send,
@@ -122,16 +132,17 @@
                 ledger.start(*_name_send(send))
             now = clock()
             announced = side.upstream.announce
-            async with transfer.open_response(
-                session,
-                f"http://{announced.host}:{announced.port}",
-                send.outbound,
-                _upstream_headers(send, now),
-                remaining_s=send.request.deadline - now,
-                expect=False,
-            ) as response:
-                _check_upstream_ran(response)
-                yield messages.read_answer(response)
+            with watch_address():
+                async with transfer.open_response(
+                    session,
+                    f"http://{announced.host}:{announced.port}",
+                    send.outbound,
+                    _upstream_headers(send, now),
+                    remaining_s=send.request.deadline - now,
+                    expect=False,
+                ) as response:
+                    _check_upstream_ran(response)
+                    yield messages.read_answer(response)
 
     return open_answer
 
--- a/packages/standins/burdockdeal_standins/upstream.py
+++ b/packages/standins/burdockdeal_standins/upstream.py
@@ -71,10 +71,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Record:
-    """Every run of an upstream, the first first."""
+    """Every run of an upstream, the first first.
+
+    :param refused: calls that were meant for another incarnation.
+    """
 
     runs: tuple[Run, ...]
     most_in_flight: int
+    refused: int = 0
 
 
 class Worker:
@@ -102,6 +106,7 @@
         self.in_flight = 0
         self.most_in_flight = 0
         self.runs: list[Run] = []
+        self.refused = 0
 
 
 @contextlib.contextmanager
@@ -207,6 +212,12 @@
         behaviour = worker.behaviour
         if behaviour.fail_fast:
             return web.Response(status=500, text="failed fast\n")
+        meant_for = request.headers.get(headers.INCARNATION)
+        if meant_for not in (None, str(worker.announce.incarnation)):
+            worker.refused += 1
+            return web.Response(
+                status=421, headers={headers.VERDICT: "NOT_RUN"}
+            )
         with _record_run(worker, request) as note:
             async with worker.slots:
                 if behaviour.early:
@@ -229,7 +240,9 @@
         return web.Response(body=codec.encode(worker.behaviour))
 
     async def show_record(request: web.Request) -> web.Response:
-        record = Record(tuple(worker.runs), worker.most_in_flight)
+        record = Record(
+            tuple(worker.runs), worker.most_in_flight, worker.refused
+        )
         return web.Response(
             body=codec.encode(record), content_type="application/json"
         )
@@ -261,25 +274,27 @@
     """
     timeout = aiohttp.ClientTimeout(total=1.0)
     async with aiohttp.ClientSession(timeout=timeout) as session:
-        known = False
+        accepted = None
         while True:
             behaviour = worker.behaviour
             if not behaviour.beating:
                 await asyncio.sleep(0.1)
                 continue
-            if not known:
+            if accepted is None:
                 url = f"http://{daemon}/v1/announce"
                 accepted = await _post(session, url, worker.announce)
+                # The first heartbeat follows at once.
+                await asyncio.sleep(0 if accepted else 0.1)
             else:
                 beat = messages.Heartbeat(
                     incarnation=worker.announce.incarnation,
+                    echo=accepted.clock,
                     in_flight=0 if behaviour.lie else worker.in_flight,
                     draining=behaviour.draining,
                 )
                 url = f"http://{daemon}/v1/heartbeat"
                 accepted = await _post(session, url, beat)
-            known = accepted is not None
-            await asyncio.sleep(accepted.heartbeat_s if accepted else 0.1)
+                await asyncio.sleep(accepted.heartbeat_s if accepted else 0)
 
 
 def serve(
