--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 import conftest
+import pytest
 
 from burdockdeal.announce import messages
 from burdockdeal.core import codec
