Prove that late work and work for a daemon that stops never starts

Cause: with the time left counted from reading, the test of a frozen owner still passed: the fences that its entry asked lay in the same buffers and protected it. With the owner's own refusal switched off, the test of its stop passed too, since entries had heard that it left.

Change: tests that play the entry themselves. A closed sending side counts as half-closed at the callers' port only; a daemon that closes is gone.

Measured: each of both fails with its mechanism switched off.

--- a/packages/burdockdeal/burdockdeal/daemon/assembly.py
+++ b/packages/burdockdeal/burdockdeal/daemon/assembly.py
@@ -432,11 +432,14 @@
         )
         handle_entry = booked.answer_keys(handle_entry, choose)
 
-        def serve(handler: front.Handler) -> web.ServerRunner:
+        def serve(
+            handler: front.Handler, *, half_open: bool = False
+        ) -> web.ServerRunner:
             server = front.Front(
                 handler,
                 header_bytes=limits.header_bytes,
                 idle_s=limits.caller_idle_s,
+                half_open=half_open,
             )
             fronts.append(server)
             return web.ServerRunner(server, shutdown_timeout=_CUT_S)
@@ -458,7 +461,9 @@
         )
         await _listen(stack, serve(dispatch), settings.listen.peer)
         site = await _listen(
-            stack, serve(handle_entry), settings.listen.caller
+            stack,
+            serve(handle_entry, half_open=True),
+            settings.listen.caller,
         )
         parts.stopping = _make_stopping(parts, booked, fronts, site)
         parts.services = (follower, members)
--- a/packages/burdockdeal/burdockdeal/serving/front.py
+++ b/packages/burdockdeal/burdockdeal/serving/front.py
@@ -40,7 +40,8 @@
 
         :returns: whether the transport stays open for writing.
         """
-        return half_open.keep(self)
+        manager = self._manager
+        return bool(manager and manager.half_open) and half_open.keep(self)
 
     def handle_error(
         self,
@@ -79,10 +80,17 @@
     :param handler: answers each request.
     :param header_bytes: the largest line or field that is taken.
     :param idle_s: seconds that an idle connection is kept.
+    :param half_open: whether a client that closes its sending side is
+        still answered; if not, it is taken to be gone.
     """
 
     def __init__(
-        self, handler: Handler, *, header_bytes: int, idle_s: float
+        self,
+        handler: Handler,
+        *,
+        header_bytes: int,
+        idle_s: float,
+        half_open: bool = False,
     ) -> None:
         super().__init__(
             self._count(handler),
@@ -96,6 +104,7 @@
             "max_line_size": header_bytes,
             "max_field_size": header_bytes,
         }
+        self.half_open = half_open
         self._active = 0
         #: Whether each connection ends with its next answer.
         self.closing = False
--- a/tests/test_bookings.py
+++ b/tests/test_bookings.py
@@ -10,6 +10,10 @@
 import conftest
 import pytest
 
+from burdockdeal.bookings import messages as bookings
+from burdockdeal.core import call
+from burdockdeal.core import codec
+from burdockdeal.serving import messages
 from burdockdeal_standins import fleet as standins
 from burdockdeal_standins import relay
 from burdockdeal_standins import scripted
@@ -255,6 +259,92 @@
     assert len(await runs(small)) == before
 
 
+Send = abc.Callable[[], abc.Awaitable[messages.OwnerReport]]
+
+
+async def become_entry(
+    fleet: standins.Fleet, node: standins.Node, *, remaining_ms: float
+) -> Send:
+    """Make a function that sends a booking to an owner as an entry does."""
+    given = {"Burdockdeal-Peer-Token": standins.PEER_TOKEN}
+    peer = f"http://{node.settings.listen.peer}"
+    async with fleet.session.post(
+        f"{peer}/v1/peer/clock", headers=given
+    ) as response:
+        clock = codec.decode(await response.read(), bookings.Clock)
+    async with fleet.session.get(
+        f"{node.operator_url}/v1/status", headers=fleet.operator_headers
+    ) as response:
+        members = (await response.json())["members"]
+    own = next(m for m in members if m["daemon"] == node.place.name)
+    envelope = call.Envelope(
+        request_id=f"raw-{remaining_ms}",
+        service="bookings",
+        rank="booking",
+        remaining_ms=remaining_ms,
+        depth=0,
+        retry_tokens=0,
+        idempotent=False,
+        idempotency_key=None,
+        instance=node.place.name,
+        incarnation=own["upstream_incarnation"],
+        attempt=1,
+        daemon_incarnation=clock.incarnation,
+        sent_at=clock.now,
+    )
+    given["Burdockdeal-Envelope"] = codec.encode(envelope).decode()
+
+    async def send() -> messages.OwnerReport:
+        async with fleet.session.post(
+            f"{peer}/bookings", data=b"two rims", headers=given
+        ) as response:
+            raw = response.headers["Burdockdeal-Report"]
+            return codec.decode(raw, messages.OwnerReport)
+
+    return send
+
+
+async def test_late_work_in_a_frozen_owners_buffer_never_starts(
+    small: standins.Fleet,
+) -> None:
+    """Fails if the time left counts from when a request is read.
+
+    The entry is as good as frozen too: it keeps its connection open.
+    """
+    node = small.nodes["d2"]
+    timely = await become_entry(small, node, remaining_ms=9000)
+    assert (await timely()).verdict == "RAN"
+    # The same send again, as if its bytes had come twice.
+    assert (await timely()).reason == "FENCED"
+    send = await become_entry(small, node, remaining_ms=400)
+    before = len(await runs(small))
+    with frozen(node):
+        late = asyncio.create_task(send())
+        await asyncio.sleep(0.8)
+    told = await late
+    assert (told.verdict, told.reason) == ("NOT_RUN", "DEADLINE_PASSED")
+    assert len(await runs(small)) == before
+
+
+async def test_an_owner_that_stops_starts_nothing(
+    small: standins.Fleet,
+) -> None:
+    node = small.nodes["d2"]
+    send = await become_entry(small, node, remaining_ms=9000)
+    before = len(await runs(small))
+    node.daemon.terminate()
+    await small.wait_until(
+        lambda: is_leaving(small, node), "the stop has begun"
+    )
+    told = await send()
+    assert (told.verdict, told.reason) == ("NOT_RUN", "DRAINING")
+    assert len(await runs(small)) == before
+
+
+async def is_leaving(fleet: standins.Fleet, node: standins.Node) -> bool:
+    return "phase=LEAVING" in fleet.log(node.place.name)
+
+
 async def test_a_lost_send_is_fenced_and_taken_elsewhere(
     fleet: standins.Fleet,
 ) -> None:
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -265,7 +265,8 @@
     stage.upstream.talk = talk
     async with stage.call(GET, node):
         await asyncio.wait_for(began.wait(), 10)
-    await asyncio.wait_for(ended.wait(), 10)
+    # Well before the deadline would end it.
+    await asyncio.wait_for(ended.wait(), 5)
 
 
 @pytest.mark.parametrize("node", ["d1", "d2"])
