--- a/packages/burdockdeal/burdockdeal/membership/decisions.py
+++ b/packages/burdockdeal/burdockdeal/membership/decisions.py
@@ -3,6 +3,7 @@
 from collections import abc
 import dataclasses
 import math
+import typing
 import zlib
 
 from burdockdeal.membership import messages
@@ -36,9 +37,13 @@
 }
 
 
-def precedence(
-    record: messages.Member | messages.Claim,
-) -> tuple[int, int, int]:
+class _Record(typing.Protocol):
+    incarnation: int
+    serial: int
+    health: messages.Health
+
+
+def precedence(record: _Record) -> tuple[int, int, int]:
     """Order what is said of one daemon: the greatest stands."""
     return (record.incarnation, record.serial, _SEVERITY[record.health])
 
