--- /dev/null
+++ b/packages/bench/burdockdeal_bench/hops.py
@@ -0,0 +1,255 @@
+"""What hops cost: daemons beside bare pass-throughs of the same length."""
+
+from collections import abc
+import contextlib
+import dataclasses
+import pathlib
+import time
+
+import aiohttp
+
+from burdockdeal.configuration import resources
+from burdockdeal_bench import report
+from burdockdeal_standins import fleet as standins
+
+_WARM_UP_CALLS = 300
+_BLOCK_CALLS = 50
+_NS_PER_US = 1000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Path:
+    """One way to the upstream.
+
+    :param hops: processes between the caller and the upstream.
+    :param pids: those processes.
+    """
+
+    name: str
+    hops: int
+    url: str
+    pids: tuple[int, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Times:
+    """What the calls on one way took.
+
+    :param seconds: of each call.
+    :param cpu_us: processor time a call, of the hops' processes.
+    """
+
+    seconds: tuple[float, ...]
+    cpu_us: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PathReport:
+    """The latency of one way.
+
+    :param added_p50_ms: over the direct call.
+    :param added_p99_ms: likewise.
+    :param cpu_us: processor time a call, of all hops.
+    """
+
+    name: str
+    hops: int
+    latency: report.Latency
+    cpu_us: float
+    added_p50_ms: float
+    added_p99_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hops:
+    """The report on hops.
+
+    :param ratios_p99: added p99 of the daemons over that of the bare
+        pass-throughs, for 1 and 2 hops.
+    :param idle_kb: resident memory of a daemon before the first call.
+    """
+
+    calls: int
+    paths: tuple[PathReport, ...]
+    ratios_p50: tuple[float, ...]
+    ratios_p99: tuple[float, ...]
+    ratios_cpu: tuple[float, ...]
+    idle_kb: int
+    after_kb: int
+
+
+def read_resident_kb(pid: int) -> int:
+    """Read a process's resident memory."""
+    status = pathlib.Path(f"/proc/{pid}/status").read_text(encoding="ascii")
+    line = next(
+        line for line in status.splitlines() if line.startswith("VmRSS")
+    )
+    return int(line.split()[1])
+
+
+def read_cpu_ns(pids: abc.Iterable[int]) -> int:
+    """Read the processor time that processes have taken so far."""
+    paths = [pathlib.Path(f"/proc/{pid}/schedstat") for pid in pids]
+    return sum(
+        int(path.read_text(encoding="ascii").split()[0]) for path in paths
+    )
+
+
+@contextlib.asynccontextmanager
+async def _run_processes() -> abc.AsyncIterator[standins.Fleet]:
+    async with standins.run_fleet() as fleet:
+        await fleet.add_all(
+            [
+                standins.Place("owner", "shotton", "orders", service_ms=0.0),
+                standins.Place("entry", "queensferry"),
+            ]
+        )
+        node = fleet.nodes["owner"]
+        await fleet.declare(node, "Service", "orders", resources.Service())
+        await fleet.declare(
+            node, "Rank", "status", resources.Rank(0, 1.0, 1000.0)
+        )
+        rule = resources.Rule("orders", "status")
+        await fleet.wait_ready(await fleet.declare(node, "Rule", "all", rule))
+        yield fleet
+
+
+async def _add_passthrough(
+    fleet: standins.Fleet, target: str
+) -> tuple[str, int]:
+    port = standins.free_port()
+    process = await fleet.start(
+        "burdockdeal_standins.passthrough",
+        f"passthrough-{port}",
+        port=port,
+        target=target,
+    )
+    await fleet.wait_for_port(port, process)
+    return f"{standins.HOST}:{port}", process.pid
+
+
+async def _lay_paths(fleet: standins.Fleet) -> tuple[Path, ...]:
+    owner, entry = fleet.nodes["owner"], fleet.nodes["entry"]
+    upstream = f"{standins.HOST}:{owner.upstream_port}"
+    near, near_pid = await _add_passthrough(fleet, upstream)
+    far, far_pid = await _add_passthrough(fleet, near)
+    pids = (owner.daemon.pid, entry.daemon.pid)
+    return (
+        Path("direct", 0, f"http://{upstream}"),
+        Path("bare", 1, f"http://{near}", (near_pid,)),
+        Path("daemons", 1, owner.caller_url, pids[:1]),
+        Path("bare", 2, f"http://{far}", (near_pid, far_pid)),
+        Path("daemons", 2, entry.caller_url, pids),
+    )
+
+
+async def _time_call(session: aiohttp.ClientSession, path: Path) -> float:
+    began = time.perf_counter()
+    async with session.get(f"{path.url}/orders/7") as answer:
+        await answer.read()
+        assert answer.status == 200, (path, answer.headers)
+    return time.perf_counter() - began
+
+
+async def _time_block(
+    session: aiohttp.ClientSession, path: Path
+) -> tuple[list[float], int]:
+    before = read_cpu_ns(path.pids)
+    taken = [await _time_call(session, path) for _ in range(_BLOCK_CALLS)]
+    return taken, read_cpu_ns(path.pids) - before
+
+
+async def _time_calls(
+    paths: tuple[Path, ...], calls: int
+) -> dict[Path, Times]:
+    """Call each way in turn, in short blocks, on the same machine."""
+    seconds: dict[Path, list[float]] = {path: [] for path in paths}
+    cpu_ns = dict.fromkeys(paths, 0)
+    blocks = max(1, calls // _BLOCK_CALLS)
+    async with aiohttp.ClientSession() as session:
+        for path in paths:
+            for _ in range(_WARM_UP_CALLS):
+                await _time_call(session, path)
+        for _ in range(blocks):
+            for path in paths:
+                taken, spent_ns = await _time_block(session, path)
+                seconds[path] += taken
+                cpu_ns[path] += spent_ns
+    made = blocks * _BLOCK_CALLS
+    return {
+        path: Times(
+            tuple(seconds[path]), round(cpu_ns[path] / made / _NS_PER_US, 1)
+        )
+        for path in paths
+    }
+
+
+def _compare(path: Path, times: Times, direct: report.Latency) -> PathReport:
+    latency = report.summarise(times.seconds)
+    return PathReport(
+        name=path.name,
+        hops=path.hops,
+        latency=latency,
+        cpu_us=times.cpu_us,
+        added_p50_ms=round(latency.p50_ms - direct.p50_ms, 3),
+        added_p99_ms=round(latency.p99_ms - direct.p99_ms, 3),
+    )
+
+
+def build_report(
+    times: abc.Mapping[Path, Times], idle_kb: int, after_kb: int
+) -> Hops:
+    """Build the report: what each way adds, and the ratios."""
+    direct = next(path for path in times if path.hops == 0)
+    base = report.summarise(times[direct].seconds)
+    told = tuple(_compare(path, took, base) for path, took in times.items())
+    added = {(path.name, path.hops): path for path in told}
+
+    def ratios(field: str) -> tuple[float, ...]:
+        return tuple(
+            round(
+                getattr(added["daemons", hops], field)
+                / getattr(added["bare", hops], field),
+                2,
+            )
+            for hops in (1, 2)
+        )
+
+    return Hops(
+        calls=len(times[direct].seconds),
+        paths=told,
+        ratios_p50=ratios("added_p50_ms"),
+        ratios_p99=ratios("added_p99_ms"),
+        ratios_cpu=ratios("cpu_us"),
+        idle_kb=idle_kb,
+        after_kb=after_kb,
+    )
+
+
+def format_table(told: Hops) -> str:
+    """Set the ways beside each other."""
+    lines = ["way          p50 ms  p99 ms  added p50  added p99  cpu us"]
+    lines += [
+        f"{path.name:8} {path.hops:3} {path.latency.p50_ms:7.2f} "
+        f"{path.latency.p99_ms:7.2f} {path.added_p50_ms:10.3f} "
+        f"{path.added_p99_ms:10.3f} {path.cpu_us:7.0f}"
+        for path in told.paths
+    ]
+    lines.append(
+        "daemons over bare, 1 and 2 hops: "
+        f"p50 {told.ratios_p50}, p99 {told.ratios_p99}, "
+        f"cpu {told.ratios_cpu}"
+    )
+    return "\n".join(lines)
+
+
+async def measure_hops(calls: int) -> Hops:
+    """Measure one request through 0, 1 and 2 hops.
+
+    :param calls: calls on each way, after a warm-up.
+    """
+    async with _run_processes() as fleet:
+        pid = fleet.nodes["owner"].daemon.pid
+        idle_kb = read_resident_kb(pid)
+        times = await _time_calls(await _lay_paths(fleet), calls)
+        return build_report(times, idle_kb, read_resident_kb(pid))
--- a/packages/bench/burdockdeal_bench/main.py
+++ b/packages/bench/burdockdeal_bench/main.py
@@ -9,6 +9,7 @@
 from burdockdeal.routing import policies
 from burdockdeal_bench import comparison
 from burdockdeal_bench import experiment as experiments
+from burdockdeal_bench import hops as hop_costs
 from burdockdeal_bench import scenario as scenarios
 
 EXIT_OK = 0
@@ -46,6 +47,13 @@
     return EXIT_OK
 
 
+def _run_hops(calls: int) -> int:
+    told = asyncio.run(hop_costs.measure_hops(calls))
+    print(hop_costs.format_table(told))
+    print(codec.encode(told).decode())
+    return EXIT_OK
+
+
 def main(
     *,
     scenario: str = "",
@@ -54,6 +62,8 @@
     deployment: str = "",
     compare: bool = False,
     check: bool = False,
+    hops: bool = False,
+    calls: int = 2000,
 ) -> int:
     """Run an experiment with about 20 real processes on loopback.
 
@@ -64,8 +74,12 @@
     :param deployment: a shipped deployment's name, or a path, in place of
         the one that the scenario names.
     :param compare: run every policy on the same seed and print a table.
+    :param hops: measure what hops cost, beside bare pass-throughs.
+    :param calls: calls on each way, with --hops.
     :param check: check the files and run nothing.
     """
+    if hops:
+        return _run_hops(calls)
     chosen = scenario or (_COMPARED if compare else "steady")
     wrong = _check_policy(policy)
     if wrong:
