--- a/packages/bench/burdockdeal_bench/hops.py
+++ b/packages/bench/burdockdeal_bench/hops.py
@@ -9,6 +9,7 @@
 import aiohttp
 
 from burdockdeal.configuration import resources
+from burdockdeal.settings import model
 from burdockdeal_bench import report
 from burdockdeal_standins import fleet as standins
 
@@ -98,12 +99,12 @@
 @contextlib.asynccontextmanager
 async def _run_processes() -> abc.AsyncIterator[standins.Fleet]:
     async with standins.run_fleet() as fleet:
-        await fleet.add_all(
-            [
-                standins.Place("owner", "shotton", "orders", service_ms=0.0),
-                standins.Place("entry", "queensferry"),
-            ]
-        )
+        # The usual pace of membership, not the tests' fast one.
+        pace = model.Membership()
+        owner = standins.Place("owner", "shotton", "orders", service_ms=0.0)
+        entry = standins.Place("entry", "queensferry")
+        await fleet.add(owner, membership=pace)
+        await fleet.add(entry, membership=pace)
         node = fleet.nodes["owner"]
         await fleet.declare(node, "Service", "orders", resources.Service())
         await fleet.declare(
