Count ended requests without the library's label handling

Cause: under the profile 5% of the path went into one counter. Change: requests are counted in a plain Counter, and put into the library's at each scrape.

--- a/packages/burdockdeal/burdockdeal/daemon/metrics.py
+++ b/packages/burdockdeal/burdockdeal/daemon/metrics.py
@@ -1,5 +1,6 @@
 """The daemon's metrics."""
 
+import collections
 from collections import abc
 import dataclasses
 
@@ -32,6 +33,9 @@
             "Requests that ended, by rank and verdict.",
             registry=self._registry,
         )
+        self._ended: collections.Counter[tuple[str, verdict.Verdict]] = (
+            collections.Counter()
+        )
         self._gauges = tuple(
             (
                 gauge,
@@ -43,11 +47,18 @@
         )
 
     def count(self, rank: str, outcome: verdict.Verdict) -> None:
-        """Count a request that ended."""
-        self._requests.inc({"rank": rank, "verdict": outcome.value})
+        """Count a request that ended.
+
+        The library's counter costs a sort and a copy of its labels each
+        time; it is brought up to date when metrics are asked for.
+        """
+        self._ended[rank, outcome] += 1
 
     async def handle(self, request: web.Request) -> web.Response:
         """Answer a scrape."""
+        for (rank, outcome), number in self._ended.items():
+            labels = {"rank": rank, "verdict": outcome.value}
+            self._requests.set(labels, number)
         for gauge, metric in self._gauges:
             metric.set({}, gauge.read())
         content, extra = renderer.render(
