Keep the daemon to one thread and off io_uring

Cause: the new check of a running daemon's descriptors and threads failed twice. uvloop 0.23.0 opens an io_uring for its epoll batches although UV_USE_IO_URING is 0; 0.21.0 and 0.22.1 open none then (0.22.1 opens two with 1, so the variable is what switches). And uvloop's listening by host and its sock_connect resolve even IP numbers on libuv's pool: 5 threads.

Measured: tests/test_process.py failed with 5 threads and an io_uring, and passes with 1 and none.

--- a/packages/burdockdeal/burdockdeal/daemon/assembly.py
+++ b/packages/burdockdeal/burdockdeal/daemon/assembly.py
@@ -23,6 +23,7 @@
 from burdockdeal.core import call
 from burdockdeal.core import codec
 from burdockdeal.core import headers
+from burdockdeal.daemon import listening
 from burdockdeal.daemon import messages
 from burdockdeal.daemon import metrics
 from burdockdeal.membership import contacts
@@ -247,16 +248,6 @@
     return app
 
 
-async def _listen(
-    stack: contextlib.AsyncExitStack,
-    runner: web.BaseRunner,
-    address: model.Address,
-) -> None:
-    await runner.setup()
-    stack.push_async_callback(runner.cleanup)
-    await web.TCPSite(runner, address.host, address.port).start()
-
-
 def _make_gauges(
     parts: Parts, platform: store.Store
 ) -> tuple[metrics.Gauge, ...]:
@@ -381,18 +372,20 @@
                 )
             )
 
-        await _listen(
+        await listening.listen(
             stack,
             web.AppRunner(operator_app, access_log=None),
             settings.listen.operator,
         )
-        await _listen(
+        await listening.listen(
             stack,
             web.AppRunner(upstream_app, access_log=None),
             settings.listen.upstream,
         )
-        await _listen(stack, serve(dispatch), settings.listen.peer)
-        await _listen(stack, serve(handle_entry), settings.listen.caller)
+        await listening.listen(stack, serve(dispatch), settings.listen.peer)
+        await listening.listen(
+            stack, serve(handle_entry), settings.listen.caller
+        )
         parts.services = (follower, members)
         for service in parts.services:
             await stack.enter_async_context(service)
--- /dev/null
+++ b/packages/burdockdeal/burdockdeal/daemon/listening.py
@@ -0,0 +1,38 @@
+"""Listening on an address without the resolver, which takes threads."""
+
+from collections import abc
+import contextlib
+import socket
+
+from aiohttp import web
+
+from burdockdeal.daemon import loop
+from burdockdeal.settings import model
+
+_BACKLOG = 1024
+
+
+@contextlib.contextmanager
+def _bind(address: model.Address) -> abc.Iterator[socket.socket]:
+    family, kind, _, _, target = loop.resolve(address.host, address.port)
+    with socket.socket(family, kind) as bound:
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        bound.bind(target)
+        bound.setblocking(False)
+        yield bound
+
+
+async def listen(
+    stack: contextlib.AsyncExitStack,
+    runner: web.BaseRunner,
+    address: model.Address,
+) -> None:
+    """Serve on an address until the stack is unwound.
+
+    The loop resolves even IP numbers on its pool of threads; a socket
+    that is bound here needs none.
+    """
+    bound = stack.enter_context(_bind(address))
+    await runner.setup()
+    stack.push_async_callback(runner.cleanup)
+    await web.SockSite(runner, bound, backlog=_BACKLOG).start()
--- a/packages/burdockdeal/burdockdeal/daemon/main.py
+++ b/packages/burdockdeal/burdockdeal/daemon/main.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import gc
-import os
 import signal
 import sys
 
@@ -12,6 +11,7 @@
 from burdockdeal.core import errors
 from burdockdeal.core import journal
 from burdockdeal.daemon import assembly
+from burdockdeal.daemon import loop
 from burdockdeal.settings import loader
 from burdockdeal.settings import model
 
@@ -23,10 +23,10 @@
 
 
 async def _serve(settings: model.Settings) -> int:
-    loop = asyncio.get_running_loop()
+    running = asyncio.get_running_loop()
     stopping = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopping.set)
+        running.add_signal_handler(number, stopping.set)
     async with assembly.run_daemon(settings) as parts:
         journal.record(
             "daemon_started",
@@ -65,11 +65,7 @@
         for fault in error.faults:
             print(f"{error.subject}: {fault}", file=sys.stderr)
         return EXIT_SETTINGS
-    # libuv must not use io_uring, which the machines rule out.
-    os.environ["UV_USE_IO_URING"] = "0"
-    import uvloop
-
-    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+    with asyncio.Runner(loop_factory=loop.new_loop) as runner:
         return runner.run(_serve(checked))
 
 
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -20,6 +20,10 @@
     return len(list(pathlib.Path(f"/proc/{pid}/task").iterdir()))
 
 
+def _read_maps(pid: int) -> str:
+    return pathlib.Path(f"/proc/{pid}/maps").read_text(encoding="utf-8")
+
+
 async def test_one_thread_and_no_io_uring(small: standins.Fleet) -> None:
     for node in small.nodes.values():
         for path in ("/jobs/1", "/jobs/2"):
@@ -30,8 +34,7 @@
         assert any("socket" in name for name in descriptors)
         assert not [name for name in descriptors if "io_uring" in name]
         assert _count_threads(node.daemon.pid) == 1
-        maps = pathlib.Path(f"/proc/{node.daemon.pid}/maps").read_text()
-        assert "/dev/shm" not in maps
+        assert "/dev/shm" not in _read_maps(node.daemon.pid)
 
 
 def test_the_check_sees_an_io_uring() -> None:
