--- /dev/null
+++ b/packages/bench/burdockdeal_bench/slopes/configurations.py
@@ -0,0 +1,100 @@
+"""Slopes of the configuration: memory and the cost of a change."""
+
+from absl import logging
+import msgspec
+
+from burdockdeal.configuration import messages
+from burdockdeal.configuration import resources
+from burdockdeal.configuration import service
+from burdockdeal.core import codec
+from burdockdeal.serving import classify
+from burdockdeal_bench.slopes import meter
+from burdockdeal_bench.slopes import slope
+
+#: To the target's size: 2,300 services with two rules each, and ranks.
+_SIZES = (875, 1_750, 3_500, 7_000)
+_LINES_PER_SERVICE = 3
+
+
+def _make_spec(number: int) -> tuple[str, str, resources.Spec]:
+    """Make one service, then two rules for it."""
+    owner, place = divmod(number - 1, _LINES_PER_SERVICE)
+    name = f"service-{owner}"
+    if place == 0:
+        return "Service", name, resources.Service()
+    rule = resources.Rule(
+        service=name,
+        rank="status",
+        match=resources.Match(f"/{name}/{place}/", ("GET",)),
+        idempotent=True,
+    )
+    return "Rule", f"{name}-{place}", rule
+
+
+def _make_change(revision: int, number: int) -> messages.Change:
+    kind, name, spec = _make_spec(number)
+    return messages.Change(
+        revision=revision,
+        change_id=f"{revision:016x}",
+        operator="operator-of-the-day",
+        at_ms=1_700_000_000_000 + revision,
+        action=messages.Action.PUT,
+        kind=kind,
+        name=name,
+        previous_generation=0,
+        spec=msgspec.Raw(codec.encode(spec)),
+    )
+
+
+def make_changes(count: int) -> list[messages.Change]:
+    """Make the log that declares so many resources."""
+    logging.set_verbosity(logging.ERROR)
+    return [_make_change(number, number) for number in range(1, count + 1)]
+
+
+def _take_all(changes: list[messages.Change]) -> service.Standing:
+    standing = service.Standing()
+    standing.take(changes)
+    return standing
+
+
+def _measure_memory(count: int) -> float:
+    return meter.measure_bytes(lambda: _take_all(make_changes(count)))
+
+
+def _measure_loading(count: int) -> float:
+    changes = make_changes(count)
+    return meter.measure_us(lambda: _take_all(changes), repeats=1)
+
+
+def _measure_change(count: int) -> float:
+    """Time one change to what stands, with what is made ready for calls."""
+    standing = _take_all(make_changes(count))
+    standing.on_change(lambda: classify.build_snapshot(standing.configuration))
+
+    def change() -> None:
+        revision = standing.revision + 1
+        standing.take([_make_change(revision, revision % count + 1)])
+
+    return meter.measure_us(change, times=5)
+
+
+def _measure_match(count: int) -> float:
+    """Time the search for the rule of a request, the worst one."""
+    standing = _take_all(make_changes(count))
+    match = classify.build_snapshot(standing.configuration).match
+    return meter.measure_us(lambda: match("GET", "/none", ""), times=100)
+
+
+SLOPES = (
+    slope.Slope(
+        "configuration-memory", "bytes", "resource", _SIZES, _measure_memory
+    ),
+    slope.Slope(
+        "configuration-loading", "us", "resource", _SIZES, _measure_loading
+    ),
+    slope.Slope(
+        "configuration-change", "us", "resource", _SIZES, _measure_change
+    ),
+    slope.Slope("rule-match", "us", "resource", _SIZES, _measure_match),
+)
