--- a/packages/bench/burdockdeal_bench/slopes/configurations.py
+++ b/packages/bench/burdockdeal_bench/slopes/configurations.py
@@ -83,7 +83,8 @@
     """Time the search for the rule of a request, the worst one."""
     standing = _take_all(make_changes(count))
     match = classify.build_snapshot(standing.configuration).match
-    return meter.measure_us(lambda: match("GET", "/service-none/9/x/y", ""), times=100)
+    path = "/service-none/9/x/y"
+    return meter.measure_us(lambda: match("GET", path, ""), times=100)
 
 
 SLOPES = (
