--- a/packages/burdockdeal/burdockdeal/daemon/assembly.py
+++ b/packages/burdockdeal/burdockdeal/daemon/assembly.py
@@ -1,6 +1,5 @@
 """Assembly of a daemon out of its slices."""
 
-import asyncio
 from collections import abc
 import contextlib
 import random
@@ -27,6 +26,7 @@
 from burdockdeal.core import errors
 from burdockdeal.core import headers
 from burdockdeal.core import verdict
+from burdockdeal.daemon import listening
 from burdockdeal.daemon import messages
 from burdockdeal.daemon import metrics
 from burdockdeal.membership import contacts
@@ -46,7 +46,7 @@
 from burdockdeal.serving import peers
 from burdockdeal.serving import transfer
 from burdockdeal.settings import model
-from burdockdeal.shutdown import state as shutdown
+from burdockdeal.shutdown import assembly as shutdown
 from burdockdeal.shutdown import stopping
 
 _DEFAULT_SERVICE = resources.Service()
@@ -258,46 +258,6 @@
     return app
 
 
-async def _listen(
-    stack: contextlib.AsyncExitStack,
-    runner: web.BaseRunner,
-    address: model.Address,
-) -> web.TCPSite:
-    await runner.setup()
-    stack.push_async_callback(runner.cleanup)
-    site = web.TCPSite(runner, address.host, address.port)
-    await site.start()
-    return site
-
-
-def _make_stopping(
-    parts: Parts,
-    booked: bookings.Bookings,
-    fronts: abc.Sequence[front.Front],
-    callers: web.TCPSite,
-) -> stopping.Stopping:
-    closing: set[asyncio.Task[None]] = set()
-
-    def leave() -> None:
-        parts.side.close()
-        parts.roster.declare(health=membership.Health.LEFT)
-        for server in fronts:
-            server.closing = True
-
-    def refuse_connections() -> None:
-        closing.add(asyncio.create_task(callers.stop()))
-
-    return stopping.Stopping(
-        shutdown.Terms(stopping.LINGER_S, parts.settings.limits.stop_s),
-        lambda: booked.active + sum(server.busy for server in fronts),
-        {
-            shutdown.Phase.LEAVING: leave,
-            shutdown.Phase.FINISHING: refuse_connections,
-        },
-        parts.clock,
-    )
-
-
 def _make_gauges(
     parts: Parts, platform: store.Store
 ) -> tuple[metrics.Gauge, ...]:
@@ -445,27 +405,35 @@
             return web.ServerRunner(server, shutdown_timeout=_CUT_S)
 
         fronts: list[front.Front] = []
-        await _listen(
+        await listening.listen(
             stack,
             web.AppRunner(
                 operator_app, access_log=None, shutdown_timeout=_CUT_S
             ),
             settings.listen.operator,
         )
-        await _listen(
+        await listening.listen(
             stack,
             web.AppRunner(
                 upstream_app, access_log=None, shutdown_timeout=_CUT_S
             ),
             settings.listen.upstream,
         )
-        await _listen(stack, serve(dispatch), settings.listen.peer)
-        site = await _listen(
+        await listening.listen(stack, serve(dispatch), settings.listen.peer)
+        stop_callers = await listening.listen(
             stack,
             serve(handle_entry, half_open=True),
             settings.listen.caller,
         )
-        parts.stopping = _make_stopping(parts, booked, fronts, site)
+        parts.stopping = shutdown.make_stopping(
+            settings,
+            parts.side,
+            parts.roster,
+            fronts,
+            lambda: booked.active,
+            stop_callers,
+            parts.clock,
+        )
         parts.services = (follower, members)
         for service in parts.services:
             await stack.enter_async_context(service)
