Prove that an upstream leaves while its domain is cut

Cause: no test drained an upstream that its entries could not hear of.

Change: one with a relay that is cut, the drain, and the healing; the test of a lost send is shorter by the same means.

--- a/tests/test_bookings.py
+++ b/tests/test_bookings.py
@@ -349,23 +349,12 @@
     fleet: standins.Fleet,
 ) -> None:
     """The link to the owner breaks while its daemon is frozen."""
-    d2 = fleet.settle(standins.Place("d2", "queensferry"))
-    link = await fleet.add_relay(str(d2.listen.peer))
-    d2 = dataclasses.replace(
-        d2,
-        advertise=dataclasses.replace(d2.listen.peer, port=link.port),
-    )
-    await fleet.add_all([standins.Place("d1", "shotton")])
     place = standins.Place("d2", "queensferry", "bookings")
-    port = standins.free_port()
-    node = standins.Node(
-        place,
-        d2,
-        await fleet.start_daemon(d2),
-        await fleet.start_upstream(place, d2, port),
-        port,
-    )
-    fleet.nodes["d2"] = node
+    listen = fleet.settle(place).listen
+    link = await fleet.add_relay(str(listen.peer))
+    reached = dataclasses.replace(listen.peer, port=link.port)
+    await fleet.add(standins.Place("d1", "shotton"))
+    node = await fleet.add(place, listen=listen, advertise=reached)
     await conftest.declare_basics(fleet, fleet.nodes["d1"])
     await book(fleet, "d1")
     before = len(await runs(fleet))
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -11,6 +11,7 @@
 from burdockdeal.announce import messages
 from burdockdeal.core import codec
 from burdockdeal_standins import fleet as standins
+from burdockdeal_standins import relay
 from burdockdeal_standins import upstream
 
 #: Seconds after which an upstream that leaves gets no new work.
@@ -105,6 +106,30 @@
     assert await count(small, "d2") == before
 
 
+async def test_it_leaves_while_its_domain_is_cut(
+    fleet: standins.Fleet,
+) -> None:
+    place = standins.Place("d2", "queensferry", "bookings")
+    listen = fleet.settle(place).listen
+    link = await fleet.add_relay(str(listen.peer))
+    reached = dataclasses.replace(listen.peer, port=link.port)
+    await fleet.add(standins.Place("d1", "shotton"))
+    await fleet.add(standins.Place("d3", "shotton", "bookings"))
+    node = await fleet.add(place, listen=listen, advertise=reached)
+    await conftest.declare_basics(fleet, fleet.nodes["d1"])
+    await link.behave(relay.Behaviour(cut=True))
+    # It leaves unheard by the others, who may still think that it serves.
+    await fleet.behave(node, upstream.Behaviour(draining=True))
+    await asyncio.sleep(LEFT_S)
+    before = await count(fleet, "d2")
+    await ask_all(fleet)
+    await link.behave(relay.Behaviour())
+    for _ in range(10):
+        await ask_all(fleet, 5)
+        await asyncio.sleep(0.2)
+    assert await count(fleet, "d2") == before
+
+
 async def test_a_dead_upstream_that_still_announces(
     small: standins.Fleet,
 ) -> None:
