Build the gate's records directly on the path of every call

Cause: a call that runs at once cost 80 us at the gate, most of it in dataclasses.replace.

Change: the records that every call changes are built by their constructor, and nothing is picked when nothing waits.

--- a/packages/burdockdeal/burdockdeal/admission/decisions.py
+++ b/packages/burdockdeal/burdockdeal/admission/decisions.py
@@ -52,16 +52,6 @@
     return min(bound, max(-bound, credit))
 
 
-def _bring_up(
-    line: state.Line, slots: int, service_s: float, now: float
-) -> state.Line:
-    return dataclasses.replace(
-        line,
-        credit=find_credit(line, slots, service_s, now),
-        credited_at=now,
-    )
-
-
 def note_waiting(
     line: state.Line,
     ticket: state.Ticket,
@@ -72,9 +62,10 @@
     now: float,
 ) -> state.Line:
     """Take in that a call begins to wait (1) or gives up waiting (-1)."""
-    line = _bring_up(line, slots, service_s, now)
     return dataclasses.replace(
         line,
+        credit=find_credit(line, slots, service_s, now),
+        credited_at=now,
         waiting=line.waiting + change,
         waiting_uploads=line.waiting_uploads + change * ticket.streamed,
         started_at=line.started_at if line.waiting else now,
@@ -91,11 +82,17 @@
     now: float,
 ) -> state.Line:
     """Take in that a call starts (1) or ends (-1)."""
-    line = _bring_up(line, slots, service_s, now)
-    return dataclasses.replace(
-        line,
+    # On the path of every call, where replace() takes six times as long.
+    return state.Line(
+        terms=line.terms,
         running=line.running + change,
         uploads=line.uploads + change * ticket.streamed,
+        waiting=line.waiting,
+        waiting_uploads=line.waiting_uploads,
+        credit=find_credit(line, slots, service_s, now),
+        credited_at=now,
+        started_at=line.started_at,
+        interval_s=line.interval_s,
     )
 
 
--- a/packages/burdockdeal/burdockdeal/admission/gate.py
+++ b/packages/burdockdeal/burdockdeal/admission/gate.py
@@ -149,7 +149,8 @@
 
     def _leave(self, ticket: state.Ticket) -> None:
         self._count_running(ticket, -1)
-        self._start_waiting()
+        if self.waiting:
+            self._start_waiting()
 
     def _start_waiting(self) -> None:
         while line := decisions.pick(self._gather(), self._clock()):
--- a/packages/burdockdeal/burdockdeal/admission/pace.py
+++ b/packages/burdockdeal/burdockdeal/admission/pace.py
@@ -13,7 +13,7 @@
 
 def note_start(pace: state.Pace, now: float) -> state.Pace:
     """Take in that a call started."""
-    return dataclasses.replace(pace, moved_at=now)
+    return state.Pace(pace.samples, pace.service_s, pace.upload_s, now)
 
 
 def note_end(
@@ -30,10 +30,10 @@
         upload_s = before + _SMOOTHING * (held_s - before)
         return dataclasses.replace(pace, upload_s=upload_s, moved_at=now)
     samples = (*pace.samples[1 - SAMPLES :], held_s)
-    return dataclasses.replace(
-        pace,
+    return state.Pace(
         samples=samples,
         service_s=sorted(samples)[len(samples) // 2],
+        upload_s=pace.upload_s,
         moved_at=now,
     )
 
