Send calls again within one budget, with hedges

Cause: each entry sent a failed call up to three times, so that eight layers could multiply a failure by 3^8; a call whose earlier send may have run could end as NOT_RUN when its last send was refused.

Change: the entry's loop moved to retry. A call carries tokens down its chain: each layer may add two sends of its own and nothing below a repeated call is repeated. At each entry an account for each service and rank earns 0.08 of a token with a first send; every other send costs one, a hedge and a call below a repeated one too. Idempotent calls are also sent again after 500, 502, 503 and 504. A second refusal for want of room marks the service full for 100 ms, so that others are told NOT_RUN at once. Hedges wait for 1.2 times the time within which 19 in 20 answers begin; the loser is cancelled.

--- a/packages/burdockdeal/burdockdeal/admission/tests/test_gate.py
+++ b/packages/burdockdeal/burdockdeal/admission/tests/test_gate.py
@@ -14,6 +14,7 @@
 from burdockdeal.admission import state
 from burdockdeal.core import errors
 from burdockdeal.core import verdict
+from burdockdeal_standins import virtual
 
 URGENT = state.RankTerms("tracking", 0, 100.0, 0.05, 0.2)
 BOOKING = state.RankTerms("booking", 1, 50.0, 0.5, 0.2)
@@ -25,27 +26,6 @@
 SERVICE_S = 0.02
 
 
-class VirtualLoop(asyncio.SelectorEventLoop):
-    """A loop whose time jumps to the next timer."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.now = 0.0
-
-    def time(self) -> float:
-        return self.now
-
-    def _run_once(self) -> None:
-        if not self._ready and self._scheduled:
-            self.now = max(self.now, self._scheduled[0].when())
-        super()._run_once()
-
-
-def run(main: abc.Coroutine) -> object:
-    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
-        return runner.run(main)
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Arrival:
     at: float
@@ -120,7 +100,7 @@
         await session.play(calls)
         return session
 
-    return run(main())
+    return virtual.run(main())
 
 
 ARRIVALS = strategies.lists(
@@ -212,7 +192,7 @@
 
         await asyncio.gather(browse, *map(probe, probes))
 
-    run(main())
+    virtual.run(main())
     assert len(waits) == 200
     # The longest wait there can be is for the first of nine to end.
     assert sorted(waits)[197] < SERVICE_S / 2
@@ -243,7 +223,7 @@
         assert session.ends.count(verdict.Reason.TARGET_MISSED.value) == 2
         await playing
 
-    run(main())
+    virtual.run(main())
 
 
 def test_uploads_leave_slots_for_short_work() -> None:
@@ -269,7 +249,7 @@
         assert session.gate.waiting == 0
         await playing
 
-    run(main())
+    virtual.run(main())
 
 
 def test_the_service_time_shows_a_stall_before_anything_ends() -> None:
@@ -283,4 +263,4 @@
         assert session.gate.service_s == pytest.approx(0.05)
         await playing
 
-    run(main())
+    virtual.run(main())
--- a/packages/burdockdeal/burdockdeal/daemon/assembly.py
+++ b/packages/burdockdeal/burdockdeal/daemon/assembly.py
@@ -29,6 +29,8 @@
 from burdockdeal.membership import roster
 from burdockdeal.membership import service as membership_service
 from burdockdeal.platform import store
+from burdockdeal.retry import attempts
+from burdockdeal.retry import budget as budgets
 from burdockdeal.routing import board
 from burdockdeal.routing import policies
 from burdockdeal.routing import state as routing
@@ -73,6 +75,7 @@
         self.standing = configuration.Standing()
         self.board = board.Board(settings.failure_domain, self.clock)
         self.gate = gate.Gate(self.clock, self._room)
+        self.budget = budgets.Budget()
         self.snapshot: classify.Snapshot | None = None
         self.side.on_change(self._declare_upstream)
         self.standing.on_change(self._take_configuration)
@@ -131,7 +134,7 @@
         return () if self.snapshot else ("configuration",)
 
 
-def _make_choose(parts: Parts) -> entry.Choose:
+def _make_choose(parts: Parts) -> attempts.Choose:
     policy = policies.POLICIES[parts.settings.policy](parts.chance)
 
     def choose(
@@ -311,7 +314,12 @@
             revision=lambda: parts.standing.revision,
             on_newer=follower.pull_from,
         )
-        told = metrics.Metrics(_make_gauges(parts, platform))
+        told = metrics.Metrics(
+            (
+                *_make_gauges(parts, platform),
+                *metrics.make_retry_gauges(parts.budget),
+            )
+        )
         local = owner.make_owner(
             parts.side,
             parts.gate,
@@ -333,6 +341,7 @@
             snapshot=lambda: parts.snapshot,
             choose=_make_choose(parts),
             open_answer=_make_open_answer(parts, local, remote),
+            budget=parts.budget,
             tallies=parts.board,
             new_id=lambda: secrets.token_hex(8),
             clock=parts.clock,
--- a/packages/burdockdeal/burdockdeal/daemon/metrics.py
+++ b/packages/burdockdeal/burdockdeal/daemon/metrics.py
@@ -8,6 +8,7 @@
 from aioprometheus import renderer
 
 from burdockdeal.core import verdict
+from burdockdeal.retry import budget as budgets
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -19,6 +20,32 @@
     read: abc.Callable[[], float]
 
 
+def make_retry_gauges(budget: budgets.Budget) -> tuple[Gauge, ...]:
+    """Make the numbers that tell what an entry has sent."""
+    return (
+        Gauge(
+            "burdockdeal_sends_total",
+            "Sends of calls to instances, the repeated ones among them.",
+            lambda: budget.tally.sends,
+        ),
+        Gauge(
+            "burdockdeal_first_sends_total",
+            "First sends of calls that stand below no repeated call.",
+            lambda: budget.tally.first_sends,
+        ),
+        Gauge(
+            "burdockdeal_hedges_total",
+            "Sends beside one that was still open.",
+            lambda: budget.tally.hedges,
+        ),
+        Gauge(
+            "burdockdeal_retries_denied_total",
+            "Sends that only the budget forbade.",
+            lambda: budget.tally.denied,
+        ),
+    )
+
+
 class Metrics:
     """Holds the registry of one daemon.
 
--- /dev/null
+++ b/packages/burdockdeal/burdockdeal/retry/budget.py
@@ -0,0 +1,72 @@
+"""The budget: what one entry has sent, and may send again."""
+
+import dataclasses
+
+from burdockdeal.core import call
+from burdockdeal.retry import decisions
+from burdockdeal.retry import state
+
+
+class Budget:
+    """Holds an account for each service and rank, and the tally."""
+
+    def __init__(self) -> None:
+        self._accounts: dict[tuple[str, str], state.Account] = {}
+        self.tally = state.Tally()
+
+    def find(self, work: call.Call) -> state.Account:
+        """Find the account that pays for a call."""
+        key = (work.service, work.rank)
+        return self._accounts.get(key, _NEW)
+
+    def _keep(self, work: call.Call, account: state.Account) -> None:
+        self._accounts[(work.service, work.rank)] = account
+
+    def count_send(self, work: call.Call, *, first: bool) -> None:
+        """Count a send that left this entry.
+
+        :param first: whether it is the call's first here.
+        """
+        tally = self.tally
+        earns = first and decisions.is_first(work)
+        self.tally = dataclasses.replace(
+            tally,
+            sends=tally.sends + 1,
+            first_sends=tally.first_sends + earns,
+        )
+        if earns:
+            self._keep(work, decisions.earn(self.find(work)))
+
+    def pay(self, work: call.Call) -> bool:
+        """Pay for one more send of a call.
+
+        :returns: False if the account can't pay.
+        """
+        account = decisions.pay(self.find(work))
+        if account is None:
+            self.deny()
+            return False
+        self._keep(work, account)
+        return True
+
+    def deny(self) -> None:
+        """Count a send that the budget forbade."""
+        denied = self.tally.denied + 1
+        self.tally = dataclasses.replace(self.tally, denied=denied)
+
+    def count_hedge(self) -> None:
+        """Count a hedge."""
+        hedges = self.tally.hedges + 1
+        self.tally = dataclasses.replace(self.tally, hedges=hedges)
+
+    def note_full(self, work: call.Call, now: float) -> None:
+        """Take in that a second instance refused a call as full."""
+        self._keep(work, decisions.note_full(self.find(work), now))
+
+    def note_latency(self, work: call.Call, latency_s: float) -> None:
+        """Take in how long an answer's head took, or at least took."""
+        account = decisions.note_latency(self.find(work), latency_s)
+        self._keep(work, account)
+
+
+_NEW = state.Account()
--- a/packages/burdockdeal/burdockdeal/retry/decisions.py
+++ b/packages/burdockdeal/burdockdeal/retry/decisions.py
@@ -1,31 +1,204 @@
-"""Decisions on sending a call again."""
+"""Decisions on sending a call again, beside another send, or not.
+
+Two bounds hold together. The tokens that a call carries bound the sends
+of one chain of calls: each layer takes its own share out of them and
+passes the rest on, and nothing below a repeated call is sent again. The
+account of an entry bounds their sum: first sends earn a share of a token,
+every other send costs one. That holds for the sends below a repeated call
+too, so that repeats above can't outrun what the layers below have earned.
+"""
+
+import dataclasses
 
 from burdockdeal.core import call
 from burdockdeal.core import verdict
+from burdockdeal.retry import state
 
-#: Sends of one call by one entry, the first among them.
-MAX_ATTEMPTS = 3
+#: Sends that one layer may add to a call's first.
+LAYER_TOKENS = 2
 
+#: Tokens that a first send earns. With what the accounts hold at the
+#: start, all sends stay within 1.1 times the first ones.
+EARNED_SHARE = 0.08
 
-def may_resend(
-    request: call.Call,
+#: Tokens that an account holds at most.
+MOST_TOKENS = 10.0
+
+#: Tokens that hedges leave in the account for calls that failed.
+HEDGE_RESERVE = 3.0
+
+#: Seconds for which a service is taken for full once a call was refused
+#: by two of its instances.
+FULL_S = 0.1
+
+#: The shortest wait before a hedge, in seconds.
+LEAST_HEDGE_S = 0.002
+
+_HEDGE_FACTOR = 1.2
+_RISE = 0.095
+_FALL = 0.005
+
+#: Refusals by an instance that has no room.
+FULL_REASONS = frozenset(
+    {
+        verdict.Reason.QUEUE_FULL,
+        verdict.Reason.SHED,
+        verdict.Reason.TARGET_MISSED,
+        verdict.Reason.OVERLOADED,
+    }
+)
+
+#: Statuses of answers that a repeated call may better.
+FAILED_STATUSES = frozenset({500, 502, 503, 504})
+
+
+def is_failure(status: int) -> bool:
+    """Tell whether a repeated call may better an answer."""
+    return status in FAILED_STATUSES
+
+
+def find_allowance(depth: int) -> int:
+    """Find the most tokens that a call may carry.
+
+    :param depth: how many calls it is nested in.
+    """
+    return LAYER_TOKENS * max(0, call.MAX_DEPTH - depth)
+
+
+def grant(depth: int, given: int | None) -> int:
+    """Grant tokens to a call as it comes in.
+
+    :param given: what it carries, None for nothing: it then gets all that
+        its depth allows, since an upstream that doesn't pass the tokens on
+        is not to be told from a caller.
+    """
+    allowance = find_allowance(depth)
+    return allowance if given is None else min(given, allowance)
+
+
+def is_first(work: call.Call) -> bool:
+    """Tell whether a call stands below no repeated call."""
+    return work.depth == 0 or work.retry_tokens > 0
+
+
+def begin(work: call.Call) -> state.Progress:
+    """Begin a call at its entry."""
+    return state.Progress(resends=min(LAYER_TOKENS, work.retry_tokens))
+
+
+def hand_down(work: call.Call, progress: state.Progress) -> call.Call:
+    """Make the call that a send carries, with the tokens for below.
+
+    :param progress: before the send.
+    """
+    left = max(0, work.retry_tokens - LAYER_TOKENS)
+    tokens = 0 if progress.exposed else left
+    return dataclasses.replace(work, retry_tokens=tokens)
+
+
+def note_send(progress: state.Progress, daemon: str) -> state.Progress:
+    """Take in that a call is sent."""
+    resends = progress.resends - bool(progress.tried)
+    return dataclasses.replace(
+        progress, resends=resends, tried=progress.tried | {daemon}
+    )
+
+
+def note_failure(
+    progress: state.Progress,
     outcome: verdict.Verdict,
+    reason: verdict.Reason | None,
+) -> state.Progress:
+    """Take in that a send failed.
+
+    :param reason: None for an upstream's own answer.
+    """
+    return dataclasses.replace(
+        progress,
+        exposed=progress.exposed or outcome is not verdict.Verdict.NOT_RUN,
+        refused=progress.refused or reason in FULL_REASONS,
+    )
+
+
+def may_resend(
+    work: call.Call,
+    progress: state.Progress,
     *,
-    attempt: int,
     replayable: bool,
     now: float,
 ) -> bool:
-    """Tell whether a call that ended without an answer is sent again.
+    """Tell whether a call whose sends failed may be sent again.
 
-    :param outcome: the verdict on the send that failed.
-    :param attempt: how many sends there were, 1 or more.
+    :param progress: after the failure.
     :param replayable: whether the body can be sent from its start.
     :param now: monotonic time in seconds.
     """
-    harmless = outcome is verdict.Verdict.NOT_RUN or request.idempotent
     return (
-        harmless
+        (work.idempotent or not progress.exposed)
+        and replayable
+        and progress.resends > 0
+        and now < work.deadline
+    )
+
+
+def earn(account: state.Account) -> state.Account:
+    """Take in a first send."""
+    tokens = min(MOST_TOKENS, account.tokens + EARNED_SHARE)
+    return dataclasses.replace(account, tokens=tokens)
+
+
+def pay(account: state.Account) -> state.Account | None:
+    """Pay for a send that is not a first one.
+
+    :returns: the account after it, None if it can't pay.
+    """
+    if account.tokens < 1:
+        return None
+    return dataclasses.replace(account, tokens=account.tokens - 1)
+
+
+def is_full(account: state.Account, now: float) -> bool:
+    """Tell whether a whole service is taken for full."""
+    return now < account.full_until
+
+
+def note_full(account: state.Account, now: float) -> state.Account:
+    """Take in that a second instance refused a call for want of room."""
+    return dataclasses.replace(account, full_until=now + FULL_S)
+
+
+def note_latency(account: state.Account, latency_s: float) -> state.Account:
+    """Take in how long an answer's head took, or at least took.
+
+    The estimate rises nineteen times as far as it falls, so that it comes
+    to rest where 19 in 20 answers are faster.
+    """
+    before = account.usual_s or 2 * latency_s
+    step = _RISE if latency_s > before else -_FALL
+    return dataclasses.replace(account, usual_s=before * (1 + step))
+
+
+def find_hedge_delay(
+    work: call.Call,
+    progress: state.Progress,
+    account: state.Account,
+    *,
+    replayable: bool,
+    now: float,
+) -> float | None:
+    """Find how long to wait for an answer before a hedge is sent.
+
+    :returns: seconds, None if no hedge may be sent.
+    """
+    allowed = (
+        work.idempotent
         and replayable
-        and attempt < MAX_ATTEMPTS
-        and now < request.deadline
+        and progress.resends > 0
+        and account.usual_s > 0
+        and account.tokens >= HEDGE_RESERVE
+        and not is_full(account, now)
     )
+    if not allowed:
+        return None
+    delay_s = max(LEAST_HEDGE_S, account.usual_s * _HEDGE_FACTOR)
+    return delay_s if now + delay_s < work.deadline else None
--- a/packages/burdockdeal/burdockdeal/serving/classify.py
+++ b/packages/burdockdeal/burdockdeal/serving/classify.py
@@ -10,6 +10,7 @@
 from burdockdeal.core import errors
 from burdockdeal.core import headers
 from burdockdeal.core import verdict
+from burdockdeal.retry import decisions as retry
 
 #: Methods that HTTP itself calls idempotent and safe.
 _SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
@@ -58,6 +59,12 @@
     return number
 
 
+def _read_tokens(given: abc.Mapping[str, str]) -> int | None:
+    if headers.RETRY_TOKENS not in given:
+        return None
+    return int(_read_number(given, headers.RETRY_TOKENS, 0))
+
+
 def _choose_rank(
     snapshot: Snapshot, rule: resources.Rule, wanted: str | None
 ) -> str:
@@ -106,7 +113,7 @@
         rank=_choose_rank(snapshot, rule, given.get(headers.RANK)),
         deadline=now + allowed_ms / 1000,
         depth=depth,
-        retry_tokens=int(_read_number(given, headers.RETRY_TOKENS, 0)),
+        retry_tokens=retry.grant(depth, _read_tokens(given)),
         idempotent=rule.idempotent or method in _SAFE_METHODS,
         idempotency_key=given.get(headers.IDEMPOTENCY_KEY),
     )
--- a/packages/burdockdeal/burdockdeal/serving/entry.py
+++ b/packages/burdockdeal/burdockdeal/serving/entry.py
@@ -12,7 +12,8 @@
 from burdockdeal.core import journal
 from burdockdeal.core import verdict
 from burdockdeal.membership import messages as membership
-from burdockdeal.retry import decisions as retry
+from burdockdeal.retry import attempts
+from burdockdeal.retry import budget as budgets
 from burdockdeal.routing import board
 from burdockdeal.serving import bodies
 from burdockdeal.serving import classify
@@ -20,9 +21,6 @@
 from burdockdeal.serving import refusals
 from burdockdeal.serving import transfer
 
-#: Choose an instance for a call, not among those tried.
-Choose = abc.Callable[[call.Call, frozenset[str]], membership.Member | None]
-
 #: Count an outcome: rank and verdict.
 Count = abc.Callable[[str, verdict.Verdict], None]
 
@@ -30,8 +28,9 @@
 def make_entry(
     *,
     snapshot: abc.Callable[[], classify.Snapshot | None],
-    choose: Choose,
+    choose: attempts.Choose,
     open_answer: messages.OpenAnswer,
+    budget: budgets.Budget,
     tallies: board.Board,
     new_id: abc.Callable[[], str],
     clock: abc.Callable[[], float],
@@ -55,6 +54,27 @@
         finally:
             tallies.note_done(send.daemon, send.incarnation)
 
+    def open_to(
+        work: call.Call,
+        outbound: messages.Outbound,
+        member: membership.Member,
+        attempt: int,
+    ) -> contextlib.AbstractAsyncContextManager[messages.Answer]:
+        return watch_send(
+            messages.Send(
+                request=work,
+                outbound=outbound,
+                daemon=member.daemon,
+                peer=member.peer,
+                incarnation=member.upstream_incarnation,
+                attempt=attempt,
+            )
+        )
+
+    dispatch = attempts.make_dispatch(
+        choose=choose, open_to=open_to, budget=budget, clock=clock
+    )
+
     async def answer_call(
         request: web.BaseRequest, work: call.Call
     ) -> web.StreamResponse:
@@ -68,34 +88,8 @@
             headers.VERDICT: verdict.Verdict.RAN.value,
             headers.REQUEST_ID: work.request_id,
         }
-        tried: frozenset[str] = frozenset()
-        while True:
-            member = choose(work, tried)
-            if member is None:
-                raise errors.NotRunError(verdict.Reason.NO_INSTANCE)
-            tried |= {member.daemon}
-            send = messages.Send(
-                request=work,
-                outbound=outbound,
-                daemon=member.daemon,
-                peer=member.peer,
-                incarnation=member.upstream_incarnation,
-                attempt=len(tried),
-            )
-            try:
-                async with watch_send(send) as answer:
-                    return await transfer.pass_on(
-                        request, answer.response, added
-                    )
-            except errors.CallError as error:
-                if not retry.may_resend(
-                    work,
-                    error.outcome,
-                    attempt=len(tried),
-                    replayable=outbound.body.replayable,
-                    now=clock(),
-                ):
-                    raise
+        async with dispatch(work, outbound) as answer:
+            return await transfer.pass_on(request, answer.response, added)
 
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
         request_id = new_id()
