Shed at the entry what the owners have no room for

Cause: in a flood of three times what the fleet takes, every call was still sent on to be refused by its owner. The daemons' loops lagged and the most urgent work waited behind refusals.

--- a/packages/burdockdeal/burdockdeal/daemon/assembly.py
+++ b/packages/burdockdeal/burdockdeal/daemon/assembly.py
@@ -30,6 +30,7 @@
 from burdockdeal.membership import roster
 from burdockdeal.membership import service as membership_service
 from burdockdeal.membership import transport
+from burdockdeal.overload import guard as guards
 from burdockdeal.platform import store
 from burdockdeal.retry import attempts
 from burdockdeal.retry import budget as budgets
@@ -127,6 +128,15 @@
                 return f"{service.label}: {service.crash_reason!r}"
         return None
 
+    def build_guard(self) -> guards.Guard:
+        """Build the guard of this daemon's entry."""
+        return guards.Guard(
+            lambda: self.snapshot.ranks if self.snapshot else {},
+            self.settings.limits.requests,
+            self.clock,
+            self.chance,
+        )
+
     def is_relay(self) -> bool:
         """Tell whether this daemon watches the store for its domain."""
         domain = self.settings.failure_domain
@@ -352,11 +362,13 @@
             settings.listen.peer,
             limits.replay_bytes,
         )
+        guard = await stack.enter_async_context(parts.build_guard())
         handle_entry = entry.make_entry(
             snapshot=lambda: parts.snapshot,
             choose=_make_choose(parts),
             open_answer=_make_open_answer(parts, local, remote),
             budget=parts.budget,
+            guard=guard,
             tallies=parts.board,
             new_id=lambda: secrets.token_hex(8),
             clock=parts.clock,
--- /dev/null
+++ b/packages/burdockdeal/burdockdeal/overload/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon's own bounds: requests, connections and the pace of bytes."""
--- a/packages/burdockdeal/burdockdeal/serving/entry.py
+++ b/packages/burdockdeal/burdockdeal/serving/entry.py
@@ -12,6 +12,7 @@
 from burdockdeal.core import journal
 from burdockdeal.core import verdict
 from burdockdeal.membership import messages as membership
+from burdockdeal.overload import guard as guards
 from burdockdeal.retry import attempts
 from burdockdeal.retry import budget as budgets
 from burdockdeal.routing import board
@@ -31,6 +32,7 @@
     choose: attempts.Choose,
     open_answer: messages.OpenAnswer,
     budget: budgets.Budget,
+    guard: guards.Guard,
     tallies: board.Board,
     new_id: abc.Callable[[], str],
     clock: abc.Callable[[], float],
@@ -107,7 +109,8 @@
                 now=clock(),
             )
             rank = work.rank
-            answer = await answer_call(request, work)
+            with guard.hold(work):
+                answer = await answer_call(request, work)
             count(rank, verdict.Verdict.RAN)
             journal.debug("request_answered", request_id=request_id, rank=rank)
             return answer
--- a/packages/burdockdeal/burdockdeal/settings/model.py
+++ b/packages/burdockdeal/burdockdeal/settings/model.py
@@ -54,6 +54,7 @@
     connections: checking.PositiveInt = 2000
     header_bytes: checking.PositiveInt = 16384
     replay_bytes: checking.PositiveInt = 65536
+    requests: checking.PositiveInt = 1000
     caller_idle_s: checking.Positive = 75.0
     stop_s: checking.Positive = 30.0
 
