Bound connections and the pace of bytes of every listener

Cause: a caller that sent its head or body a byte at a time, or took no answer, and an upstream whose answer stalled, held a connection, a request and a slot for as long as they liked; a flood of connections had no bound.

Change: each listener has its own bound on connections. At the bound the connection that was idle the longest makes room; if none is idle the new one is refused with a verdict. A connection must bring its first request's head in time. A body must come at a least mean rate, counted over the time spent waiting for it only, so that a slow upstream isn't held against the caller. An answer that began must go on. All limits are settings.

--- a/packages/burdockdeal/burdockdeal/daemon/assembly.py
+++ b/packages/burdockdeal/burdockdeal/daemon/assembly.py
@@ -30,6 +30,7 @@
 from burdockdeal.membership import roster
 from burdockdeal.membership import service as membership_service
 from burdockdeal.membership import transport
+from burdockdeal.overload import connections
 from burdockdeal.overload import guard as guards
 from burdockdeal.platform import store
 from burdockdeal.retry import attempts
@@ -78,6 +79,7 @@
         self.board = board.Board(settings.failure_domain, self.clock)
         self.gate = gate.Gate(self.clock, self._room)
         self.budget = budgets.Budget()
+        self.bounds = connections.bound_listeners(settings.limits, self.clock)
         self.snapshot: classify.Snapshot | None = None
         self.services: tuple[mode.Service, ...] = ()
         self.side.on_change(self._declare_upstream)
@@ -264,9 +266,12 @@
     stack: contextlib.AsyncExitStack,
     runner: web.BaseRunner,
     address: model.Address,
+    bound: connections.Connections,
 ) -> None:
     await runner.setup()
     stack.push_async_callback(runner.cleanup)
+    await stack.enter_async_context(bound)
+    bound.watch(runner.server)
     await web.TCPSite(runner, address.host, address.port).start()
 
 
@@ -339,10 +344,12 @@
             revision=lambda: parts.standing.revision,
             on_newer=follower.pull_from,
         )
+        guard = await stack.enter_async_context(parts.build_guard())
         told = metrics.Metrics(
             (
                 *_make_gauges(parts, platform),
                 *metrics.make_retry_gauges(parts.budget),
+                *metrics.make_overload_gauges(parts.bounds, guard),
             )
         )
         local = owner.make_owner(
@@ -360,9 +367,8 @@
             parts.load,
             parts.clock,
             settings.listen.peer,
-            limits.replay_bytes,
+            limits,
         )
-        guard = await stack.enter_async_context(parts.build_guard())
         handle_entry = entry.make_entry(
             snapshot=lambda: parts.snapshot,
             choose=_make_choose(parts),
@@ -373,7 +379,7 @@
             new_id=lambda: secrets.token_hex(8),
             clock=parts.clock,
             count=told.count,
-            replay_bytes=limits.replay_bytes,
+            limits=limits,
         )
         append = writer.make_append(
             platform,
@@ -402,18 +408,13 @@
                 )
             )
 
-        await _listen(
-            stack,
-            web.AppRunner(operator_app, access_log=None),
-            settings.listen.operator,
-        )
-        await _listen(
-            stack,
-            web.AppRunner(upstream_app, access_log=None),
-            settings.listen.upstream,
-        )
-        await _listen(stack, serve(dispatch), settings.listen.peer)
-        await _listen(stack, serve(handle_entry), settings.listen.caller)
+        operators = web.AppRunner(operator_app, access_log=None)
+        upstreams = web.AppRunner(upstream_app, access_log=None)
+        listen, bounds = settings.listen, parts.bounds
+        await _listen(stack, operators, listen.operator, bounds.operator)
+        await _listen(stack, upstreams, listen.upstream, bounds.upstream)
+        await _listen(stack, serve(dispatch), listen.peer, bounds.peer)
+        await _listen(stack, serve(handle_entry), listen.caller, bounds.caller)
         parts.services = (follower, members)
         for service in parts.services:
             await stack.enter_async_context(service)
--- a/packages/burdockdeal/burdockdeal/daemon/metrics.py
+++ b/packages/burdockdeal/burdockdeal/daemon/metrics.py
@@ -8,6 +8,8 @@
 from aioprometheus import renderer
 
 from burdockdeal.core import verdict
+from burdockdeal.overload import connections
+from burdockdeal.overload import guard as guards
 from burdockdeal.retry import budget as budgets
 
 
@@ -46,6 +48,53 @@
     )
 
 
+def make_overload_gauges(
+    bounds: connections.Bounds, guard: guards.Guard
+) -> tuple[Gauge, ...]:
+    """Make the numbers that tell how near a daemon is to its bounds."""
+
+    def add_up(name: str) -> abc.Callable[[], float]:
+        return lambda: sum(getattr(each, name) for each in bounds.listeners)
+
+    return (
+        Gauge(
+            "burdockdeal_caller_connections",
+            "Connections of callers.",
+            lambda: len(bounds.caller),
+        ),
+        Gauge(
+            "burdockdeal_connections_refused_total",
+            "Connections refused since all others had a request.",
+            add_up("refused"),
+        ),
+        Gauge(
+            "burdockdeal_connections_evicted_total",
+            "Idle connections ended to make room for new ones.",
+            add_up("evicted"),
+        ),
+        Gauge(
+            "burdockdeal_slow_heads_total",
+            "Connections ended since no request came in time.",
+            add_up("slow"),
+        ),
+        Gauge(
+            "burdockdeal_requests_in_progress",
+            "Callers' requests that are not yet answered.",
+            lambda: guard.in_progress,
+        ),
+        Gauge(
+            "burdockdeal_shed_total",
+            "Requests refused at the entry before they were sent on.",
+            lambda: guard.shed,
+        ),
+        Gauge(
+            "burdockdeal_loop_lag_seconds",
+            "How late the loop ran its last tick.",
+            lambda: guard.strain.lag_s,
+        ),
+    )
+
+
 class Metrics:
     """Holds the registry of one daemon.
 
--- a/packages/burdockdeal/burdockdeal/retry/attempts.py
+++ b/packages/burdockdeal/burdockdeal/retry/attempts.py
@@ -126,7 +126,7 @@
             decisions.hand_down(self._work, progress),
             self._outbound,
             member,
-            len(progress.tried) + 1,
+            progress.sends + 1,
         )
 
     async def _send(
--- a/packages/burdockdeal/burdockdeal/retry/decisions.py
+++ b/packages/burdockdeal/burdockdeal/retry/decisions.py
@@ -98,9 +98,11 @@
 
 def note_send(progress: state.Progress, daemon: str) -> state.Progress:
     """Take in that a call is sent."""
-    resends = progress.resends - bool(progress.tried)
     return dataclasses.replace(
-        progress, resends=resends, tried=progress.tried | {daemon}
+        progress,
+        resends=progress.resends - (progress.sends > 0),
+        sends=progress.sends + 1,
+        tried=progress.tried | {daemon},
     )
 
 
--- a/packages/burdockdeal/burdockdeal/retry/state.py
+++ b/packages/burdockdeal/burdockdeal/retry/state.py
@@ -44,12 +44,14 @@
     """How far one call has come at its entry.
 
     :param resends: sends that it may still cause here.
+    :param sends: how often it was sent.
     :param tried: the daemons that it was sent to.
     :param exposed: whether an earlier send may have run.
     :param refused: whether an earlier send met a full instance.
     """
 
     resends: int
+    sends: int = 0
     tried: frozenset[str] = frozenset()
     exposed: bool = False
     refused: bool = False
--- a/packages/burdockdeal/burdockdeal/serving/bodies.py
+++ b/packages/burdockdeal/burdockdeal/serving/bodies.py
@@ -4,6 +4,9 @@
 
 from aiohttp import web
 
+from burdockdeal.overload import pacing
+from burdockdeal.settings import model
+
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -19,10 +22,17 @@
 
     :param request: the request it belongs to.
     :param whole: the bytes, if they were read whole; None to stream.
+    :param limits: how slowly it may come.
     """
 
-    def __init__(self, request: web.BaseRequest, whole: bytes | None) -> None:
+    def __init__(
+        self,
+        request: web.BaseRequest,
+        whole: bytes | None,
+        limits: model.Limits,
+    ) -> None:
         self._request = request
+        self._limits = limits
         self._whole = whole
         self._started = False
 
@@ -45,21 +55,26 @@
     async def _stream(self) -> abc.AsyncIterator[bytes]:
         self._started = True
         await invite_body(self._request)
-        while chunk := await self._request.content.readany():
+        content = self._request.content
+        async for chunk in pacing.read_steadily(content, self._limits):
             yield chunk
 
 
-async def take_body(request: web.BaseRequest, replay_bytes: int) -> Body:
+async def take_body(request: web.BaseRequest, limits: model.Limits) -> Body:
     """Take a request's body.
 
-    :param replay_bytes: bodies up to this many bytes are read whole, so
-        that they can be sent again; larger ones and those of unknown
-        length are streamed, with at most two read buffers of 64 KiB held.
+    :param limits: bodies up to its replay_bytes are read whole, so that
+        they can be sent again; larger ones and those of unknown length
+        are streamed, with at most two read buffers of 64 KiB held.
+    :raises NotRunError: if a body that is read whole comes too slowly.
     """
     if not request.body_exists:
-        return Body(request, b"")
+        return Body(request, b"", limits)
     length = request.content_length
-    if length is None or length > replay_bytes:
-        return Body(request, None)
+    if length is None or length > limits.replay_bytes:
+        return Body(request, None, limits)
     await invite_body(request)
-    return Body(request, await request.content.read())
+    chunks = [
+        chunk async for chunk in pacing.read_steadily(request.content, limits)
+    ]
+    return Body(request, b"".join(chunks), limits)
--- a/packages/burdockdeal/burdockdeal/serving/entry.py
+++ b/packages/burdockdeal/burdockdeal/serving/entry.py
@@ -15,12 +15,14 @@
 from burdockdeal.overload import guard as guards
 from burdockdeal.retry import attempts
 from burdockdeal.retry import budget as budgets
+from burdockdeal.retry import decisions as retry
 from burdockdeal.routing import board
 from burdockdeal.serving import bodies
 from burdockdeal.serving import classify
 from burdockdeal.serving import messages
 from burdockdeal.serving import refusals
 from burdockdeal.serving import transfer
+from burdockdeal.settings import model
 
 #: Count an outcome: rank and verdict.
 Count = abc.Callable[[str, verdict.Verdict], None]
@@ -37,7 +39,7 @@
     new_id: abc.Callable[[], str],
     clock: abc.Callable[[], float],
     count: Count,
-    replay_bytes: int,
+    limits: model.Limits,
 ) -> abc.Callable[[web.BaseRequest], abc.Awaitable[web.StreamResponse]]:
     """Make the handler of callers' requests."""
 
@@ -84,14 +86,16 @@
             method=request.method,
             target=request.raw_path,
             headers=transfer.keep_end_to_end(request.headers),
-            body=await bodies.take_body(request, replay_bytes),
+            body=await bodies.take_body(request, limits),
         )
         added = {
             headers.VERDICT: verdict.Verdict.RAN.value,
             headers.REQUEST_ID: work.request_id,
         }
         async with dispatch(work, outbound) as answer:
-            return await transfer.pass_on(request, answer.response, added)
+            return await transfer.pass_on(
+                request, answer.response, added, limits
+            )
 
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
         request_id = new_id()
@@ -116,7 +120,9 @@
             return answer
         except errors.CallError as error:
             count(rank, error.outcome)
-            journal.record(
+            # A flood's refusals are counted, and only shown if asked for.
+            flood = error.reason in retry.FULL_REASONS
+            (journal.debug if flood else journal.record)(
                 "request_refused",
                 request_id=request_id,
                 rank=rank,
--- a/packages/burdockdeal/burdockdeal/serving/owner.py
+++ b/packages/burdockdeal/burdockdeal/serving/owner.py
@@ -102,7 +102,7 @@
     load: abc.Callable[[], routing.Report],
     clock: Clock,
     own_peer: model.Address,
-    replay_bytes: int,
+    limits: model.Limits,
 ) -> abc.Callable[[web.BaseRequest], abc.Awaitable[web.StreamResponse]]:
     """Make the handler of calls that other daemons send to this one.
 
@@ -126,7 +126,7 @@
             method=request.method,
             target=request.raw_path,
             headers=transfer.keep_end_to_end(request.headers),
-            body=await bodies.take_body(request, replay_bytes),
+            body=await bodies.take_body(request, limits),
         )
         send = messages.Send(
             request=call.unseal(envelope, clock()),
@@ -139,7 +139,10 @@
         try:
             async with open_answer(send) as answer:
                 return await transfer.pass_on(
-                    request, answer.response, {headers.REPORT: report()}
+                    request,
+                    answer.response,
+                    {headers.REPORT: report()},
+                    limits,
                 )
         except errors.CallError as error:
             return web.Response(
--- a/packages/burdockdeal/burdockdeal/serving/transfer.py
+++ b/packages/burdockdeal/burdockdeal/serving/transfer.py
@@ -12,7 +12,9 @@
 from burdockdeal.core import errors
 from burdockdeal.core import headers
 from burdockdeal.core import verdict
+from burdockdeal.overload import pacing
 from burdockdeal.serving import messages
+from burdockdeal.settings import model
 
 _CONNECT_TIMEOUT_S = 1.0
 _IDLE_CONNECTION_S = 60.0
@@ -129,6 +131,7 @@
     request: web.BaseRequest,
     response: aiohttp.ClientResponse,
     added: abc.Mapping[str, str],
+    limits: model.Limits,
 ) -> web.StreamResponse:
     """Pass an answer on as it comes.
 
@@ -140,7 +143,7 @@
     kept = keep_end_to_end(response.headers)
     kept.update(added)
     try:
-        first = await response.content.readany()
+        first = await pacing.read_part(response.content, limits)
         if first and response.content.at_eof():
             kept.popall("Content-Length", None)
             return web.Response(
@@ -154,10 +157,10 @@
         )
         await passed.prepare(request)
         while first:
-            await passed.write(first)
-            first = await response.content.readany()
+            await pacing.write_steadily(passed, first, limits)
+            first = await pacing.read_part(response.content, limits)
         await passed.write_eof()
-    except (aiohttp.ClientPayloadError, aiohttp.ClientOSError) as error:
+    except (aiohttp.ClientError, OSError) as error:
         if request.transport is not None:
             request.transport.abort()
         raise CutAnswerError(repr(error)) from error
--- a/packages/burdockdeal/burdockdeal/settings/model.py
+++ b/packages/burdockdeal/burdockdeal/settings/model.py
@@ -49,13 +49,36 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Limits:
-    """Bounds on what a daemon holds."""
+    """Bounds on what a daemon holds, and on how long it waits.
+
+    :param connections: of callers, and of other daemons, at once.
+    :param operator_connections: of operators at once.
+    :param upstream_connections: of the upstream to its interface at once.
+    :param replay_bytes: bodies up to this size are read whole.
+    :param requests: callers' requests in progress at once.
+    :param head_s: seconds within which a connection's first request must
+        have its head here.
+    :param caller_idle_s: seconds that an idle connection is kept.
+    :param body_idle_s: seconds without a byte of a request's body.
+    :param body_bytes_per_s: the least mean rate of a request's body,
+        counted over the time spent waiting for it.
+    :param body_grace_s: seconds of waiting before that rate is asked for.
+    :param answer_idle_s: seconds without a byte of an answer that began,
+        or in which a client takes none.
+    """
 
     connections: checking.PositiveInt = 2000
+    operator_connections: checking.PositiveInt = 100
+    upstream_connections: checking.PositiveInt = 20
     header_bytes: checking.PositiveInt = 16384
     replay_bytes: checking.PositiveInt = 65536
     requests: checking.PositiveInt = 1000
+    head_s: checking.Positive = 10.0
     caller_idle_s: checking.Positive = 75.0
+    body_idle_s: checking.Positive = 30.0
+    body_bytes_per_s: checking.Positive = 256.0
+    body_grace_s: checking.Positive = 10.0
+    answer_idle_s: checking.Positive = 30.0
     stop_s: checking.Positive = 30.0
 
 
--- a/packages/standins/burdockdeal_standins/upstream.py
+++ b/packages/standins/burdockdeal_standins/upstream.py
@@ -36,6 +36,7 @@
     :param hang: take calls and never answer.
     :param early: answer before the body was read.
     :param truncate: cut the answer off in the middle.
+    :param stall: begin the answer and never end it.
     :param answer_bytes: bytes of the answer's filling.
     :param beating: whether heartbeats are sent.
     :param draining: what the heartbeats say.
@@ -48,6 +49,7 @@
     hang: bool = False
     early: bool = False
     truncate: bool = False
+    stall: bool = False
     answer_bytes: int = 0
     beating: bool = True
     draining: bool = False
@@ -143,7 +145,7 @@
     behaviour = worker.behaviour
     line = f"{worker.announce.service} read {size} bytes\n".encode()
     body = line + b"." * behaviour.answer_bytes
-    if not behaviour.truncate:
+    if not (behaviour.truncate or behaviour.stall):
         return web.Response(
             body=body,
             headers={"Upstream-Incarnation": str(worker.announce.incarnation)},
@@ -151,7 +153,7 @@
     response = web.StreamResponse(headers={"Content-Length": "1000000"})
     await response.prepare(request)
     await response.write(body)
-    await asyncio.sleep(0.05)
+    await asyncio.sleep(3600 if behaviour.stall else 0.05)
     request.transport.abort()
     return response
 
