--- a/packages/burdockdeal/burdockdeal/overload/decisions.py
+++ b/packages/burdockdeal/burdockdeal/overload/decisions.py
@@ -9,9 +9,13 @@
 #: The time in which the counts of a window fade to 1/e, in seconds.
 FADE_S = 1.0
 
-#: Calls sent on for each that finds room. More than 1, so that room which
-#: comes free is found.
+#: Calls sent on for each that finds room, while some find none: more than
+#: 1, so that room which comes free is found; and while all do.
 PROBING = 1.25
+PROBING_FREELY = 3.0
+
+#: The share of refusals from which on a flood is taken to go on.
+FEW_REFUSED = 0.1
 
 #: Recent arrivals below which nothing is held back.
 FEW_ARRIVALS = 20.0
@@ -19,12 +23,11 @@
 #: How late the loop may run its ticks, in seconds.
 LAG_TARGET_S = 0.02
 
-#: Requests in progress below which the loop's lag is not their doing.
-FEW_IN_PROGRESS = 8
+#: Requests in progress that are allowed however late the loop is.
+LEAST_ALLOWED = 16.0
 
-_RISE = 0.1
-_FALL = 0.02
-_MOST_PRESSURE = 0.95
+_RISE = 1.05
+_FALL = 0.9
 
 #: The part of the requests beyond all floors that the least worthy rank
 #: leaves free.
@@ -70,47 +73,34 @@
     faded = fade(window, now)
     if faded.arrived < FEW_ARRIVALS:
         return 0.0
-    room = PROBING * max(0.0, faded.sent - faded.refused)
+    many = faded.refused > FEW_REFUSED * faded.sent
+    probing = PROBING if many else PROBING_FREELY
+    room = probing * max(0.0, faded.sent - faded.refused)
     return min(1.0, max(0.0, 1 - (room + 1) / faded.arrived))
 
 
 def note_tick(
-    strain: state.Strain, lag_s: float, *, in_progress: int
+    strain: state.Strain, lag_s: float, *, in_progress: int, limit: int
 ) -> state.Strain:
     """Take in how late a tick of the loop ran.
 
-    :param in_progress: requests that are not yet answered.
-    """
-    busy = lag_s > LAG_TARGET_S and in_progress >= FEW_IN_PROGRESS
-    pressure = strain.pressure + (_RISE if busy else -_FALL)
-    return state.Strain(lag_s, min(_MOST_PRESSURE, max(0.0, pressure)))
-
-
-def find_shed_share(
-    rank: str, shares: abc.Mapping[str, state.Share], strain: state.Strain
-) -> float:
-    """Find the share of a rank's calls to refuse since the loop is behind.
+    What is allowed falls from what is in progress, and rises while it is
+    in use. It never falls so low that a loop which is kept busy by calls
+    that it refuses would stop serving.
 
-    Ranks whose part of the work is within their floor are spared; of the
-    others the least worthy is shed whole before the next is touched.
+    :param in_progress: requests that are not yet answered.
+    :param limit: the bound that is set for them.
     """
-    if not strain.pressure:
-        return 0.0
-    whole = sum(share.arrived for share in shares.values())
-    sheddable = sorted(
-        (share.worth, name)
-        for name, share in shares.items()
-        if share.arrived > share.floor * whole
-    )
-    names = [name for _, name in sheddable]
-    if rank not in names:
-        return 0.0
-    part = strain.pressure * len(names) - names.index(rank)
-    return min(_MOST_PRESSURE, max(0.0, part))
+    allowed = strain.allowed
+    if lag_s > LAG_TARGET_S:
+        allowed = min(allowed, max(LEAST_ALLOWED, in_progress * _FALL))
+    else:
+        allowed *= _RISE
+    return state.Strain(min(float(limit), allowed), lag_s)
 
 
 def has_room(
-    rank: str, shares: abc.Mapping[str, state.Share], limit: int
+    rank: str, shares: abc.Mapping[str, state.Share], limit: float
 ) -> bool:
     """Tell whether an entry may take on one more request of a rank.
 
--- a/packages/burdockdeal/burdockdeal/overload/guard.py
+++ b/packages/burdockdeal/burdockdeal/overload/guard.py
@@ -17,6 +17,9 @@
 #: Seconds between two looks at how late the loop runs.
 TICK_S = 0.05
 
+#: The part of what is allowed below which every rank has room.
+_CROWDED = 0.3
+
 
 class Guard:
     """Holds the counts of one entry's work.
@@ -38,10 +41,10 @@
         self._clock = clock
         self._chance = chance
         self._windows: dict[tuple[str, str], state.Window] = {}
-        self._arrivals: dict[str, state.Window] = {}
         self._in_progress: dict[str, int] = {}
         self._timer: asyncio.TimerHandle | None = None
-        self.strain = state.Strain()
+        self.in_progress = 0
+        self.strain = state.Strain(float(limit))
         self.shed = 0
 
     async def __aenter__(self) -> "Guard":
@@ -52,11 +55,6 @@
         if self._timer is not None:
             self._timer.cancel()
 
-    @property
-    def in_progress(self) -> int:
-        """How many requests are not yet answered."""
-        return sum(self._in_progress.values())
-
     def _expect_tick(self) -> None:
         loop = asyncio.get_running_loop()
         due = self._clock() + TICK_S
@@ -68,40 +66,36 @@
             before,
             max(0.0, self._clock() - due),
             in_progress=self.in_progress,
+            limit=self._limit,
+        )
+        was, now = (
+            strain.allowed < self._limit for strain in (before, self.strain)
         )
-        if bool(before.pressure) is not bool(self.strain.pressure):
+        if was is not now:
             journal.record(
-                "loop_strained" if self.strain.pressure else "loop_recovered",
+                "loop_strained" if now else "loop_recovered",
                 lag_ms=round(self.strain.lag_s * 1000, 1),
                 in_progress=self.in_progress,
             )
         self._expect_tick()
 
-    def _shares(self, now: float) -> dict[str, state.Share]:
-        faded = {
-            name: decisions.fade(window, now).arrived
-            for name, window in self._arrivals.items()
-        }
+    def _shares(self) -> dict[str, state.Share]:
         return {
             name: state.Share(
                 worth=rank.worth,
                 floor=rank.floor,
                 in_progress=self._in_progress.get(name, 0),
-                arrived=faded.get(name, 0.0),
             )
             for name, rank in self._ranks().items()
         }
 
-    def _admit(self, work: call.Call, now: float) -> bool:
-        window = self._windows.get((work.service, work.rank), _EMPTY)
-        refused = decisions.find_refused_share(window, now)
-        strained = self.strain.pressure or self.in_progress >= self._limit / 2
-        if strained:
-            shares = self._shares(now)
-            if not decisions.has_room(work.rank, shares, self._limit):
-                return False
-            shed = decisions.find_shed_share(work.rank, shares, self.strain)
-            refused = 1 - (1 - refused) * (1 - shed)
+    def _admit(self, work: call.Call, window: state.Window) -> bool:
+        allowed = self.strain.allowed
+        if self.in_progress >= allowed * _CROWDED and not decisions.has_room(
+            work.rank, self._shares(), allowed
+        ):
+            return False
+        refused = decisions.find_refused_share(window, self._clock())
         return not refused or self._chance.random() >= refused
 
     @contextlib.contextmanager
@@ -110,19 +104,16 @@
 
         :raises NotRunError: if it is shed.
         """
-        now = self._clock()
         key, rank = (work.service, work.rank), work.rank
-        admitted = self._admit(work, now)
+        window = self._windows.get(key, _EMPTY)
+        admitted = self._admit(work, window)
         self._windows[key] = decisions.note_arrival(
-            self._windows.get(key, _EMPTY), now, sent=admitted
-        )
-        self._arrivals[rank] = decisions.note_arrival(
-            self._arrivals.get(rank, _EMPTY), now, sent=admitted
+            window, self._clock(), sent=admitted
         )
         if not admitted:
             self.shed += 1
             raise errors.NotRunError(verdict.Reason.OVERLOADED)
-        self._in_progress[rank] = self._in_progress.get(rank, 0) + 1
+        self._count(rank, 1)
         try:
             yield
         except errors.NotRunError as error:
@@ -132,7 +123,11 @@
                 )
             raise
         finally:
-            self._in_progress[rank] -= 1
+            self._count(rank, -1)
+
+    def _count(self, rank: str, change: int) -> None:
+        self.in_progress += change
+        self._in_progress[rank] = self._in_progress.get(rank, 0) + change
 
 
 _EMPTY = state.Window()
--- a/packages/burdockdeal/burdockdeal/overload/state.py
+++ b/packages/burdockdeal/burdockdeal/overload/state.py
@@ -26,25 +26,23 @@
     :param worth: what one answer in time is worth.
     :param floor: the share of the work that the rank keeps.
     :param in_progress: its requests that are not yet answered.
-    :param arrived: its recent arrivals, fading with time.
     """
 
     worth: float
     floor: float
     in_progress: int
-    arrived: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Strain:
-    """How far the loop is behind.
+    """How far the loop is behind, and what it may therefore take on.
 
+    :param allowed: requests in progress at most.
     :param lag_s: how late the last tick ran, in seconds.
-    :param pressure: 0 to 1: the share of what may be shed that is.
     """
 
+    allowed: float
     lag_s: float = 0.0
-    pressure: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
