--- a/packages/burdockdeal/burdockdeal/daemon/assembly.py
+++ b/packages/burdockdeal/burdockdeal/daemon/assembly.py
@@ -31,7 +31,11 @@
 from burdockdeal.membership import roster
 from burdockdeal.membership import service as membership_service
 from burdockdeal.membership import transport
+from burdockdeal.overload import connections
+from burdockdeal.overload import guard as guards
 from burdockdeal.platform import store
+from burdockdeal.retry import attempts
+from burdockdeal.retry import budget as budgets
 from burdockdeal.routing import board
 from burdockdeal.routing import policies
 from burdockdeal.routing import state as routing
@@ -75,6 +79,8 @@
         self.standing = configuration.Standing()
         self.board = board.Board(settings.failure_domain, self.clock)
         self.gate = gate.Gate(self.clock, self._room)
+        self.budget = budgets.Budget()
+        self.bounds = connections.bound_listeners(settings.limits, self.clock)
         self.snapshot: classify.Snapshot | None = None
         self.services: tuple[mode.Service, ...] = ()
         self.side.on_change(self._declare_upstream)
@@ -125,6 +131,15 @@
                 return f"{service.label}: {service.crash_reason!r}"
         return None
 
+    def build_guard(self) -> guards.Guard:
+        """Build the guard of this daemon's entry."""
+        return guards.Guard(
+            lambda: self.snapshot.ranks if self.snapshot else {},
+            self.settings.limits.requests,
+            self.clock,
+            self.chance,
+        )
+
     def is_relay(self) -> bool:
         """Tell whether this daemon watches the store for its domain."""
         domain = self.settings.failure_domain
@@ -144,7 +159,7 @@
         return () if self.snapshot else ("configuration",)
 
 
-def _make_choose(parts: Parts) -> entry.Choose:
+def _make_choose(parts: Parts) -> attempts.Choose:
     policy = policies.POLICIES[parts.settings.policy](parts.chance)
 
     def choose(
@@ -317,7 +332,14 @@
             revision=lambda: parts.standing.revision,
             on_newer=follower.pull_from,
         )
-        told = metrics.Metrics(_make_gauges(parts, platform))
+        guard = await stack.enter_async_context(parts.build_guard())
+        told = metrics.Metrics(
+            (
+                *_make_gauges(parts, platform),
+                *metrics.make_retry_gauges(parts.budget),
+                *metrics.make_overload_gauges(parts.bounds, guard),
+            )
+        )
         local = owner.make_owner(
             parts.side,
             parts.gate,
@@ -333,17 +355,19 @@
             parts.load,
             parts.clock,
             settings.listen.peer,
-            limits.replay_bytes,
+            limits,
         )
         handle_entry = entry.make_entry(
             snapshot=lambda: parts.snapshot,
             choose=_make_choose(parts),
             open_answer=_make_open_answer(parts, local, remote),
+            budget=parts.budget,
+            guard=guard,
             tallies=parts.board,
             new_id=lambda: secrets.token_hex(8),
             clock=parts.clock,
             count=told.count,
-            replay_bytes=limits.replay_bytes,
+            limits=limits,
         )
         append = writer.make_append(
             platform,
@@ -372,20 +396,15 @@
                 )
             )
 
-        await listening.listen(
-            stack,
-            web.AppRunner(operator_app, access_log=None),
-            settings.listen.operator,
-        )
-        await listening.listen(
-            stack,
-            web.AppRunner(upstream_app, access_log=None),
-            settings.listen.upstream,
-        )
-        await listening.listen(stack, serve(dispatch), settings.listen.peer)
-        await listening.listen(
-            stack, serve(handle_entry), settings.listen.caller
-        )
+        operators = web.AppRunner(operator_app, access_log=None)
+        upstreams = web.AppRunner(upstream_app, access_log=None)
+        for runner, address, bound in (
+            (operators, settings.listen.operator, parts.bounds.operator),
+            (upstreams, settings.listen.upstream, parts.bounds.upstream),
+            (serve(dispatch), settings.listen.peer, parts.bounds.peer),
+            (serve(handle_entry), settings.listen.caller, parts.bounds.caller),
+        ):
+            await listening.listen(stack, runner, address, bound)
         parts.services = (follower, members)
         for service in parts.services:
             await stack.enter_async_context(service)
--- a/packages/burdockdeal/burdockdeal/serving/entry.py
+++ b/packages/burdockdeal/burdockdeal/serving/entry.py
@@ -12,6 +12,9 @@
 from burdockdeal.core import journal
 from burdockdeal.core import verdict
 from burdockdeal.membership import messages as membership
+from burdockdeal.overload import guard as guards
+from burdockdeal.retry import attempts
+from burdockdeal.retry import budget as budgets
 from burdockdeal.retry import decisions as retry
 from burdockdeal.routing import board
 from burdockdeal.serving import bodies
@@ -19,9 +22,7 @@
 from burdockdeal.serving import messages
 from burdockdeal.serving import refusals
 from burdockdeal.serving import transfer
-
-#: Choose an instance for a call, not among those tried.
-Choose = abc.Callable[[call.Call, frozenset[str]], membership.Member | None]
+from burdockdeal.settings import model
 
 #: Count an outcome: rank and verdict.
 Count = abc.Callable[[str, verdict.Verdict], None]
@@ -30,13 +31,15 @@
 def make_entry(
     *,
     snapshot: abc.Callable[[], classify.Snapshot | None],
-    choose: Choose,
+    choose: attempts.Choose,
     open_answer: messages.OpenAnswer,
+    budget: budgets.Budget,
+    guard: guards.Guard,
     tallies: board.Board,
     new_id: abc.Callable[[], str],
     clock: abc.Callable[[], float],
     count: Count,
-    replay_bytes: int,
+    limits: model.Limits,
 ) -> abc.Callable[[web.BaseRequest], abc.Awaitable[web.StreamResponse]]:
     """Make the handler of callers' requests."""
 
@@ -55,6 +58,27 @@
         finally:
             tallies.note_done(send.daemon, send.incarnation)
 
+    def open_to(
+        work: call.Call,
+        outbound: messages.Outbound,
+        member: membership.Member,
+        attempt: int,
+    ) -> contextlib.AbstractAsyncContextManager[messages.Answer]:
+        return watch_send(
+            messages.Send(
+                request=work,
+                outbound=outbound,
+                daemon=member.daemon,
+                peer=member.peer,
+                incarnation=member.upstream_incarnation,
+                attempt=attempt,
+            )
+        )
+
+    dispatch = attempts.make_dispatch(
+        choose=choose, open_to=open_to, budget=budget, clock=clock
+    )
+
     async def answer_call(
         request: web.BaseRequest, work: call.Call
     ) -> web.StreamResponse:
@@ -62,40 +86,16 @@
             method=request.method,
             target=request.raw_path,
             headers=transfer.keep_end_to_end(request.headers),
-            body=await bodies.take_body(request, replay_bytes),
+            body=await bodies.take_body(request, limits),
         )
         added = {
             headers.VERDICT: verdict.Verdict.RAN.value,
             headers.REQUEST_ID: work.request_id,
         }
-        tried: frozenset[str] = frozenset()
-        while True:
-            member = choose(work, tried)
-            if member is None:
-                raise errors.NotRunError(verdict.Reason.NO_INSTANCE)
-            tried |= {member.daemon}
-            send = messages.Send(
-                request=work,
-                outbound=outbound,
-                daemon=member.daemon,
-                peer=member.peer,
-                incarnation=member.upstream_incarnation,
-                attempt=len(tried),
+        async with dispatch(work, outbound) as answer:
+            return await transfer.pass_on(
+                request, answer.response, added, limits
             )
-            try:
-                async with watch_send(send) as answer:
-                    return await transfer.pass_on(
-                        request, answer.response, added
-                    )
-            except errors.CallError as error:
-                if not retry.may_resend(
-                    work,
-                    error.outcome,
-                    attempt=len(tried),
-                    replayable=outbound.body.replayable,
-                    now=clock(),
-                ):
-                    raise
 
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
         request_id = new_id()
@@ -113,13 +113,16 @@
                 now=clock(),
             )
             rank = work.rank
-            answer = await answer_call(request, work)
+            with guard.hold(work):
+                answer = await answer_call(request, work)
             count(rank, verdict.Verdict.RAN)
             journal.debug("request_answered", request_id=request_id, rank=rank)
             return answer
         except errors.CallError as error:
             count(rank, error.outcome)
-            journal.record(
+            # A flood's refusals are counted, and only shown if asked for.
+            flood = error.reason in retry.FULL_REASONS
+            (journal.debug if flood else journal.record)(
                 "request_refused",
                 request_id=request_id,
                 rank=rank,
