Choose instances by the hot/cold rule on stale reports

Cause: hot_cold was an alias of two_choices, which builds the views of every instance for each call and knows neither links nor faults. Change: the expected time of an answer (link, wait, time at the upstream, silence) decides among a bounded sample; failures count as calls in flight; an instance that fails or lags is ejected under the service's cap and let back by one trial call. The owner measures its upstream's time itself. The roster keeps an index of services.

--- a/packages/burdockdeal/burdockdeal/daemon/assembly.py
+++ b/packages/burdockdeal/burdockdeal/daemon/assembly.py
@@ -18,18 +18,18 @@
 from burdockdeal.configuration import service as configuration
 from burdockdeal.configuration import spread
 from burdockdeal.configuration import writer
-from burdockdeal.core import call
 from burdockdeal.core import codec
 from burdockdeal.core import headers
 from burdockdeal.daemon import messages
 from burdockdeal.daemon import metrics
+from burdockdeal.measurement import meter
 from burdockdeal.membership import decisions as membership_decisions
 from burdockdeal.membership import messages as membership
 from burdockdeal.membership import roster
 from burdockdeal.membership import service as membership_service
 from burdockdeal.platform import store
 from burdockdeal.routing import board
-from burdockdeal.routing import policies
+from burdockdeal.routing import selection
 from burdockdeal.routing import state as routing
 from burdockdeal.serving import classify
 from burdockdeal.serving import entry
@@ -69,12 +69,14 @@
         )
         self.side = announce_api.Side(self.clock)
         self.standing = configuration.Standing()
-        self.board = board.Board(settings.failure_domain, self.clock)
         self.gate = gate.Gate(self.clock, self._slots, self._queue_limit)
+        self.meter = meter.Meter(self.clock)
+        self.board = board.Board(
+            settings.daemon, settings.failure_domain, self.clock, self.load
+        )
         self.snapshot: classify.Snapshot | None = None
         self.side.on_change(self._declare_upstream)
         self.standing.on_change(self._take_configuration)
-        self.roster.on_change(lambda: self.board.forget(self.roster.members))
 
     def _slots(self) -> int:
         upstream = self.side.upstream
@@ -113,7 +115,10 @@
     def load(self) -> routing.Report:
         """Tell the load beside this daemon, as put on each answer."""
         return routing.Report(
-            self.gate.running, self.gate.waiting, self._slots()
+            self.gate.running,
+            self.gate.waiting,
+            self._slots(),
+            self.meter.service_ms(),
         )
 
     def missing(self) -> tuple[str, ...]:
@@ -122,19 +127,14 @@
 
 
 def _make_choose(parts: Parts) -> entry.Choose:
-    policy = policies.POLICIES[parts.settings.policy](parts.chance)
-
-    def choose(
-        work: call.Call, tried: frozenset[str]
-    ) -> membership.Member | None:
-        views = [
-            parts.board.view(member)
-            for member in parts.roster.serving(work.service)
-            if member.daemon not in tried
-        ]
-        return policy(views).member if views else None
-
-    return choose
+    return selection.make_choose(
+        parts.settings.policy,
+        parts.chance,
+        parts.board,
+        serving=parts.roster.serving,
+        services=lambda: parts.snapshot.services if parts.snapshot else {},
+        ranks=lambda: parts.snapshot.ranks if parts.snapshot else {},
+    )
 
 
 def _make_open_answer(
@@ -308,6 +308,7 @@
             session,
             lambda: parts.snapshot,
             parts.clock,
+            parts.meter,
         )
         remote = peers.make_peer_opener(
             session, settings.peer_token, parts.clock, parts.board.note_report
--- a/packages/burdockdeal/burdockdeal/membership/roster.py
+++ b/packages/burdockdeal/burdockdeal/membership/roster.py
@@ -9,6 +9,13 @@
 from burdockdeal.membership import messages
 
 
+def _may_serve(member: messages.Member) -> bool:
+    return member.phase is announce_state.Phase.SERVING and member.health in (
+        messages.Health.ALIVE,
+        messages.Health.SUSPECT,
+    )
+
+
 class Roster:
     """Holds the records of all daemons, its own first.
 
@@ -18,6 +25,8 @@
     def __init__(self, own: messages.Member) -> None:
         self.own = own
         self._members = {own.daemon: own}
+        self._serving: dict[str, dict[str, messages.Member]] = {}
+        self._listed: dict[str, tuple[messages.Member, ...]] = {}
         self._listeners: list[abc.Callable[[], None]] = []
 
     @property
@@ -53,7 +62,7 @@
             known = self._members.get(heard.daemon)
             stands = decisions.merge(known, heard)
             if stands is not known:
-                self._members[heard.daemon] = stands
+                self._place(stands)
                 self._log(known, stands)
                 changed = True
         if changed:
@@ -63,26 +72,38 @@
         """Change this daemon's own record and make it the newest."""
         serial = self.own.serial + 1
         self.own = dataclasses.replace(self.own, serial=serial, **fields)
-        self._members[self.own.daemon] = self.own
+        self._place(self.own)
         self._notify()
 
     def serving(self, service: str) -> tuple[messages.Member, ...]:
-        """List the daemons whose upstream serves a service."""
-        return tuple(
-            member
-            for member in self._members.values()
-            if member.service == service
-            and member.phase is announce_state.Phase.SERVING
-            and member.health
-            in (messages.Health.ALIVE, messages.Health.SUSPECT)
-        )
+        """List the daemons whose upstream serves a service.
+
+        :returns: the same tuple while none of them has changed.
+        """
+        if service not in self._serving:
+            return ()
+        if service not in self._listed:
+            self._listed[service] = tuple(self._serving[service].values())
+        return self._listed[service]
+
+    def _place(self, stands: messages.Member) -> None:
+        """Let a record stand, and keep the index of services."""
+        known = self._members.get(stands.daemon)
+        self._members[stands.daemon] = stands
+        if known is not None:
+            self._serving.get(known.service, {}).pop(known.daemon, None)
+            self._listed.pop(known.service, None)
+        if stands.service and _may_serve(stands):
+            index = self._serving.setdefault(stands.service, {})
+            index[stands.daemon] = stands
+            self._listed.pop(stands.service, None)
 
     def _refute(self, heard: messages.Member) -> bool:
         own = decisions.refute(self.own, heard)
         if own is self.own:
             return False
         self.own = own
-        self._members[own.daemon] = own
+        self._place(own)
         journal.warn("member_refuted", heard=heard.health, serial=own.serial)
         return True
 
--- a/packages/burdockdeal/burdockdeal/routing/board.py
+++ b/packages/burdockdeal/burdockdeal/routing/board.py
@@ -1,84 +1,321 @@
 """The board: what this entry has seen of each instance."""
 
+import asyncio
 from collections import abc
+import types
 
+from burdockdeal.core import errors
+from burdockdeal.core import verdict
 from burdockdeal.membership import messages
+from burdockdeal.routing import decisions
+from burdockdeal.routing import ejection
+from burdockdeal.routing import group
+from burdockdeal.routing import links
 from burdockdeal.routing import state
+from burdockdeal.routing import tally
 
-_SMOOTHING = 0.2
+_SERVER_ERROR = 500
 
+#: A failure counts for this share of the slots, as calls in flight.
+_FAILURE_SHARE = 1 / 3
 
-class Tally:
-    """Counts of one instance."""
+#: Reasons that are the instance's own fault.
+_FAULTS = frozenset(
+    {
+        verdict.Reason.UNREACHABLE,
+        verdict.Reason.BROKEN_CONNECTION,
+        verdict.Reason.DRAINING,
+        verdict.Reason.STALE_INSTANCE,
+        verdict.Reason.INTERNAL,
+    }
+)
 
-    def __init__(self) -> None:
-        self.sent = 0
-        self.latency_s = 0.0
-        self.report: state.Report | None = None
-        self.reported_at = 0.0
+#: Reasons that come of its load, which its reports tell.
+_OVERLOADS = frozenset(
+    {
+        verdict.Reason.QUEUE_FULL,
+        verdict.Reason.SHED,
+        verdict.Reason.TARGET_MISSED,
+        verdict.Reason.OVERLOADED,
+        verdict.Reason.DEADLINE_PASSED,
+    }
+)
+
+
+class Watch:
+    """Watches one call while it is in flight; a context manager."""
+
+    def __init__(
+        self, board: "Board", key: group.Key, service: str, timed: bool
+    ) -> None:
+        self._board = board
+        self._key = key
+        self._service = service
+        self._timed = timed
+        self._answered = False
+
+    def __enter__(self) -> "Watch":
+        self._started = self._board.clock()
+        self._tally = self._board.find(self._key)
+        self._number = self._tally.begin(self._started, self._timed)
+        return self
+
+    def answered(self, status: int) -> None:
+        """Take in that the head of the answer has arrived.
+
+        :param status: the upstream's HTTP status.
+        """
+        now = self._board.clock()
+        elapsed_s = now - self._started
+        self._answered = True
+        self._tally.answer(self._number, elapsed_s, now)
+        self._board.note_answer(
+            self._key,
+            self._service,
+            elapsed_s,
+            failed=status >= _SERVER_ERROR,
+            timed=self._timed,
+        )
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        waited_s = 0.0
+        if self._timed and not self._answered:
+            waited_s = self._board.clock() - self._started
+        self._tally.end(self._number)
+        if isinstance(error, errors.CallError):
+            self._board.note_error(
+                self._key, self._service, error.reason, waited_s
+            )
+        elif isinstance(error, errors.BurdockdealError):
+            self._board.note_fault(self._key, self._service)
+        elif isinstance(error, asyncio.CancelledError):
+            self._board.note_wait(self._key, self._service, waited_s)
 
 
 class Board:
     """Holds the tallies of all instances.
 
+    :param own: the entry's own daemon.
     :param failure_domain: the entry's own.
     :param clock: returns monotonic time in seconds.
+    :param load: returns the load beside this daemon.
     """
 
     def __init__(
-        self, failure_domain: str, clock: abc.Callable[[], float]
+        self,
+        own: str,
+        failure_domain: str,
+        clock: abc.Callable[[], float],
+        load: abc.Callable[[], state.Report],
     ) -> None:
+        self._own = own
         self._domain = failure_domain
-        self._clock = clock
-        self._tallies: dict[tuple[str, int], Tally] = {}
+        self._load = load
+        self._tallies: dict[group.Key, tally.Tally] = {}
+        self._links = links.Links(failure_domain)
+        self.clock = clock
+        self.groups: dict[str, group.Group] = {}
 
-    def _tally(self, daemon: str, incarnation: int) -> Tally:
-        key = (daemon, incarnation)
-        if key not in self._tallies:
-            self._tallies[key] = Tally()
-        return self._tallies[key]
+    def refresh(
+        self,
+        service: str,
+        members: tuple[messages.Member, ...],
+        share: float,
+    ) -> group.Group:
+        """Take in the instances of a service that is called.
 
-    def note_sent(self, daemon: str, incarnation: int) -> None:
-        """Count a call as sent to an instance."""
-        self._tally(daemon, incarnation).sent += 1
+        :param members: the same tuple while nothing has changed.
+        :param share: the largest share that may be ejected.
+        """
+        known = self.groups.get(service)
+        if known is None:
+            known = group.Group(self._own, self._domain)
+            self.groups[service] = known
+        before = known.members
+        if known.refresh(members, share):
+            for member in before:
+                self._forget(known, group.key_of(member))
+        return known
 
-    def note_done(self, daemon: str, incarnation: int) -> None:
-        """Count a call as no longer in flight."""
-        self._tally(daemon, incarnation).sent -= 1
+    def _forget(self, known: group.Group, key: group.Key) -> None:
+        held = self._tallies.get(key)
+        if held is not None and key not in known and not held.sent:
+            del self._tallies[key]
 
-    def note_answer(
-        self, daemon: str, incarnation: int, latency_s: float
-    ) -> None:
-        """Take in how long an answer's head took."""
-        tally = self._tally(daemon, incarnation)
-        before = tally.latency_s or latency_s
-        tally.latency_s = before + _SMOOTHING * (latency_s - before)
+    def enlist(self, member: messages.Member) -> tally.Tally:
+        """Find the tally of an instance, a new one if there is none."""
+        key = group.key_of(member)
+        held = self._tallies.get(key)
+        if held is None:
+            held = tally.Tally(member)
+            self._tallies[key] = held
+        return held
+
+    def find(self, key: group.Key) -> tally.Tally:
+        """Find the tally of an instance, one apart if it is forgotten."""
+        return self._tallies.get(key) or tally.Tally(None)
+
+    def watch(
+        self, daemon: str, incarnation: int, service: str, *, timed: bool
+    ) -> Watch:
+        """Watch a call to an instance that was chosen.
+
+        :param timed: whether the time to its answer tells something; not
+            if the caller's own body is awaited.
+        """
+        key = group.Key(daemon, incarnation)
+        return Watch(self, key, service, timed)
 
     def note_report(
         self, daemon: str, incarnation: int, report: state.Report
     ) -> None:
         """Take in an owner's report."""
-        tally = self._tally(daemon, incarnation)
-        tally.report = report
-        tally.reported_at = self._clock()
+        key = group.Key(daemon, incarnation)
+        held = self._tallies.get(key)
+        if held is None:
+            return
+        held.take(report, self.clock())
+        known = self.groups.get(held.member.service)
+        if known is None:
+            return
+        known.note_report(key, report)
+        fit = held.health.allowance is None
+        if fit and decisions.is_slow(report.service_ms / 1000, known.norm):
+            self._step(key, held.member.service, ejection.Lagged())
 
-    def view(self, member: messages.Member) -> state.View:
-        """Show an instance as a policy sees it."""
-        tally = self._tally(member.daemon, member.upstream_incarnation)
+    def note_round_trip(
+        self, member: messages.Member, elapsed_s: float
+    ) -> None:
+        """Take in how long a probe took."""
+        self._links.note(member.failure_domain, elapsed_s, self.clock())
+
+    def note_answer(
+        self,
+        key: group.Key,
+        service: str,
+        elapsed_s: float,
+        *,
+        failed: bool,
+        timed: bool,
+    ) -> None:
+        """Take in the head of an answer."""
+        held = self._tallies.get(key)
+        if held is None:
+            return
+        if key.daemon == self._own:
+            self.note_report(key.daemon, key.incarnation, self._load())
+        elif timed and held.report is not None:
+            spent_s = held.report.spent_ms / 1000
+            self._links.note(
+                held.member.failure_domain, elapsed_s - spent_s, self.clock()
+            )
+        if failed:
+            self.note_fault(key, service)
+            return
+        known = self.groups.get(service)
+        report = held.report
+        slow = (
+            timed
+            and known is not None
+            and report is not None
+            and decisions.is_slow(report.service_ms / 1000, known.norm)
+        )
+        event = ejection.Lagged() if slow else ejection.Answered()
+        self._step(key, service, event)
+
+    def note_error(
+        self,
+        key: group.Key,
+        service: str,
+        reason: verdict.Reason,
+        waited_s: float,
+    ) -> None:
+        """Take in that a call ended without an upstream's answer."""
+        if reason in _FAULTS:
+            self.note_fault(key, service)
+        elif reason in _OVERLOADS and key in self._tallies:
+            self._count_failure(key)
+        elif reason is verdict.Reason.TIMED_OUT:
+            self.note_wait(key, service, waited_s)
+
+    def note_fault(self, key: group.Key, service: str) -> None:
+        """Take in a failure of an instance."""
+        if key in self._tallies:
+            self._count_failure(key)
+            self._step(key, service, ejection.Failed())
+
+    def note_wait(self, key: group.Key, service: str, waited_s: float) -> None:
+        """Take in that a call was given up before any answer."""
+        held = self._tallies.get(key)
+        if held is None or not waited_s:
+            return
+        shown = self._show(held, held.member)
+        if decisions.is_overdue(shown, self.norm(service), waited_s):
+            self._step(key, service, ejection.Lagged())
+
+    def _count_failure(self, key: group.Key) -> None:
+        held = self._tallies[key]
+        slots = held.report.slots if held.report else held.member.slots
+        held.fail(max(1, slots) * _FAILURE_SHARE, self.clock())
+
+    def _step(
+        self, key: group.Key, service: str, event: ejection.Event
+    ) -> None:
+        held = self._tallies[key]
+        known = self.groups.get(service)
+        may_eject = known is not None and known.may_eject(key)
+        before = held.health
+        held.health = ejection.step(
+            before, event, self.clock(), may_eject=may_eject
+        )
+        if held.health is not before and known is not None:
+            known.note_health(key, held.health)
+
+    def norm(self, service: str) -> state.Norm:
+        """Tell what is usual among the instances of a service."""
+        known = self.groups.get(service)
+        return known.norm if known else state.Norm()
+
+    def _show(self, held: tally.Tally, member: messages.Member) -> state.View:
+        now = self.clock()
+        own = member.daemon == self._own
         return state.View(
             member=member,
             local=member.failure_domain == self._domain,
-            sent=tally.sent,
-            report=tally.report,
-            report_age_s=self._clock() - tally.reported_at,
-            latency_s=tally.latency_s,
+            sent=held.sent,
+            report=self._load() if own else held.report,
+            report_age_s=0.0 if own else now - held.reported_at,
+            latency_s=held.latency_s,
+            link_s=(
+                0.0 if own else self._links.round_trip_s(member.failure_domain)
+            ),
+            silent_s=held.silent_s(now),
+            unanswered=held.unanswered,
+            sent_since=0 if own else held.sent_since,
+            failure_load=held.failure_load(now),
+            health=held.health,
         )
 
-    def forget(self, standing: abc.Iterable[messages.Member]) -> None:
-        """Drop the tallies of instances that no longer stand."""
-        keep = {
-            (member.daemon, member.upstream_incarnation) for member in standing
-        }
-        for key in self._tallies.keys() - keep:
-            if not self._tallies[key].sent:
-                del self._tallies[key]
+    def view(self, member: messages.Member) -> state.View:
+        """Show an instance as a policy sees it."""
+        return self._show(self.enlist(member), member)
+
+    def judge(self, member: messages.Member) -> state.View:
+        """Show an instance, and eject it if it has long been silent.
+
+        One call that waits alone lets it look slow and no more: it may be
+        a long one.
+        """
+        shown = self.view(member)
+        if shown.unanswered < ejection.LAGS_TO_EJECT or not (
+            decisions.is_silent(shown, self.norm(member.service))
+        ):
+            return shown
+        event = ejection.Lagged(shown.unanswered)
+        self._step(group.key_of(member), member.service, event)
+        return self.view(member)
--- /dev/null
+++ b/packages/burdockdeal/burdockdeal/routing/decisions.py
@@ -0,0 +1,187 @@
+"""The hot/cold rule over requests in flight and latency, on stale reports.
+
+The wait at an instance is a smooth function of its requests in flight:
+next to nothing while it is cold, so that latency and link time decide,
+and the queue's length in service times once it is hot, so that requests
+in flight decide. Prequal's rule (NSDI 2024) has a hard bound in between;
+here the two are in one unit, seconds, so that a busy instance near by
+and an idle one far away can be compared.
+"""
+
+from collections import abc
+import dataclasses
+import math
+import random
+
+from burdockdeal.routing import ejection
+from burdockdeal.routing import state
+
+#: Seconds after which a report counts for half; the usual fill replaces
+#: what it loses.
+REPORT_HALF_LIFE_S = 0.5
+
+#: Seconds after which a reported time at the upstream counts for half.
+SERVICE_HALF_LIFE_S = 1.0
+
+#: Calls sent on one report, as a share of the slots, after which it
+#: counts for nothing but the calls that were sent on it.
+REPORT_REUSE_SHARE = 1.0
+
+#: Slots that an instance is credited with before its first report.
+UNREPORTED_SLOTS = 2
+
+#: How far the requests in flight may be from what is believed.
+SPREAD_CALLS = 2.0
+
+#: A time at the upstream within this factor of the usual is the usual.
+SAME_FACTOR = 1.5
+
+#: Silence, in expected times, after which it counts; and far too long.
+SILENCE_FACTOR = 2.0
+LAG_FACTOR = 4.0
+LAG_S = 0.01
+
+_JITTER_SHARE = 0.02
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Expected:
+    """What is expected of a call sent to an instance now.
+
+    :param load: calls at the instance, failures counted as calls.
+    :param wait_s: seconds until it gets a slot.
+    :param total_s: seconds until its answer begins.
+    """
+
+    load: float
+    slots: int
+    wait_s: float
+    total_s: float
+
+    @property
+    def hot(self) -> bool:
+        """Whether a call would have to wait."""
+        return self.load >= self.slots
+
+
+def _weigh_report(view: state.View) -> float:
+    report = view.report
+    if report is None or not report.slots:
+        return 0.0
+    if view.sent_since >= max(1.0, report.slots * REPORT_REUSE_SHARE):
+        return 0.0
+    return 0.5 ** (view.report_age_s / REPORT_HALF_LIFE_S)
+
+
+def _estimate_load(view: state.View, norm: state.Norm, slots: int) -> float:
+    weight = _weigh_report(view)
+    usual = norm.fill * slots
+    reported = 0.0
+    if view.report is not None:
+        reported = view.report.in_flight + view.report.waiting
+    blended = weight * reported + (1 - weight) * usual + view.sent_since
+    return max(blended, view.sent) + view.failure_load
+
+
+def _estimate_service(view: state.View, norm: state.Norm) -> float:
+    if view.report is None or not view.report.service_ms:
+        return norm.service_s
+    reported = view.report.service_ms / 1000
+    ratio = reported / norm.service_s
+    if 1 / SAME_FACTOR <= ratio <= SAME_FACTOR:
+        return norm.service_s
+    weight = 0.5 ** (view.report_age_s / SERVICE_HALF_LIFE_S)
+    return norm.service_s + weight * (reported - norm.service_s)
+
+
+def _soften(surplus: float) -> float:
+    """Smooth max(0, surplus) over the spread of what is believed."""
+    scaled = surplus / SPREAD_CALLS
+    if scaled > 20:
+        return surplus
+    return SPREAD_CALLS * math.log1p(math.exp(scaled))
+
+
+def expect(view: state.View, norm: state.Norm) -> Expected:
+    """Estimate what a call to an instance would meet."""
+    if view.report is None:
+        slots = max(1, min(UNREPORTED_SLOTS, view.member.slots))
+    else:
+        slots = max(1, view.report.slots)
+    load = _estimate_load(view, norm, slots)
+    service_s = _estimate_service(view, norm)
+    wait_s = service_s / slots * _soften(load + 1 - slots)
+    usual_s = view.link_s + wait_s + service_s
+    overdue_s = max(0.0, view.silent_s - SILENCE_FACTOR * usual_s)
+    return Expected(load, slots, wait_s, usual_s + overdue_s)
+
+
+def is_overdue(view: state.View, norm: state.Norm, waited_s: float) -> bool:
+    """Tell whether a wait for an answer is far above what is expected."""
+    calm = dataclasses.replace(view, silent_s=0.0)
+    return waited_s > LAG_FACTOR * expect(calm, norm).total_s + LAG_S
+
+
+def is_silent(view: state.View, norm: state.Norm) -> bool:
+    """Tell whether an instance has left calls unanswered for too long."""
+    return view.silent_s > LAG_S and is_overdue(view, norm, view.silent_s)
+
+
+def is_slow(service_s: float, norm: state.Norm) -> bool:
+    """Tell whether a time at the upstream is far above the usual."""
+    return service_s > LAG_FACTOR * norm.service_s + LAG_S
+
+
+def _may_take(view: state.View, now: float) -> bool:
+    health = view.health
+    if ejection.is_ejected(health, now) or ejection.awaits_trial(health):
+        return False
+    return health.allowance is None or view.sent < health.allowance
+
+
+def find_trial(
+    views: abc.Sequence[state.View], now: float, patience: float
+) -> state.View | None:
+    """Find an ejected instance that one call may be risked on.
+
+    At most one is on trial at a time.
+
+    :param patience: see ejection.is_trial_due.
+    """
+    waiting = [
+        view
+        for view in views
+        if ejection.awaits_trial(view.health)
+        and not ejection.is_ejected(view.health, now)
+    ]
+    if any(view.sent for view in waiting):
+        return None
+    for view in waiting:
+        if ejection.is_trial_due(view.health, now, patience):
+            return view
+    return None
+
+
+def choose(
+    views: abc.Sequence[state.View],
+    norm: state.Norm,
+    now: float,
+    chance: random.Random,
+    *,
+    patience: float = 0.0,
+) -> state.View:
+    """Choose the instance for a call.
+
+    :param views: the candidates, at least one.
+    :param patience: see ejection.is_trial_due.
+    """
+    trial = find_trial(views, now, patience)
+    if trial is not None:
+        return trial
+    able = [view for view in views if _may_take(view, now)]
+    return min(
+        able or views,
+        key=lambda view: (
+            expect(view, norm).total_s * (1 + _JITTER_SHARE * chance.random())
+        ),
+    )
--- a/packages/burdockdeal/burdockdeal/routing/policies.py
+++ b/packages/burdockdeal/burdockdeal/routing/policies.py
@@ -4,62 +4,115 @@
 import itertools
 import random
 
+from burdockdeal.core import call
+from burdockdeal.membership import messages
+from burdockdeal.routing import board
+from burdockdeal.routing import decisions
 from burdockdeal.routing import state
 
-#: Choose one of the views, which are never empty.
-Policy = abc.Callable[[abc.Sequence[state.View]], state.View]
+Members = abc.Sequence[messages.Member]
 
+#: Choose an instance for a call, not among the daemons tried.
+Policy = abc.Callable[
+    [call.Call, Members, frozenset[str]], messages.Member | None
+]
 
-def _load(view: state.View) -> tuple[float, int]:
-    report = view.report
-    reported = report.in_flight + report.waiting if report else 0
-    return (max(reported, view.sent), view.sent)
+#: Tell how long an ejected instance is spared from a call.
+Patience = abc.Callable[[call.Call], float]
+
+#: Make a policy: from chance, the board and the patience.
+Make = abc.Callable[[random.Random, board.Board, Patience], Policy]
+
+
+def _among(pick: abc.Callable[[Members], messages.Member]) -> Policy:
+    """Make a policy that picks among all the instances not yet tried."""
 
+    def choose(
+        work: call.Call, members: Members, tried: frozenset[str]
+    ) -> messages.Member | None:
+        if tried:
+            members = [
+                member for member in members if member.daemon not in tried
+            ]
+        return pick(members) if members else None
 
-def make_random(chance: random.Random) -> Policy:
+    return choose
+
+
+def make_random(
+    chance: random.Random, tallies: board.Board, patience: Patience
+) -> Policy:
     """Choose any instance."""
-    return chance.choice
+    return _among(chance.choice)
 
 
-def make_round_robin(chance: random.Random) -> Policy:
+def make_round_robin(
+    chance: random.Random, tallies: board.Board, patience: Patience
+) -> Policy:
     """Choose the instances in turn."""
     turns = itertools.count(chance.randrange(1 << 16))
+    return _among(lambda members: members[next(turns) % len(members)])
 
-    def choose(views: abc.Sequence[state.View]) -> state.View:
-        return views[next(turns) % len(views)]
 
-    return choose
+def make_least_reported(
+    chance: random.Random, tallies: board.Board, patience: Patience
+) -> Policy:
+    """Choose the instance whose last report is the lowest."""
 
+    def rank(member: messages.Member) -> tuple[int, float]:
+        report = tallies.view(member).report
+        return (report.in_flight if report else 0, chance.random())
 
-def make_least_reported(chance: random.Random) -> Policy:
-    """Choose the instance whose last report is the lowest."""
+    return _among(lambda members: min(members, key=rank))
 
-    def choose(views: abc.Sequence[state.View]) -> state.View:
-        return min(
-            views,
-            key=lambda view: (
-                view.report.in_flight if view.report else 0,
-                chance.random(),
-            ),
-        )
 
-    return choose
+def _load(view: state.View) -> tuple[float, int]:
+    report = view.report
+    reported = report.in_flight + report.waiting if report else 0
+    return (max(reported, view.sent), view.sent)
 
 
-def make_two_choices(chance: random.Random) -> Policy:
+def make_two_choices(
+    chance: random.Random, tallies: board.Board, patience: Patience
+) -> Policy:
     """Choose the less loaded of two instances taken at random."""
 
-    def choose(views: abc.Sequence[state.View]) -> state.View:
-        pair = chance.sample(views, min(2, len(views)))
-        return min(pair, key=_load)
+    def pick(members: Members) -> messages.Member:
+        pair = chance.sample(members, min(2, len(members)))
+        return min(pair, key=lambda member: _load(tallies.view(member)))
+
+    return _among(pick)
+
+
+def make_hot_cold(
+    chance: random.Random, tallies: board.Board, patience: Patience
+) -> Policy:
+    """Choose the instance whose answer is expected first."""
+
+    def choose(
+        work: call.Call, members: Members, tried: frozenset[str]
+    ) -> messages.Member | None:
+        group = tallies.groups[work.service]
+        drawn = group.sample(tried, chance)
+        if not drawn:
+            return None
+        views = [tallies.judge(member) for member in drawn]
+        chosen = decisions.choose(
+            views,
+            group.norm,
+            tallies.clock(),
+            chance,
+            patience=patience(work),
+        )
+        return chosen.member
 
     return choose
 
 
-POLICIES: dict[str, abc.Callable[[random.Random], Policy]] = {
+POLICIES: dict[str, Make] = {
     "random": make_random,
     "round_robin": make_round_robin,
     "least_reported": make_least_reported,
     "two_choices": make_two_choices,
-    "hot_cold": make_two_choices,
+    "hot_cold": make_hot_cold,
 }
--- a/packages/burdockdeal/burdockdeal/routing/state.py
+++ b/packages/burdockdeal/burdockdeal/routing/state.py
@@ -11,13 +11,50 @@
 
     :param in_flight: calls in flight to its upstream, its own count.
     :param waiting: calls that wait at its gate.
-    :param service_ms: recent median service time, in milliseconds.
+    :param slots: calls that the upstream may run at once now.
+    :param service_ms: recent time of one call at the upstream, in
+        milliseconds, calls that are still unanswered included; 0 before
+        the first.
+    :param spent_ms: time that the owner held the call that this report
+        answers, in milliseconds.
     """
 
     in_flight: int
     waiting: int
     slots: int
     service_ms: float = 0.0
+    spent_ms: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Health:
+    """What is held against an instance.
+
+    :param streak: failures in a row.
+    :param lags: calls in a row that took far too long.
+    :param ejections: ejections in a row, each longer than the last.
+    :param ejected_until: monotonic time in seconds, 0 if never ejected.
+    :param allowance: calls that this entry may have in flight to it while
+        it is let back, None without a bound.
+    """
+
+    streak: int = 0
+    lags: int = 0
+    ejections: int = 0
+    ejected_until: float = 0.0
+    allowance: int | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Norm:
+    """What is usual among the instances of a service.
+
+    :param service_s: usual time of one call at an upstream, in seconds.
+    :param fill: usual share of the slots that are taken.
+    """
+
+    service_s: float = 0.005
+    fill: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -29,6 +66,11 @@
     :param report: the newest report, None before the first.
     :param report_age_s: seconds since the report arrived.
     :param latency_s: smoothed time to the answer's head, in seconds.
+    :param link_s: round trip to its failure domain, in seconds.
+    :param silent_s: seconds that calls have waited without any answer.
+    :param unanswered: how many calls wait so.
+    :param sent_since: calls sent to it since the report arrived.
+    :param failure_load: recent failures, as calls in flight.
     """
 
     member: messages.Member
@@ -37,3 +79,9 @@
     report: Report | None
     report_age_s: float
     latency_s: float
+    link_s: float = 0.0
+    silent_s: float = 0.0
+    unanswered: int = 0
+    sent_since: int = 0
+    failure_load: float = 0.0
+    health: Health = Health()
--- a/packages/burdockdeal/burdockdeal/serving/entry.py
+++ b/packages/burdockdeal/burdockdeal/serving/entry.py
@@ -44,16 +44,15 @@
     async def watch_send(
         send: messages.Send,
     ) -> abc.AsyncIterator[messages.Answer]:
-        started = clock()
-        tallies.note_sent(send.daemon, send.incarnation)
-        try:
+        with tallies.watch(
+            send.daemon,
+            send.incarnation,
+            send.request.service,
+            timed=not send.outbound.body.streamed,
+        ) as seen:
             async with open_answer(send) as answer:
-                tallies.note_answer(
-                    send.daemon, send.incarnation, clock() - started
-                )
+                seen.answered(answer.response.status)
                 yield answer
-        finally:
-            tallies.note_done(send.daemon, send.incarnation)
 
     async def answer_call(
         request: web.BaseRequest, work: call.Call
--- a/packages/burdockdeal/burdockdeal/serving/owner.py
+++ b/packages/burdockdeal/burdockdeal/serving/owner.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 import contextlib
+import dataclasses
 
 import aiohttp
 from aiohttp import web
@@ -15,6 +16,7 @@
 from burdockdeal.core import errors
 from burdockdeal.core import headers
 from burdockdeal.core import verdict
+from burdockdeal.measurement import meter
 from burdockdeal.routing import state as routing
 from burdockdeal.serving import bodies
 from burdockdeal.serving import classify
@@ -54,10 +56,12 @@
     session: aiohttp.ClientSession,
     snapshot: abc.Callable[[], classify.Snapshot | None],
     clock: Clock,
+    times: meter.Meter,
 ) -> messages.OpenAnswer:
     """Make the function that opens answers of the upstream beside us.
 
     :param snapshot: returns the configuration in force, None before one.
+    :param times: takes how long the upstream takes.
     """
 
     def check(send: messages.Send) -> None:
@@ -80,15 +84,17 @@
             check(send)
             now = clock()
             announced = side.upstream.announce
-            async with transfer.open_response(
-                session,
-                f"http://{announced.host}:{announced.port}",
-                send.outbound,
-                _upstream_headers(send.request, now),
-                remaining_s=send.request.deadline - now,
-                expect=False,
-            ) as response:
-                yield messages.Answer(response)
+            with times.watch(timed=not send.outbound.body.streamed) as head:
+                async with transfer.open_response(
+                    session,
+                    f"http://{announced.host}:{announced.port}",
+                    send.outbound,
+                    _upstream_headers(send.request, now),
+                    remaining_s=send.request.deadline - now,
+                    expect=False,
+                ) as response:
+                    head()
+                    yield messages.Answer(response)
 
     return open_answer
 
@@ -105,16 +111,25 @@
     :param load: returns the load that is put on each answer.
     """
 
-    def report(error: errors.CallError | None = None) -> str:
+    def report(started: float, error: errors.CallError | None = None) -> str:
+        spent_ms = round((clock() - started) * 1000, 3)
+        answered = 0 if error else 1
+        standing = load()
         told = messages.OwnerReport(
             verdict=error.outcome if error else verdict.Verdict.RAN,
-            load=load(),
+            # The call that is answered here is as good as gone.
+            load=dataclasses.replace(
+                standing,
+                in_flight=max(0, standing.in_flight - answered),
+                spent_ms=spent_ms,
+            ),
             reason=error.reason if error else None,
             detail=error.detail if error else "",
         )
         return codec.encode(told).decode()
 
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
+        started = clock()
         envelope = codec.decode(
             request.headers[headers.ENVELOPE], call.Envelope
         )
@@ -135,12 +150,12 @@
         try:
             async with open_answer(send) as answer:
                 return await transfer.pass_on(
-                    request, answer.response, {headers.REPORT: report()}
+                    request, answer.response, {headers.REPORT: report(started)}
                 )
         except errors.CallError as error:
             return web.Response(
                 status=verdict.HTTP_STATUS[error.reason],
-                headers={headers.REPORT: report(error)},
+                headers={headers.REPORT: report(started, error)},
             )
 
     return handle
