Probe owners within the operator's budget

Cause: reports came with answers only, so that an instance that is not called was never heard of. Change: a prober keeps the reports of the instances that this entry calls fresh, suspects first; each probe is charged to a ledger over a sliding window, and the probed side refuses beyond its own budget. Answered calls allow ordinary probes, one for twenty.

--- a/packages/burdockdeal/burdockdeal/daemon/assembly.py
+++ b/packages/burdockdeal/burdockdeal/daemon/assembly.py
@@ -20,9 +20,11 @@
 from burdockdeal.configuration import writer
 from burdockdeal.core import codec
 from burdockdeal.core import headers
+from burdockdeal.daemon import measuring
 from burdockdeal.daemon import messages
 from burdockdeal.daemon import metrics
 from burdockdeal.measurement import meter
+from burdockdeal.measurement import prober
 from burdockdeal.membership import decisions as membership_decisions
 from burdockdeal.membership import messages as membership
 from burdockdeal.membership import roster
@@ -154,8 +156,10 @@
     handle_call: front.Handler,
     follower: configuration.Follower,
     members: membership_service.Membership,
+    probing: measuring.Measuring,
 ) -> front.Handler:
     table = {
+        prober.PATH: probing.receiver.handle,
         "/v1/peer/exchange": members.handle_exchange,
         "/v1/peer/changes": follower.handle_changes,
         "/v1/peer/applied": follower.handle_applied,
@@ -234,9 +238,12 @@
 
 
 def _make_gauges(
-    parts: Parts, platform: store.Store
+    parts: Parts,
+    platform: store.Store,
+    probing: measuring.Measuring,
 ) -> tuple[metrics.Gauge, ...]:
     return (
+        *probing.make_gauges(),
         metrics.Gauge(
             "burdockdeal_in_flight",
             "Calls in flight to the upstream.",
@@ -301,7 +308,16 @@
             revision=lambda: parts.standing.revision,
             on_newer=follower.pull_from,
         )
-        told = metrics.Metrics(_make_gauges(parts, platform))
+        probing = measuring.build_measuring(
+            settings,
+            control,
+            parts.standing,
+            parts.board,
+            parts.chance,
+            load=parts.load,
+            incarnation=lambda: parts.side.upstream.incarnation,
+        )
+        told = metrics.Metrics(_make_gauges(parts, platform, probing))
         local = owner.make_owner(
             parts.side,
             parts.gate,
@@ -346,7 +362,9 @@
         upstream_app = announce_api.build_app(
             parts.side, lambda: parts.gate.running
         )
-        dispatch = _make_peer_dispatch(parts, handle_call, follower, members)
+        dispatch = _make_peer_dispatch(
+            parts, handle_call, follower, members, probing
+        )
 
         def serve(handler: front.Handler) -> web.ServerRunner:
             return web.ServerRunner(
@@ -371,4 +389,5 @@
         await _listen(stack, serve(handle_entry), settings.listen.caller)
         await stack.enter_async_context(follower)
         await stack.enter_async_context(members)
+        await stack.enter_async_context(probing.prober)
         yield parts
--- a/packages/burdockdeal/burdockdeal/measurement/__init__.py
+++ b/packages/burdockdeal/burdockdeal/measurement/__init__.py
@@ -1,1 +1,1 @@
-"""Probes of instances within the operator's budget."""
+"""Measuring of load within a budget."""
--- a/packages/burdockdeal/burdockdeal/routing/board.py
+++ b/packages/burdockdeal/burdockdeal/routing/board.py
@@ -120,6 +120,7 @@
         self._links = links.Links(failure_domain)
         self.clock = clock
         self.groups: dict[str, group.Group] = {}
+        self.answers = 0
 
     def refresh(
         self,
@@ -204,6 +205,7 @@
         timed: bool,
     ) -> None:
         """Take in the head of an answer."""
+        self.answers += 1
         held = self._tallies.get(key)
         if held is None:
             return
@@ -305,6 +307,12 @@
         """Show an instance as a policy sees it."""
         return self._show(self.enlist(member), member)
 
+    def is_suspect(self, shown: state.View) -> bool:
+        """Tell whether an instance has long been silent but not ejected."""
+        ejected = ejection.awaits_trial(shown.health)
+        norm = self.norm(shown.member.service)
+        return not ejected and decisions.is_silent(shown, norm)
+
     def judge(self, member: messages.Member) -> state.View:
         """Show an instance, and eject it if it has long been silent.
 
