--- a/packages/burdockdeal/burdockdeal/membership/roster.py
+++ b/packages/burdockdeal/burdockdeal/membership/roster.py
@@ -24,10 +24,11 @@
 
     def __init__(self, own: messages.Member) -> None:
         self.own = own
-        self._members = {own.daemon: own}
+        self._members: dict[str, messages.Member] = {}
         self._serving: dict[str, dict[str, messages.Member]] = {}
         self._listed: dict[str, tuple[messages.Member, ...]] = {}
         self._listeners: list[abc.Callable[[], None]] = []
+        self._place(own)
 
     @property
     def members(self) -> tuple[messages.Member, ...]:
--- a/packages/burdockdeal/burdockdeal/routing/decisions.py
+++ b/packages/burdockdeal/burdockdeal/routing/decisions.py
@@ -30,8 +30,9 @@
 #: Slots that an instance is credited with before its first report.
 UNREPORTED_SLOTS = 2
 
-#: How far the requests in flight may be from what is believed.
-SPREAD_CALLS = 2.0
+#: How far the requests in flight may be from what is believed, as a share
+#: of the slots.
+SPREAD_SHARE = 0.2
 
 #: A time at the upstream within this factor of the usual is the usual.
 SAME_FACTOR = 1.5
@@ -94,12 +95,12 @@
     return norm.service_s + weight * (reported - norm.service_s)
 
 
-def _soften(surplus: float) -> float:
+def _soften(surplus: float, spread: float) -> float:
     """Smooth max(0, surplus) over the spread of what is believed."""
-    scaled = surplus / SPREAD_CALLS
+    scaled = surplus / spread
     if scaled > 20:
         return surplus
-    return SPREAD_CALLS * math.log1p(math.exp(scaled))
+    return spread * math.log1p(math.exp(scaled))
 
 
 def expect(view: state.View, norm: state.Norm) -> Expected:
@@ -110,7 +111,8 @@
         slots = max(1, view.report.slots)
     load = _estimate_load(view, norm, slots)
     service_s = _estimate_service(view, norm)
-    wait_s = service_s / slots * _soften(load + 1 - slots)
+    queue = _soften(load + 1 - slots, slots * SPREAD_SHARE)
+    wait_s = queue * service_s / slots
     usual_s = view.link_s + wait_s + service_s
     overdue_s = max(0.0, view.silent_s - SILENCE_FACTOR * usual_s)
     return Expected(load, slots, wait_s, usual_s + overdue_s)
