--- a/packages/burdockdeal/burdockdeal/daemon/assembly.py
+++ b/packages/burdockdeal/burdockdeal/daemon/assembly.py
@@ -8,8 +8,10 @@
 
 import aiohttp
 from aiohttp import web
+import mode
 
 from burdockdeal.admission import gate
+from burdockdeal.admission import state as admission
 from burdockdeal.announce import api as announce_api
 from burdockdeal.announce import decisions as announce
 from burdockdeal.audit import api as audit_api
@@ -20,15 +22,17 @@
 from burdockdeal.configuration import writer
 from burdockdeal.core import codec
 from burdockdeal.core import headers
+from burdockdeal.daemon import gauges
 from burdockdeal.daemon import measuring
 from burdockdeal.daemon import messages
 from burdockdeal.daemon import metrics
 from burdockdeal.measurement import meter
 from burdockdeal.measurement import prober
-from burdockdeal.membership import decisions as membership_decisions
+from burdockdeal.membership import contacts
 from burdockdeal.membership import messages as membership
 from burdockdeal.membership import roster
 from burdockdeal.membership import service as membership_service
+from burdockdeal.membership import transport
 from burdockdeal.platform import store
 from burdockdeal.routing import board
 from burdockdeal.routing import selection
@@ -42,7 +46,7 @@
 from burdockdeal.serving import transfer
 from burdockdeal.settings import model
 
-_RELAYS_PER_DOMAIN = 2
+_DEFAULT_SERVICE = resources.Service()
 _OPEN_PATHS = frozenset({"/healthz", "/readyz", "/metrics"})
 
 
@@ -71,14 +75,16 @@
         )
         self.side = announce_api.Side(self.clock)
         self.standing = configuration.Standing()
-        self.gate = gate.Gate(self.clock, self._slots, self._queue_limit)
+        self.gate = gate.Gate(self.clock, self._room)
         self.meter = meter.Meter(self.clock)
         self.board = board.Board(
             settings.daemon, settings.failure_domain, self.clock, self.load
         )
         self.snapshot: classify.Snapshot | None = None
+        self.services: tuple[mode.Service, ...] = ()
         self.side.on_change(self._declare_upstream)
         self.standing.on_change(self._take_configuration)
+        self.roster.on_change(self._take_member)
 
     def _slots(self) -> int:
         upstream = self.side.upstream
@@ -87,11 +93,16 @@
         share = announce.ramp(upstream, self.clock())
         return max(1, round(upstream.announce.slots * share))
 
-    def _queue_limit(self) -> int:
+    def _room(self) -> admission.Room:
         service = self.roster.own.service
-        if self.snapshot and service in self.snapshot.services:
-            return self.snapshot.services[service].queue_limit
-        return resources.Service().queue_limit
+        services = self.snapshot.services if self.snapshot else {}
+        spec = services.get(service, _DEFAULT_SERVICE)
+        slots = self._slots()
+        return admission.Room(
+            slots=slots,
+            uploads=max(1, int(slots * spec.upload_share)),
+            queue_limit=spec.queue_limit,
+        )
 
     def _declare_upstream(self) -> None:
         upstream = self.side.upstream
@@ -103,24 +114,34 @@
             slots=announced.slots if announced else 0,
         )
 
+    def _take_member(
+        self, known: membership.Member | None, stands: membership.Member
+    ) -> None:
+        if known is not None:
+            self.board.forget(known, stands)
+
     def _take_configuration(self) -> None:
         self.snapshot = classify.build_snapshot(self.standing.configuration)
 
+    def find_crashed(self) -> str | None:
+        """Name a service that crashed and why, None if all run."""
+        for service in self.services:
+            if service.crashed:
+                return f"{service.label}: {service.crash_reason!r}"
+        return None
+
     def is_relay(self) -> bool:
         """Tell whether this daemon watches the store for its domain."""
         domain = self.settings.failure_domain
-        relays = membership_decisions.choose_relays(
-            self.roster.members, domain, _RELAYS_PER_DOMAIN
-        )
-        return self.settings.daemon in relays
+        return self.settings.daemon in self.roster.relays(domain)
 
     def load(self) -> routing.Report:
         """Tell the load beside this daemon, as put on each answer."""
         return routing.Report(
-            self.gate.running,
-            self.gate.waiting,
-            self._slots(),
-            self.meter.service_ms(),
+            in_flight=self.gate.running,
+            waiting=self.gate.waiting,
+            slots=self._slots(),
+            service_ms=self.meter.service_ms(),
         )
 
     def missing(self) -> tuple[str, ...]:
@@ -133,7 +154,7 @@
         parts.settings.policy,
         parts.chance,
         parts.board,
-        serving=parts.roster.serving,
+        serving=parts.roster.list_serving,
         services=lambda: parts.snapshot.services if parts.snapshot else {},
         ranks=lambda: parts.snapshot.ranks if parts.snapshot else {},
     )
@@ -160,7 +181,9 @@
 ) -> front.Handler:
     table = {
         prober.PATH: probing.receiver.handle,
-        "/v1/peer/exchange": members.handle_exchange,
+        "/v1/peer/ping": members.handle_ping,
+        "/v1/peer/ping-request": members.handle_ping_request,
+        "/v1/peer/page": members.handle_page,
         "/v1/peer/changes": follower.handle_changes,
         "/v1/peer/applied": follower.handle_applied,
     }
@@ -237,41 +260,6 @@
     await web.TCPSite(runner, address.host, address.port).start()
 
 
-def _make_gauges(
-    parts: Parts,
-    platform: store.Store,
-    probing: measuring.Measuring,
-) -> tuple[metrics.Gauge, ...]:
-    return (
-        *probing.make_gauges(),
-        metrics.Gauge(
-            "burdockdeal_in_flight",
-            "Calls in flight to the upstream.",
-            lambda: parts.gate.running,
-        ),
-        metrics.Gauge(
-            "burdockdeal_waiting",
-            "Calls that wait at the gate.",
-            lambda: parts.gate.waiting,
-        ),
-        metrics.Gauge(
-            "burdockdeal_members",
-            "Daemons that are known and not believed gone.",
-            lambda: len(parts.roster.peers) + 1,
-        ),
-        metrics.Gauge(
-            "burdockdeal_configuration_revision",
-            "The revision of the configuration in force here.",
-            lambda: parts.standing.revision,
-        ),
-        metrics.Gauge(
-            "burdockdeal_store_calls_total",
-            "Calls to the platform's store since the start.",
-            lambda: platform.calls,
-        ),
-    )
-
-
 @contextlib.asynccontextmanager
 async def run_daemon(settings: model.Settings) -> abc.AsyncIterator[Parts]:
     """Run a daemon while the block runs.
@@ -302,9 +290,10 @@
         members = membership_service.Membership(
             settings,
             parts.roster,
-            platform,
-            control,
+            transport.make_post(control, settings.peer_token),
+            contacts.make_meet(parts.roster, platform, parts.clock),
             parts.chance,
+            parts.clock,
             revision=lambda: parts.standing.revision,
             on_newer=follower.pull_from,
         )
@@ -317,7 +306,14 @@
             load=parts.load,
             incarnation=lambda: parts.side.upstream.incarnation,
         )
-        told = metrics.Metrics(_make_gauges(parts, platform, probing))
+        told = metrics.Metrics(
+            (
+                *gauges.make_gauges(
+                    parts.gate, parts.roster, parts.standing, platform
+                ),
+                *probing.make_gauges(),
+            )
+        )
         local = owner.make_owner(
             parts.side,
             parts.gate,
@@ -387,7 +383,7 @@
         )
         await _listen(stack, serve(dispatch), settings.listen.peer)
         await _listen(stack, serve(handle_entry), settings.listen.caller)
-        await stack.enter_async_context(follower)
-        await stack.enter_async_context(members)
-        await stack.enter_async_context(probing.prober)
+        parts.services = (follower, members, probing.prober)
+        for service in parts.services:
+            await stack.enter_async_context(service)
         yield parts
--- a/packages/burdockdeal/burdockdeal/routing/board.py
+++ b/packages/burdockdeal/burdockdeal/routing/board.py
@@ -137,15 +137,21 @@
         if known is None:
             known = group.Group(self._own, self._domain)
             self.groups[service] = known
-        before = known.members
-        if known.refresh(members, share):
-            for member in before:
-                self._forget(known, group.key_of(member))
+        known.refresh(members, share)
         return known
 
-    def _forget(self, known: group.Group, key: group.Key) -> None:
+    def forget(self, known: messages.Member, stands: messages.Member) -> None:
+        """Drop the tally of an instance that no longer stands.
+
+        :param known: its record before.
+        :param stands: its record now.
+        """
+        key = group.key_of(known)
+        same = key == group.key_of(stands)
+        if same and stands.health not in messages.GONE:
+            return
         held = self._tallies.get(key)
-        if held is not None and key not in known and not held.sent:
+        if held is not None and not held.sent:
             del self._tallies[key]
 
     def enlist(self, member: messages.Member) -> tally.Tally:
--- a/packages/burdockdeal/burdockdeal/routing/group.py
+++ b/packages/burdockdeal/burdockdeal/routing/group.py
@@ -65,16 +65,15 @@
 
     def refresh(
         self, members: tuple[messages.Member, ...], share: float
-    ) -> bool:
+    ) -> None:
         """Take in the service's instances.
 
         :param members: the same tuple while nothing has changed.
         :param share: the largest share that may be ejected.
-        :returns: whether the instances have changed.
         """
         self._ejectable = ejection.count_ejectable(len(members), share)
         if members is self.members:
-            return False
+            return
         self.members = members
         self._by_key = {key_of(member): member for member in members}
         self._local = tuple(
@@ -88,14 +87,6 @@
         for held in (self._pool, self._ejected):
             for key in held.keys() - self._by_key.keys():
                 del held[key]
-        return True
-
-    def __contains__(self, key: Key) -> bool:
-        return key in self._by_key
-
-    def find(self, key: Key) -> messages.Member | None:
-        """Find an instance's record."""
-        return self._by_key.get(key)
 
     @property
     def pool(self) -> tuple[messages.Member, ...]:
--- a/packages/burdockdeal/burdockdeal/routing/tests/test_board.py
+++ b/packages/burdockdeal/burdockdeal/routing/tests/test_board.py
@@ -1,11 +1,13 @@
 """The board: what calls in flight and reports leave behind."""
 
 import asyncio
+import dataclasses
 
 import pytest
 
 from burdockdeal.core import errors
 from burdockdeal.core import verdict
+from burdockdeal.membership import messages as membership
 from burdockdeal.membership import roster
 from burdockdeal.routing import board
 from burdockdeal.routing import links
@@ -146,30 +148,29 @@
     for _ in range(3):
         with watch(tallies) as seen:
             seen.answered(500)
-    tallies.refresh(play.SERVICE, MEMBERS[1:], 0.5)
-    tallies.refresh(play.SERVICE, MEMBERS, 0.5)
+    restarted = dataclasses.replace(MEMBERS[0], upstream_incarnation=2)
+    tallies.forget(MEMBERS[0], restarted)
+    assert tallies.view(restarted).health == state.Health()
     assert tallies.view(MEMBERS[0]).health == state.Health()
 
 
 def test_a_call_to_a_forgotten_instance_still_ends(
     tallies: board.Board,
 ) -> None:
-    tallies.refresh(play.SERVICE, MEMBERS[1:], 0.5)
+    tallies.forget(
+        MEMBERS[0],
+        dataclasses.replace(MEMBERS[0], health=membership.Health.DEAD),
+    )
     with watch(tallies) as seen:
         seen.answered(500)
 
 
 def test_the_own_load_is_known_at_once(tallies: board.Board) -> None:
-    own = play.make_member(0, "shotton")
-    own = type(own)(**{**_fields(own), "daemon": "own"})
+    own = dataclasses.replace(MEMBERS[0], daemon="own")
     assert tallies.view(own).report == state.Report(3, 0, 9, 5.0)
     assert tallies.view(own).link_s == 0
 
 
-def _fields(member: object) -> dict[str, object]:
-    return {name: getattr(member, name) for name in member.__slots__}
-
-
 def test_link_time_is_the_lowest_of_late() -> None:
     known = links.Links("shotton")
     assert known.round_trip_s("shotton") < known.round_trip_s("sealand")
@@ -184,14 +185,14 @@
 def test_the_index_of_a_service_is_kept() -> None:
     standing = roster.Roster(play.make_member(9, "shotton"))
     standing.hear(MEMBERS)
-    listed = standing.serving(play.SERVICE)
+    listed = standing.list_serving(play.SERVICE)
     assert {member.daemon for member in listed} == {"d0", "d1", "d2", "d9"}
-    assert standing.serving(play.SERVICE) is listed
-    assert standing.serving("nothing") == ()
+    assert standing.list_serving(play.SERVICE) is listed
+    assert standing.list_serving("nothing") == ()
     standing.declare(service="other")
-    assert {m.daemon for m in standing.serving(play.SERVICE)} == {
+    assert {m.daemon for m in standing.list_serving(play.SERVICE)} == {
         "d0",
         "d1",
         "d2",
     }
-    assert [m.daemon for m in standing.serving("other")] == ["d9"]
+    assert [m.daemon for m in standing.list_serving("other")] == ["d9"]
