Judge silence by deviations, and risk one call in a hundred on a trial

Change: silence counts from four deviations past the expected time on; a failure counts for twice the slots, two in a row eject, one if the owner reports that its upstream fails for others too; a trial needs 100 calls to the service, or no room elsewhere, or eight seconds.

--- a/packages/burdockdeal/burdockdeal/daemon/assembly.py
+++ b/packages/burdockdeal/burdockdeal/daemon/assembly.py
@@ -142,6 +142,7 @@
             waiting=self.gate.waiting,
             slots=self._slots(),
             service_ms=self.meter.service_ms(),
+            failed_share=self.meter.failed_share,
         )
 
     def missing(self) -> tuple[str, ...]:
--- a/packages/burdockdeal/burdockdeal/measurement/meter.py
+++ b/packages/burdockdeal/burdockdeal/measurement/meter.py
@@ -6,12 +6,17 @@
 import math
 import statistics
 
+_SERVER_ERROR = 500
 _SMOOTHING = 0.2
 
 #: Seconds without an answer after which the next one counts in full.
 _MEMORY_S = 1.0
 
 
+#: Take in the head of an answer, with its HTTP status.
+Answered = abc.Callable[[int], None]
+
+
 class Meter:
     """Measures the time of calls at the upstream, waits left out.
 
@@ -24,37 +29,48 @@
         self._unanswered: dict[int, float] = {}
         self._usual_s = 0.0
         self._answered_at = 0.0
+        self._failed_share = 0.0
 
     @contextlib.contextmanager
-    def watch(self, *, timed: bool) -> abc.Iterator[abc.Callable[[], None]]:
+    def watch(self, *, timed: bool) -> abc.Iterator[Answered]:
         """Watch a call from its slot to the head of its answer.
 
         :param timed: whether the time tells something of the upstream;
             not if the caller's own body is awaited.
-        :returns: the function to call when the head has arrived.
+        :returns: the function to call with the status when the head has
+            arrived.
         """
         number = next(self._numbers)
         if timed:
             self._unanswered[number] = self._clock()
 
-        def answered() -> None:
+        def answered(status: int) -> None:
             started = self._unanswered.pop(number, None)
-            if started is not None:
-                self._take(started)
+            failed = status >= _SERVER_ERROR
+            share = self._weigh()
+            self._failed_share += share * (failed - self._failed_share)
+            if started is not None and not failed:
+                self._take(started, share)
+            self._answered_at = self._clock()
 
         try:
             yield answered
         finally:
             self._unanswered.pop(number, None)
 
-    def _take(self, started: float) -> None:
-        now = self._clock()
-        spent_s = now - started
-        quiet_s = now - self._answered_at
-        share = max(_SMOOTHING, 1 - math.exp(-quiet_s / _MEMORY_S))
+    def _weigh(self) -> float:
+        quiet_s = self._clock() - self._answered_at
+        return max(_SMOOTHING, 1 - math.exp(-quiet_s / _MEMORY_S))
+
+    def _take(self, started: float, share: float) -> None:
+        spent_s = self._clock() - started
         before = self._usual_s or spent_s
         self._usual_s = before + share * (spent_s - before)
-        self._answered_at = now
+
+    @property
+    def failed_share(self) -> float:
+        """The share of recent answers that were server errors."""
+        return round(self._failed_share, 3)
 
     def service_ms(self) -> float:
         """Tell the time of a call at the upstream, in milliseconds.
--- a/packages/burdockdeal/burdockdeal/routing/board.py
+++ b/packages/burdockdeal/burdockdeal/routing/board.py
@@ -16,9 +16,6 @@
 
 _SERVER_ERROR = 500
 
-#: A failure counts for this share of the slots, as calls in flight.
-_FAILURE_SHARE = 1 / 3
-
 #: Reasons that are the instance's own fault.
 _FAULTS = frozenset(
     {
@@ -226,15 +223,18 @@
             self.note_fault(key, service)
             return
         known = self.groups.get(service)
+        if not timed or known is None:
+            self._step(key, service, ejection.Answered())
+            return
         report = held.report
-        slow = (
-            timed
-            and known is not None
-            and report is not None
-            and decisions.is_slow(report.service_ms / 1000, known.norm)
+        slow = report is not None and decisions.is_slow(
+            report.service_ms / 1000, known.norm
+        )
+        link_s = self._find_link(held.member)
+        known.norm = decisions.note_time(known.norm, elapsed_s - link_s)
+        self._step(
+            key, service, ejection.Lagged() if slow else ejection.Answered()
         )
-        event = ejection.Lagged() if slow else ejection.Answered()
-        self._step(key, service, event)
 
     def note_error(
         self,
@@ -253,9 +253,16 @@
 
     def note_fault(self, key: group.Key, service: str) -> None:
         """Take in a failure of an instance."""
-        if key in self._tallies:
-            self._count_failure(key)
-            self._step(key, service, ejection.Failed())
+        held = self._tallies.get(key)
+        if held is None:
+            return
+        self._count_failure(key)
+        report = held.report
+        known = report is not None and (
+            report.failed_share >= decisions.FAILING_SHARE
+        )
+        calls = ejection.FAILURES_TO_EJECT if known else 1
+        self._step(key, service, ejection.Failed(calls))
 
     def note_wait(self, key: group.Key, service: str, waited_s: float) -> None:
         """Take in that a call was given up before any answer."""
@@ -269,7 +276,7 @@
     def _count_failure(self, key: group.Key) -> None:
         held = self._tallies[key]
         slots = held.report.slots if held.report else held.member.slots
-        held.fail(max(1, slots) * _FAILURE_SHARE, self.clock())
+        held.fail(max(1, slots) * decisions.FAILURE_FACTOR, self.clock())
 
     def _step(
         self, key: group.Key, service: str, event: ejection.Event
@@ -281,14 +288,28 @@
         held.health = ejection.step(
             before, event, self.clock(), may_eject=may_eject
         )
-        if held.health is not before and known is not None:
-            known.note_health(key, held.health)
+        if held.health is before or known is None:
+            return
+        known.note_health(key, held.health)
+        if held.health.ejected_until != before.ejected_until:
+            held.ejected_at_call = known.calls
 
     def norm(self, service: str) -> state.Norm:
         """Tell what is usual among the instances of a service."""
         known = self.groups.get(service)
         return known.norm if known else state.Norm()
 
+    def _count_spared(self, held: tally.Tally) -> int:
+        if not ejection.awaits_trial(held.health) or held.member is None:
+            return 0
+        known = self.groups.get(held.member.service)
+        return known.calls - held.ejected_at_call if known else 0
+
+    def _find_link(self, member: messages.Member) -> float:
+        if member.daemon == self._own:
+            return 0.0
+        return self._links.round_trip_s(member.failure_domain)
+
     def _show(self, held: tally.Tally, member: messages.Member) -> state.View:
         now = self.clock()
         own = member.daemon == self._own
@@ -299,14 +320,13 @@
             report=self._load() if own else held.report,
             report_age_s=0.0 if own else now - held.reported_at,
             latency_s=held.latency_s,
-            link_s=(
-                0.0 if own else self._links.round_trip_s(member.failure_domain)
-            ),
+            link_s=self._find_link(member),
             silent_s=held.silent_s(now),
             unanswered=held.unanswered,
             sent_since=0 if own else held.sent_since,
             failure_load=held.failure_load(now),
             health=held.health,
+            spared=self._count_spared(held),
         )
 
     def view(self, member: messages.Member) -> state.View:
--- a/packages/burdockdeal/burdockdeal/routing/decisions.py
+++ b/packages/burdockdeal/burdockdeal/routing/decisions.py
@@ -34,14 +34,34 @@
 #: of the slots.
 SPREAD_SHARE = 0.2
 
+#: A failure counts for this many times the slots, as calls in flight.
+FAILURE_FACTOR = 2.0
+
+#: Share of an owner's answers that makes a failure its upstream's.
+FAILING_SHARE = 0.5
+
+#: Calls to a service for each that is risked on an ejected instance,
+#: while another has room.
+SPARED_CALLS = 100
+
+#: Seconds past an ejection after which a call is risked in any case.
+SPARED_S = 8.0
+
 #: A time at the upstream within this factor of the usual is the usual.
 SAME_FACTOR = 1.5
 
-#: Silence, in expected times, after which it counts; and far too long.
-SILENCE_FACTOR = 2.0
-LAG_FACTOR = 4.0
+#: Silence counts from this many deviations past what is expected on, as
+#: with TCP's retransmission timer; twice that is far too long.
+SILENCE_DEVIATIONS = 4.0
+LAG_DEVIATIONS = 8.0
 LAG_S = 0.01
 
+#: A single answer moves the usual time and its deviation by this share,
+#: and counts as at most this many deviations off.
+_SMOOTHING = 0.1
+_MOST_DEVIATIONS = 4.0
+_LEAST_DEVIATION_S = 0.0005
+
 _JITTER_SHARE = 0.02
 
 
@@ -74,6 +94,12 @@
     return 0.5 ** (view.report_age_s / REPORT_HALF_LIFE_S)
 
 
+def _failing_load(view: state.View, slots: int) -> float:
+    if view.report is None:
+        return 0.0
+    return view.report.failed_share * slots * FAILURE_FACTOR
+
+
 def _estimate_load(view: state.View, norm: state.Norm, slots: int) -> float:
     weight = _weigh_report(view)
     usual = norm.fill * slots
@@ -81,7 +107,8 @@
     if view.report is not None:
         reported = view.report.in_flight + view.report.waiting
     blended = weight * reported + (1 - weight) * usual + view.sent_since
-    return max(blended, view.sent) + view.failure_load
+    failures = max(view.failure_load, weight * _failing_load(view, slots))
+    return max(blended, view.sent) + failures
 
 
 def _estimate_service(view: state.View, norm: state.Norm) -> float:
@@ -114,14 +141,37 @@
     queue = _soften(load + 1 - slots, slots * SPREAD_SHARE)
     wait_s = queue * service_s / slots
     usual_s = view.link_s + wait_s + service_s
-    overdue_s = max(0.0, view.silent_s - SILENCE_FACTOR * usual_s)
+    patience_s = usual_s + SILENCE_DEVIATIONS * norm.deviation_s
+    overdue_s = max(0.0, view.silent_s - patience_s)
     return Expected(load, slots, wait_s, usual_s + overdue_s)
 
 
+def note_time(norm: state.Norm, answer_s: float) -> state.Norm:
+    """Take the time to an answer into what is usual.
+
+    :param answer_s: seconds, the link left out.
+    """
+    if not norm.answer_s:
+        return dataclasses.replace(
+            norm, answer_s=answer_s, deviation_s=answer_s / 2
+        )
+    most_s = _MOST_DEVIATIONS * norm.deviation_s
+    off_s = max(-most_s, min(most_s, answer_s - norm.answer_s))
+    deviation_s = norm.deviation_s + _SMOOTHING * (
+        abs(off_s) - norm.deviation_s
+    )
+    return dataclasses.replace(
+        norm,
+        answer_s=norm.answer_s + _SMOOTHING * off_s,
+        deviation_s=max(_LEAST_DEVIATION_S, deviation_s),
+    )
+
+
 def is_overdue(view: state.View, norm: state.Norm, waited_s: float) -> bool:
     """Tell whether a wait for an answer is far above what is expected."""
     calm = dataclasses.replace(view, silent_s=0.0)
-    return waited_s > LAG_FACTOR * expect(calm, norm).total_s + LAG_S
+    late_s = waited_s - expect(calm, norm).total_s
+    return late_s > LAG_DEVIATIONS * norm.deviation_s + LAG_S
 
 
 def is_silent(view: state.View, norm: state.Norm) -> bool:
@@ -131,7 +181,8 @@
 
 def is_slow(service_s: float, norm: state.Norm) -> bool:
     """Tell whether a time at the upstream is far above the usual."""
-    return service_s > LAG_FACTOR * norm.service_s + LAG_S
+    late_s = service_s - norm.service_s
+    return late_s > LAG_DEVIATIONS * norm.deviation_s + LAG_S
 
 
 def _may_take(view: state.View, now: float) -> bool:
@@ -142,13 +193,18 @@
 
 
 def find_trial(
-    views: abc.Sequence[state.View], now: float, patience: float
+    views: abc.Sequence[state.View],
+    now: float,
+    patience: float,
+    *,
+    hot: bool = False,
 ) -> state.View | None:
     """Find an ejected instance that one call may be risked on.
 
     At most one is on trial at a time.
 
     :param patience: see ejection.is_trial_due.
+    :param hot: whether no other instance has room.
     """
     waiting = [
         view
@@ -159,7 +215,9 @@
     if any(view.sent for view in waiting):
         return None
     for view in waiting:
-        if ejection.is_trial_due(view.health, now, patience):
+        spared = view.spared >= SPARED_CALLS or hot
+        spared |= now >= view.health.ejected_until + SPARED_S
+        if spared and ejection.is_trial_due(view.health, now, patience):
             return view
     return None
 
@@ -177,13 +235,14 @@
     :param views: the candidates, at least one.
     :param patience: see ejection.is_trial_due.
     """
-    trial = find_trial(views, now, patience)
-    if trial is not None:
-        return trial
-    able = [view for view in views if _may_take(view, now)]
-    return min(
-        able or views,
-        key=lambda view: (
-            expect(view, norm).total_s * (1 + _JITTER_SHARE * chance.random())
-        ),
-    )
+    able = [view for view in views if _may_take(view, now)] or views
+    expected = [expect(view, norm) for view in able]
+    if len(able) < len(views):
+        hot = all(one.hot for one in expected)
+        trial = find_trial(views, now, patience, hot=hot)
+        if trial is not None:
+            return trial
+    costs = [
+        one.total_s * (1 + _JITTER_SHARE * chance.random()) for one in expected
+    ]
+    return able[costs.index(min(costs))]
--- a/packages/burdockdeal/burdockdeal/routing/ejection.py
+++ b/packages/burdockdeal/burdockdeal/routing/ejection.py
@@ -6,7 +6,7 @@
 from burdockdeal.routing import state
 
 #: Failures in a row after which an instance is ejected.
-FAILURES_TO_EJECT = 3
+FAILURES_TO_EJECT = 2
 
 #: Calls in a row that take far too long, after which it is ejected.
 LAGS_TO_EJECT = 2
@@ -29,7 +29,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Failed:
-    """A call failed, or the upstream answered with a server error."""
+    """A call failed, or the upstream answered with a server error.
+
+    :param calls: how many calls show it.
+    """
+
+    calls: int = 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -102,7 +107,7 @@
 ) -> state.Health:
     if is_ejected(health, now):
         return health
-    failed = dataclasses.replace(health, streak=health.streak + 1)
+    failed = dataclasses.replace(health, streak=health.streak + event.calls)
     let_back = health.allowance is not None
     enough = failed.streak >= FAILURES_TO_EJECT or let_back
     return _eject(failed, now) if enough and may else failed
--- a/packages/burdockdeal/burdockdeal/routing/group.py
+++ b/packages/burdockdeal/burdockdeal/routing/group.py
@@ -62,6 +62,7 @@
         self.members: tuple[messages.Member, ...] = ()
         self.norm = state.Norm()
         self.asked_at = 0.0
+        self.calls = 0
 
     def refresh(
         self, members: tuple[messages.Member, ...], share: float
@@ -121,9 +122,12 @@
         fill = (report.in_flight + report.waiting) / report.slots
         before = self.norm.fill
         times = [spent for spent in self._pool.values() if spent]
-        self.norm = state.Norm(
-            statistics.median_low(times) if times else self.norm.service_s,
-            before + _FILL_SMOOTHING * (fill - before),
+        self.norm = dataclasses.replace(
+            self.norm,
+            service_s=(
+                statistics.median_low(times) if times else self.norm.service_s
+            ),
+            fill=before + _FILL_SMOOTHING * (fill - before),
         )
 
     def sample(
--- a/packages/burdockdeal/burdockdeal/routing/selection.py
+++ b/packages/burdockdeal/burdockdeal/routing/selection.py
@@ -64,6 +64,7 @@
         share = services().get(work.service, usual).max_ejected_share
         group = tallies.refresh(work.service, members, share)
         group.asked_at = tallies.clock()
+        group.calls += 1
         chosen = pick(work, members, tried)
         if chosen is not None:
             tallies.enlist(chosen)
--- a/packages/burdockdeal/burdockdeal/routing/state.py
+++ b/packages/burdockdeal/burdockdeal/routing/state.py
@@ -17,6 +17,8 @@
         the first.
     :param spent_ms: time that the owner held the call that this report
         answers, in milliseconds.
+    :param failed_share: share of the upstream's recent answers that were
+        server errors.
     """
 
     in_flight: int
@@ -24,6 +26,7 @@
     slots: int
     service_ms: float = 0.0
     spent_ms: float = 0.0
+    failed_share: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -51,10 +54,15 @@
 
     :param service_s: usual time of one call at an upstream, in seconds.
     :param fill: usual share of the slots that are taken.
+    :param answer_s: usual time to an answer without the link, in seconds;
+        0 before the first.
+    :param deviation_s: how far answers are from that, in seconds.
     """
 
     service_s: float = 0.005
     fill: float = 0.0
+    answer_s: float = 0.0
+    deviation_s: float = 0.0025
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -71,6 +79,7 @@
     :param unanswered: how many calls wait so.
     :param sent_since: calls sent to it since the report arrived.
     :param failure_load: recent failures, as calls in flight.
+    :param spared: calls to the service since it was ejected.
     """
 
     member: messages.Member
@@ -85,3 +94,4 @@
     sent_since: int = 0
     failure_load: float = 0.0
     health: Health = Health()
+    spared: int = 0
--- a/packages/burdockdeal/burdockdeal/routing/tally.py
+++ b/packages/burdockdeal/burdockdeal/routing/tally.py
@@ -8,7 +8,7 @@
 _SMOOTHING = 0.2
 
 #: Seconds after which a failure counts for half.
-FAILURE_HALF_LIFE_S = 0.5
+FAILURE_HALF_LIFE_S = 1.0
 
 
 class Tally:
@@ -27,6 +27,7 @@
         self.reported_at = 0.0
         self.answered_at = 0.0
         self.health = state.Health()
+        self.ejected_at_call = 0
         self._numbers = itertools.count()
         self._unanswered: dict[int, float] = {}
         self._failure_load = 0.0
--- a/packages/burdockdeal/burdockdeal/routing/tests/test_board.py
+++ b/packages/burdockdeal/burdockdeal/routing/tests/test_board.py
@@ -88,11 +88,12 @@
 
 @pytest.mark.parametrize("status", [500, 502, 503])
 def test_server_errors_count(tallies: board.Board, status: int) -> None:
-    for _ in range(3):
+    for _ in range(2):
+        assert tallies.view(MEMBERS[0]).health.allowance is None
         with watch(tallies) as seen:
             seen.answered(status)
     shown = tallies.view(MEMBERS[0])
-    assert shown.failure_load == pytest.approx(9.0)
+    assert shown.failure_load == pytest.approx(36.0)
     assert shown.health.allowance == 1
 
 
@@ -106,11 +107,11 @@
 @pytest.mark.parametrize(
     ("reason", "load", "streak"),
     [
-        (verdict.Reason.UNREACHABLE, 3.0, 1),
-        (verdict.Reason.BROKEN_CONNECTION, 3.0, 1),
-        (verdict.Reason.STALE_INSTANCE, 3.0, 1),
-        (verdict.Reason.QUEUE_FULL, 3.0, 0),
-        (verdict.Reason.SHED, 3.0, 0),
+        (verdict.Reason.UNREACHABLE, 18.0, 1),
+        (verdict.Reason.BROKEN_CONNECTION, 18.0, 1),
+        (verdict.Reason.STALE_INSTANCE, 18.0, 1),
+        (verdict.Reason.QUEUE_FULL, 18.0, 0),
+        (verdict.Reason.SHED, 18.0, 0),
         (verdict.Reason.CALLER_GONE, 0.0, 0),
         (verdict.Reason.UNKNOWN_RANK, 0.0, 0),
     ],
@@ -138,8 +139,8 @@
 def test_failures_fade(tallies: board.Board, clock: Clock) -> None:
     with watch(tallies) as seen:
         seen.answered(500)
-    clock.now += 0.5
-    assert tallies.view(MEMBERS[0]).failure_load == pytest.approx(1.5)
+    clock.now += 1
+    assert tallies.view(MEMBERS[0]).failure_load == pytest.approx(9)
     clock.now += 60
     assert tallies.view(MEMBERS[0]).failure_load == pytest.approx(0)
 
@@ -196,3 +197,13 @@
         "d2",
     }
     assert [m.daemon for m in standing.list_serving("other")] == ["d9"]
+
+
+def test_a_failure_that_others_saw_too_ejects_at_once(
+    tallies: board.Board,
+) -> None:
+    report = state.Report(0, 0, 9, 5.0, failed_share=0.7)
+    with watch(tallies) as seen:
+        tallies.note_report("d0", 1, report)
+        seen.answered(500)
+    assert tallies.view(MEMBERS[0]).health.allowance == 1
--- a/packages/burdockdeal/burdockdeal/routing/tests/test_ejection.py
+++ b/packages/burdockdeal/burdockdeal/routing/tests/test_ejection.py
@@ -31,9 +31,9 @@
 @pytest.mark.parametrize(
     ("names", "ejected"),
     [
-        ("failed failed", False),
-        ("failed failed failed", True),
-        ("failed failed answered failed", False),
+        ("failed", False),
+        ("failed failed", True),
+        ("failed answered failed", False),
         ("lagged", False),
         ("lagged lagged", True),
         ("lagged answered lagged", False),
@@ -58,7 +58,7 @@
 
 
 def test_let_back_by_a_trickle() -> None:
-    health = after("failed failed failed")
+    health = after("failed failed")
     now = health.ejected_until
     allowed = []
     while health.allowance is not None:
@@ -67,17 +67,21 @@
             health, ejection.Answered(), now, may_eject=True
         )
     assert allowed == [1, 2, 4, 8, 16]
-    early = after("failed failed failed answered")
+    early = after("failed failed answered")
     assert early.allowance == 1
 
 
-def view(index: int, health: state.Health, sent: int = 0) -> state.View:
+def view(
+    index: int, health: state.Health, sent: int = 0, spared: int = 100
+) -> state.View:
     member = play.make_member(index, "shotton")
-    return state.View(member, True, sent, None, 0.0, 0.0, health=health)
+    return state.View(
+        member, True, sent, None, 0.0, 0.0, health=health, spared=spared
+    )
 
 
 def test_one_trial_at_a_time_and_lesser_work_first() -> None:
-    health = after("failed failed failed")
+    health = after("failed failed")
     due = health.ejected_until
     views = [view(0, health), view(1, health), view(2, state.Health())]
 
@@ -91,12 +95,17 @@
     assert choose(views, due, 0.0) == "d0"
     assert choose(views, due, 1.0) == "d2"
     assert choose(views, due + 0.5, 1.0) == "d0"
+    rare = [view(0, health, spared=99), view(2, state.Health())]
+    assert choose(rare, due + 7.9, 0.0) == "d2"
+    assert choose(rare, due + 8.1, 0.0) == "d0"
+    rare[1] = view(2, state.Health(), sent=2)
+    assert choose(rare, due, 0.0) == "d0"
     views[0] = view(0, health, sent=1)
     assert choose(views, due + 5, 0.0) == "d2"
 
 
 def test_a_call_is_placed_though_all_are_ejected() -> None:
-    health = after("failed failed failed")
+    health = after("failed failed")
     chosen = decisions.choose(
         [view(0, health)], state.Norm(), 10.0, random.Random(1)
     )
--- a/packages/burdockdeal/burdockdeal/serving/owner.py
+++ b/packages/burdockdeal/burdockdeal/serving/owner.py
@@ -97,7 +97,7 @@
                     remaining_s=send.request.deadline - now,
                     expect=False,
                 ) as response:
-                    head()
+                    head(response.status)
                     yield messages.Answer(response)
 
     return open_answer
--- a/packages/standins/burdockdeal_standins/play.py
+++ b/packages/standins/burdockdeal_standins/play.py
@@ -121,6 +121,7 @@
             self._stage.play.slots,
             self._meter.service_ms(),
             (self._stage.now - arrived) * 1000,
+            self._meter.failed_share,
         )
 
     def take(self, answer: Answer) -> None:
@@ -140,12 +141,13 @@
         head = watching.enter_context(self._meter.watch(timed=True))
 
         def end() -> None:
-            head()
+            status = fault.status if fault else 200
+            head(status)
             watching.close()
             self._running -= 1
             if self._waiting:
                 self._waiting.pop(0)()
-            answer(fault.status if fault else 200, self._report(arrived))
+            answer(status, self._report(arrived))
 
         spent_s = service_ms * chance.uniform(0.8, 1.2) / 1000
         self._stage.after(spent_s, end)
