--- a/packages/burdockdeal/burdockdeal/measurement/prober.py
+++ b/packages/burdockdeal/burdockdeal/measurement/prober.py
@@ -140,11 +140,12 @@
         self._asked[group.key_of(member)] = now
         self.sent += 1
         self.bytes += self._size
-        task = asyncio.create_task(self._probe(member))
+        task = asyncio.create_task(self.ask(member))
         self._probes.add(task)
         task.add_done_callback(self._probes.discard)
 
-    async def _probe(self, member: membership.Member) -> None:
+    async def ask(self, member: membership.Member) -> None:
+        """Ask one instance for its load."""
         started = self._board.clock()
         try:
             async with self._session.get(
--- /dev/null
+++ b/packages/burdockdeal/burdockdeal/measurement/tests/test_prober.py
@@ -0,0 +1,158 @@
+"""Probes over real connections on loopback."""
+
+import asyncio
+from collections import abc
+import contextlib
+import dataclasses
+import pathlib
+import random
+import time
+
+import aiohttp
+from aiohttp import web
+import pytest
+
+from burdockdeal.configuration import resources
+from burdockdeal.configuration import state as configuration
+from burdockdeal.core import headers
+from burdockdeal.measurement import decisions
+from burdockdeal.measurement import prober
+from burdockdeal.measurement import receiver
+from burdockdeal.routing import board
+from burdockdeal.routing import state as routing
+from burdockdeal.settings import model
+from burdockdeal_standins import fleet
+from burdockdeal_standins import play
+
+TOKEN = "t" * 40
+LARGE = routing.Report(10**6, 10**6, 10**6, 123456.789, 0.0, 0.123)
+
+
+def configure(budget: resources.Budget) -> configuration.Configuration:
+    key = configuration.Key("Budget", resources.BUDGET_NAME)
+    declared = resources.Resource(key.kind, key.name, 1, budget, "tests", 0)
+    return configuration.Configuration(1, {key: declared})
+
+
+class Counted:
+    """A link that counts the bytes both ways."""
+
+    def __init__(self, target: int) -> None:
+        self.target = target
+        self.bytes = 0
+
+    async def carry(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        back, forth = await asyncio.open_connection(fleet.HOST, self.target)
+        await asyncio.gather(
+            self._copy(reader, forth), self._copy(back, writer)
+        )
+
+    async def _copy(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.closing(writer):
+            while chunk := await reader.read(65_536):
+                self.bytes += len(chunk)
+                writer.write(chunk)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pair:
+    """A prober and what it probes."""
+
+    prober: prober.Prober
+    receiver: receiver.Receiver
+    board: board.Board
+    link: Counted
+
+
+@contextlib.asynccontextmanager
+async def connect(budget: resources.Budget) -> abc.AsyncIterator[Pair]:
+    """Connect the two sides over a counted link."""
+    probed = receiver.Receiver(
+        TOKEN,
+        load=lambda: LARGE,
+        incarnation=lambda: 1,
+        standing=lambda: configure(budget),
+        clock=time.monotonic,
+    )
+    port = fleet.free_port()
+    link = Counted(port)
+    runner = web.ServerRunner(web.Server(probed.handle))
+    await runner.setup()
+    await web.TCPSite(runner, fleet.HOST, port).start()
+    server = await asyncio.start_server(link.carry, fleet.HOST, 0)
+    reached = model.Address(fleet.HOST, server.sockets[0].getsockname()[1])
+    member = dataclasses.replace(play.make_member(0, "shotton"), peer=reached)
+    tallies = board.Board(
+        "own", "shotton", time.monotonic, lambda: routing.Report(0, 0, 0)
+    )
+    tallies.refresh(play.SERVICE, (member,), 0.5)
+    settings = fleet.Fleet(pathlib.Path()).settle(
+        fleet.Place("own", "shotton"), peer_token=TOKEN
+    )
+    async with aiohttp.ClientSession() as session:
+        probing = prober.Prober(
+            settings,
+            tallies,
+            session,
+            random.Random(1),
+            lambda: configure(budget),
+        )
+        yield Pair(probing, probed, tallies, link)
+    server.close()
+    await runner.cleanup()
+
+
+async def test_a_probe_costs_no_more_than_its_charge() -> None:
+    async with connect(resources.Budget()) as pair:
+        member = pair.board.groups[play.SERVICE].members[0]
+        pair.board.enlist(member)
+        for count in range(1, 4):
+            await pair.prober.ask(member)
+            assert pair.link.bytes > 0
+            framed = pair.link.bytes + count * prober.FRAMING_BYTES
+            assert framed <= count * prober.measure_size(TOKEN)
+        assert pair.board.view(member).report == LARGE
+
+
+async def test_a_probe_beyond_the_budget_is_refused_cheaply() -> None:
+    budget = resources.Budget(upstream_probes_per_second=2)
+    async with connect(budget) as pair:
+        member = pair.board.groups[play.SERVICE].members[0]
+        pair.board.enlist(member)
+        for _ in range(2):
+            await pair.prober.ask(member)
+        taken = pair.link.bytes
+        await pair.prober.ask(member)
+        assert pair.receiver.refused == 1
+        assert pair.link.bytes - taken < taken / 2
+        # A refusal is no failure of the instance.
+        assert pair.board.view(member).health == routing.Health()
+
+
+@pytest.mark.parametrize("calls", [0, 5])
+async def test_only_instances_that_are_called_are_probed(calls: int) -> None:
+    async with connect(resources.Budget()) as pair:
+        group = pair.board.groups[play.SERVICE]
+        member = group.members[0]
+        pair.board.enlist(member)
+        group.asked_at = time.monotonic() if calls else -1e9
+        pair.board.answers = 100
+        async with pair.prober:
+            for _ in range(100):
+                await asyncio.sleep(0.01)
+                if pair.prober.sent:
+                    break
+        assert bool(pair.prober.sent) == bool(calls)
+        assert pair.prober.bytes == pair.prober.sent * prober.measure_size(
+            TOKEN
+        )
+
+
+def test_the_token_is_in_the_charge() -> None:
+    assert prober.measure_size("x" * 99) - prober.measure_size("") == 99
+    assert len(headers.PEER_TOKEN) < prober.REQUEST_BYTES
+    assert decisions.HOLD_S > 1.0 + decisions.PROBE_TIMEOUT_S
