--- a/packages/burdockdeal/burdockdeal/daemon/assembly.py
+++ b/packages/burdockdeal/burdockdeal/daemon/assembly.py
@@ -34,6 +34,8 @@
 from burdockdeal.membership import service as membership_service
 from burdockdeal.membership import transport
 from burdockdeal.platform import store
+from burdockdeal.retry import attempts
+from burdockdeal.retry import budget as budgets
 from burdockdeal.routing import board
 from burdockdeal.routing import selection
 from burdockdeal.routing import state as routing
@@ -80,6 +82,7 @@
         self.board = board.Board(
             settings.daemon, settings.failure_domain, self.clock, self.load
         )
+        self.budget = budgets.Budget()
         self.snapshot: classify.Snapshot | None = None
         self.services: tuple[mode.Service, ...] = ()
         self.side.on_change(self._declare_upstream)
@@ -150,7 +153,7 @@
         return () if self.snapshot else ("configuration",)
 
 
-def _make_choose(parts: Parts) -> entry.Choose:
+def _make_choose(parts: Parts) -> attempts.Choose:
     return selection.make_choose(
         parts.settings.policy,
         parts.chance,
@@ -313,6 +316,7 @@
                     parts.gate, parts.roster, parts.standing, platform
                 ),
                 *probing.make_gauges(),
+                *metrics.make_retry_gauges(parts.budget),
             )
         )
         local = owner.make_owner(
@@ -337,6 +341,7 @@
             snapshot=lambda: parts.snapshot,
             choose=_make_choose(parts),
             open_answer=_make_open_answer(parts, local, remote),
+            budget=parts.budget,
             tallies=parts.board,
             new_id=lambda: secrets.token_hex(8),
             clock=parts.clock,
