--- a/packages/burdockdeal/burdockdeal/daemon/assembly.py
+++ b/packages/burdockdeal/burdockdeal/daemon/assembly.py
@@ -20,12 +20,15 @@
 from burdockdeal.configuration import service as configuration
 from burdockdeal.configuration import spread
 from burdockdeal.configuration import writer
-from burdockdeal.core import call
 from burdockdeal.core import codec
 from burdockdeal.core import headers
+from burdockdeal.daemon import gauges
 from burdockdeal.daemon import listening
+from burdockdeal.daemon import measuring
 from burdockdeal.daemon import messages
 from burdockdeal.daemon import metrics
+from burdockdeal.measurement import meter
+from burdockdeal.measurement import prober
 from burdockdeal.membership import contacts
 from burdockdeal.membership import messages as membership
 from burdockdeal.membership import roster
@@ -37,7 +40,7 @@
 from burdockdeal.retry import attempts
 from burdockdeal.retry import budget as budgets
 from burdockdeal.routing import board
-from burdockdeal.routing import policies
+from burdockdeal.routing import selection
 from burdockdeal.routing import state as routing
 from burdockdeal.serving import classify
 from burdockdeal.serving import entry
@@ -77,8 +80,11 @@
         )
         self.side = announce_api.Side(self.clock)
         self.standing = configuration.Standing()
-        self.board = board.Board(settings.failure_domain, self.clock)
         self.gate = gate.Gate(self.clock, self._room)
+        self.meter = meter.Meter(self.clock)
+        self.board = board.Board(
+            settings.daemon, settings.failure_domain, self.clock, self.load
+        )
         self.budget = budgets.Budget()
         self.bounds = connections.bound_listeners(settings.limits, self.clock)
         self.snapshot: classify.Snapshot | None = None
@@ -151,7 +157,8 @@
             in_flight=self.gate.running,
             waiting=self.gate.waiting,
             slots=self._slots(),
-            service_ms=round(self.gate.service_s * 1000, 3),
+            service_ms=self.meter.service_ms(),
+            failed_share=self.meter.failed_share,
         )
 
     def missing(self) -> tuple[str, ...]:
@@ -160,19 +167,14 @@
 
 
 def _make_choose(parts: Parts) -> attempts.Choose:
-    policy = policies.POLICIES[parts.settings.policy](parts.chance)
-
-    def choose(
-        work: call.Call, tried: frozenset[str]
-    ) -> membership.Member | None:
-        views = [
-            parts.board.view(member)
-            for member in parts.roster.serving(work.service).values()
-            if member.daemon not in tried
-        ]
-        return policy(views).member if views else None
-
-    return choose
+    return selection.make_choose(
+        parts.settings.policy,
+        parts.chance,
+        parts.board,
+        serving=parts.roster.list_serving,
+        services=lambda: parts.snapshot.services if parts.snapshot else {},
+        ranks=lambda: parts.snapshot.ranks if parts.snapshot else {},
+    )
 
 
 def _make_open_answer(
@@ -192,8 +194,10 @@
     handle_call: front.Handler,
     follower: configuration.Follower,
     members: membership_service.Membership,
+    probing: measuring.Measuring,
 ) -> front.Handler:
     table = {
+        prober.PATH: probing.receiver.handle,
         "/v1/peer/ping": members.handle_ping,
         "/v1/peer/ping-request": members.handle_ping_request,
         "/v1/peer/page": members.handle_page,
@@ -263,38 +267,6 @@
     return app
 
 
-def _make_gauges(
-    parts: Parts, platform: store.Store
-) -> tuple[metrics.Gauge, ...]:
-    return (
-        metrics.Gauge(
-            "burdockdeal_in_flight",
-            "Calls in flight to the upstream.",
-            lambda: parts.gate.running,
-        ),
-        metrics.Gauge(
-            "burdockdeal_waiting",
-            "Calls that wait at the gate.",
-            lambda: parts.gate.waiting,
-        ),
-        metrics.Gauge(
-            "burdockdeal_members",
-            "Daemons that are known and not believed gone.",
-            lambda: parts.roster.size,
-        ),
-        metrics.Gauge(
-            "burdockdeal_configuration_revision",
-            "The revision of the configuration in force here.",
-            lambda: parts.standing.revision,
-        ),
-        metrics.Gauge(
-            "burdockdeal_store_calls_total",
-            "Calls to the platform's store since the start.",
-            lambda: platform.calls,
-        ),
-    )
-
-
 @contextlib.asynccontextmanager
 async def run_daemon(settings: model.Settings) -> abc.AsyncIterator[Parts]:
     """Run a daemon while the block runs.
@@ -333,9 +305,21 @@
             on_newer=follower.pull_from,
         )
         guard = await stack.enter_async_context(parts.build_guard())
+        probing = measuring.build_measuring(
+            settings,
+            control,
+            parts.standing,
+            parts.board,
+            parts.chance,
+            load=parts.load,
+            incarnation=lambda: parts.side.upstream.incarnation,
+        )
         told = metrics.Metrics(
             (
-                *_make_gauges(parts, platform),
+                *gauges.make_gauges(
+                    parts.gate, parts.roster, parts.standing, platform
+                ),
+                *probing.make_gauges(),
                 *metrics.make_retry_gauges(parts.budget),
                 *metrics.make_overload_gauges(parts.bounds, guard),
             )
@@ -346,6 +330,7 @@
             session,
             lambda: parts.snapshot,
             parts.clock,
+            parts.meter,
         )
         remote = peers.make_peer_opener(
             session, settings.peer_token, parts.clock, parts.board.note_report
@@ -385,7 +370,9 @@
         upstream_app = announce_api.build_app(
             parts.side, lambda: parts.gate.running
         )
-        dispatch = _make_peer_dispatch(parts, handle_call, follower, members)
+        dispatch = _make_peer_dispatch(
+            parts, handle_call, follower, members, probing
+        )
 
         def serve(handler: front.Handler) -> web.ServerRunner:
             return web.ServerRunner(
@@ -405,7 +392,7 @@
             (serve(handle_entry), settings.listen.caller, parts.bounds.caller),
         ):
             await listening.listen(stack, runner, address, bound)
-        parts.services = (follower, members)
+        parts.services = (follower, members, probing.prober)
         for service in parts.services:
             await stack.enter_async_context(service)
         yield parts
