Keep the change log in a ring, spread changes by a tree, audit in the store

Cause: an entry of the log was one key a revision, so that dropping old entries would have let a write that arrives late land a second time; a write whose answer was lost and that another revision followed was judged anew as if it had never been sent; each status asked every daemon; the audit trail was what one daemon remembered.

Change: the log is a ring of slots written over by compare-and-swap on the version of the lap before, so no late write lands in a slot that moved on. A write stays with its revision until the slot shows its fate.

Refusals go to segments in the store, batched. Store calls go out in lanes, each with a budget.

--- a/packages/burdockdeal/burdockdeal/configuration/api.py
+++ b/packages/burdockdeal/burdockdeal/configuration/api.py
@@ -8,11 +8,13 @@
 from aiohttp import web
 import msgspec
 
+from burdockdeal.configuration import archive
 from burdockdeal.configuration import messages
 from burdockdeal.configuration import resources
-from burdockdeal.configuration import service
 from burdockdeal.configuration import spread
+from burdockdeal.configuration import standing as in_force
 from burdockdeal.configuration import state
+from burdockdeal.configuration import tree
 from burdockdeal.configuration import writer
 from burdockdeal.core import codec
 from burdockdeal.core import errors
@@ -21,6 +23,11 @@
 #: Bytes of one resource at most.
 RESOURCE_LIMIT_BYTES = 65_536
 
+#: A watch waits no longer.
+WATCH_LIMIT_S = 60.0
+
+_DEFAULT_WAIT_S = 30.0
+
 _ETAG = re.compile(r'^"?(\d+)"?$')
 _OPERATOR = "operator"
 
@@ -40,15 +47,20 @@
 def _problem_of(error: errors.BurdockdealError) -> web.Response:
     faults = tuple(str(fault) for fault in getattr(error, "faults", ()))
     generation = getattr(error, "generation", 0)
-    problem = messages.Problem(str(error), faults, generation)
+    change_id = getattr(error, "change_id", "")
+    problem = messages.Problem(str(error), faults, generation, change_id)
     return _reply(problem, _STATUS[type(error)])
 
 
 _STATUS: dict[type[errors.BurdockdealError], int] = {
     errors.ResourceError: 422,
     errors.ConflictError: 409,
+    writer.AbsentError: 404,
     errors.StoreUnavailableError: 503,
     errors.StoreUncertainError: 504,
+    writer.ChangeUncertainError: 504,
+    archive.SnapshotGoneError: 503,
+    errors.StoreConflictError: 503,
     errors.StoreBudgetError: 503,
 }
 
@@ -113,61 +125,120 @@
     )
 
 
+def _read_number(
+    request: web.Request, name: str, default: float, most: float
+) -> float:
+    given = request.query.get(name, str(default))
+    try:
+        number = float(given)
+    except ValueError:
+        number = -1.0
+    if not 0 <= number <= most:
+        fault = errors.Fault(name, f"a number from 0 to {most:g} is expected")
+        raise errors.ResourceError(request.path, (fault,))
+    return number
+
+
+async def _read_body(request: web.Request, key: state.Key) -> bytes:
+    try:
+        return await request.read()
+    except web.HTTPRequestEntityTooLarge as error:
+        fault = errors.Fault(
+            "", f"holds more than {RESOURCE_LIMIT_BYTES} bytes"
+        )
+        raise errors.ResourceError(str(key), (fault,)) from error
+
+
+async def _read_spec(request: web.Request, key: state.Key) -> resources.Spec:
+    try:
+        raw = msgspec.json.decode(await _read_body(request, key))
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        fault = errors.Fault("", f"not JSON: {error}")
+        raise errors.ResourceError(str(key), (fault,)) from error
+    return resources.check_spec(key.kind, key.name, raw)
+
+
+def _key_of(request: web.Request) -> state.Key:
+    return state.Key(request.match_info["kind"], request.match_info["name"])
+
+
 def add_routes(
     app: web.Application,
-    standing: service.Standing,
+    standing: in_force.Standing,
     append: writer.Append,
     ask_domains: spread.AskDomains,
+    new_id: abc.Callable[[], str],
+    judged: abc.Callable[
+        [writer.Request, writer.Accepted | errors.BurdockdealError], None
+    ],
 ) -> None:
-    """Add the resource interface to the operators' application."""
+    """Add the resource interface to the operators' application.
 
-    def key_of(request: web.Request) -> state.Key:
-        return state.Key(
-            request.match_info["kind"], request.match_info["name"]
-        )
+    :param new_id: makes the ids of changes.
+    :param judged: told how every change ended.
+    """
 
-    async def read_spec(request: web.Request) -> resources.Spec:
-        key = key_of(request)
+    async def decide(
+        request: web.Request, make_spec: abc.Callable[[], abc.Awaitable]
+    ) -> writer.Accepted:
+        wanted = writer.Request(
+            change_id=new_id(),
+            operator=request[_OPERATOR],
+            key=_key_of(request),
+            spec=None,
+            expected=None,
+            is_put=request.method == "PUT",
+        )
         try:
-            raw = msgspec.json.decode(await request.read())
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
-            fault = errors.Fault("", f"not JSON: {error}")
-            raise errors.ResourceError(str(key), (fault,)) from error
-        return resources.check_spec(key.kind, key.name, raw)
+            wanted = dataclasses.replace(
+                wanted,
+                spec=await make_spec(),
+                expected=_read_expected(request),
+            )
+            accepted = await append(wanted)
+        except tuple(_STATUS) as error:
+            judged(wanted, error)
+            raise
+        judged(wanted, accepted)
+        return accepted
 
     async def put(request: web.Request) -> web.Response:
-        spec = await read_spec(request)
-        change = await append(
-            request[_OPERATOR], key_of(request), spec, _read_expected(request)
-        )
-        resource = standing.configuration.resources.get(key_of(request))
-        if resource is None or resource.generation != change.revision:
+        key = _key_of(request)
+        accepted = await decide(request, lambda: _read_spec(request, key))
+        resource = standing.configuration.resources.get(key)
+        if resource is None or resource.generation != accepted.generation:
+            # Accepted, and since then superseded by another change.
             problem = messages.Problem(
-                "superseded", generation=change.revision
+                f"{key} was superseded", generation=accepted.generation
             )
             return _reply(problem, 409)
-        return _reply(_document(resource), 200, change.revision)
+        return _reply(_document(resource), 200, accepted.generation)
 
     async def delete(request: web.Request) -> web.Response:
-        key = key_of(request)
-        if key not in standing.configuration.resources:
-            return _reply(messages.Problem(f"{key} does not exist"), 404)
-        change = await append(
-            request[_OPERATOR], key, None, _read_expected(request)
-        )
-        return _reply(messages.Problem("", (), change.revision))
+        async def no_spec() -> None:
+            return None
+
+        accepted = await decide(request, no_spec)
+        return _reply(messages.Problem("", (), accepted.generation))
 
     async def get(request: web.Request) -> web.Response:
-        key = key_of(request)
+        key = _key_of(request)
         resource = standing.configuration.resources.get(key)
         if resource is None:
             return _reply(messages.Problem(f"{key} does not exist"), 404)
-        status = spread.judge(resource.generation, await ask_domains())
+        etag = f'"{resource.generation}"'
+        status = tree.judge(resource.generation, await ask_domains())
+        if request.headers.get("If-None-Match") == etag and all(
+            condition.status for condition in status.conditions
+        ):
+            return web.Response(status=304, headers={"ETag": etag})
         document = dataclasses.replace(_document(resource), status=status)
         return _reply(document, 200, resource.generation)
 
     async def get_all(request: web.Request) -> web.Response:
         kind = request.match_info.get("kind")
+        if kind is not None and kind not in resources.KINDS:
+            return _reply(messages.Problem(f"no such kind: {kind}"), 404)
         listed = standing.configuration.resources
         documents = tuple(
             _document(listed[key])
@@ -176,6 +247,20 @@
         )
         return _reply(messages.Documents(documents))
 
+    async def watch(request: web.Request) -> web.Response:
+        after = int(_read_number(request, "after", standing.revision, 2**53))
+        wait_s = _read_number(
+            request, "wait_s", _DEFAULT_WAIT_S, WATCH_LIMIT_S
+        )
+        await standing.wait(after, wait_s)
+        page = standing.page(after)
+        return _reply(
+            messages.Watched(
+                page.revision, not page.needs_snapshot, page.changes
+            )
+        )
+
+    app.router.add_get("/v1/watch", watch)
     app.router.add_get("/v1/resources", get_all)
     app.router.add_get("/v1/resources/{kind}", get_all)
     app.router.add_get("/v1/resources/{kind}/{name}", get)
--- a/packages/burdockdeal/burdockdeal/configuration/decisions.py
+++ b/packages/burdockdeal/burdockdeal/configuration/decisions.py
@@ -5,56 +5,102 @@
 
 import msgspec
 
+from burdockdeal.configuration import log
 from burdockdeal.configuration import messages
 from burdockdeal.configuration import resources
 from burdockdeal.configuration import state
+from burdockdeal.core import codec
 from burdockdeal.core import errors
 
 
-def log_key(revision: int) -> str:
-    """Name the store's key of a log entry, in the order of revisions."""
-    return f"{messages.LOG_PREFIX}{revision:012d}"
+def _read_spec(kind: str, raw: msgspec.Raw) -> resources.Spec:
+    if kind not in resources.KINDS:
+        raise codec.MalformedError(f"no such kind: {kind}")
+    return codec.decode(raw, resources.KINDS[kind])
 
 
-def apply(
-    configuration: state.Configuration, change: messages.Change
+def to_stored(resource: resources.Resource) -> messages.Stored:
+    """Turn a resource into the form of snapshots."""
+    return messages.Stored(
+        kind=resource.kind,
+        name=resource.name,
+        generation=resource.generation,
+        changed_by=resource.changed_by,
+        changed_at_ms=resource.changed_at_ms,
+        spec=msgspec.Raw(codec.encode(resource.spec)),
+    )
+
+
+def from_stored(stored: messages.Stored) -> resources.Resource:
+    """Turn a resource back from the form of snapshots."""
+    return resources.Resource(
+        kind=stored.kind,
+        name=stored.name,
+        generation=stored.generation,
+        spec=_read_spec(stored.kind, stored.spec),
+        changed_by=stored.changed_by,
+        changed_at_ms=stored.changed_at_ms,
+    )
+
+
+def _resource_of(change: messages.Change) -> resources.Resource:
+    return resources.Resource(
+        kind=change.kind,
+        name=change.name,
+        generation=change.revision,
+        spec=_read_spec(change.kind, change.spec),
+        changed_by=change.operator,
+        changed_at_ms=change.at_ms,
+    )
+
+
+def apply_all(
+    configuration: state.Configuration, changes: abc.Iterable[messages.Change]
 ) -> state.Configuration:
-    """Fold one change into the configuration.
+    """Fold changes into the configuration.
 
-    Only the very next revision is taken, so that a stale or repeated
+    Only the very next revision is ever taken, so that a stale or repeated
     entry can't revert anything.
 
-    :returns: the next configuration, or the same one if the change is
-        not the next.
+    :returns: the next configuration, or the same one if none of the
+        changes is the next.
+    :raises MalformedError: if a change is of a kind that is not known
+        here, as while the fleet is upgraded.
     """
-    if change.revision != configuration.revision + 1:
+    following = log.choose_next(changes, configuration.revision)
+    if not following:
         return configuration
     standing = dict(configuration.resources)
-    key = state.Key(change.kind, change.name)
-    if change.action is messages.Action.DELETE:
-        standing.pop(key, None)
-    else:
-        kind = resources.KINDS[change.kind]
-        standing[key] = resources.Resource(
-            kind=change.kind,
-            name=change.name,
-            generation=change.revision,
-            spec=msgspec.json.decode(change.spec, type=kind),
-            changed_by=change.operator,
-            changed_at_ms=change.at_ms,
-        )
+    for change in following:
+        key = state.Key(change.kind, change.name)
+        if change.action is messages.Action.DELETE:
+            standing.pop(key, None)
+        else:
+            standing[key] = _resource_of(change)
     return state.Configuration(
-        revision=change.revision, resources=types.MappingProxyType(standing)
+        revision=following[-1].revision,
+        resources=types.MappingProxyType(standing),
     )
 
 
-def apply_all(
-    configuration: state.Configuration, changes: abc.Iterable[messages.Change]
-) -> state.Configuration:
-    """Fold changes in the order of their revisions."""
-    for change in sorted(changes, key=lambda change: change.revision):
-        configuration = apply(configuration, change)
-    return configuration
+def is_repeat(
+    standing: resources.Resource | None,
+    spec: resources.Spec | None,
+    operator: str,
+    expected: int | None,
+) -> bool:
+    """Tell whether a change asks for what stands already.
+
+    An operator who sends a change again, because its answer was lost,
+    gets the generation that it made, though it names the one before.
+    """
+    if standing is None or spec is None or standing.spec != spec:
+        return False
+    return (
+        expected is None
+        or expected == standing.generation
+        or (expected > 0 and operator == standing.changed_by)
+    )
 
 
 def check_generation(
--- /dev/null
+++ b/packages/burdockdeal/burdockdeal/configuration/peers.py
@@ -0,0 +1,150 @@
+"""Fetching of the configuration from peers, without the store."""
+
+import asyncio
+from collections import abc
+
+import aiohttp
+from aiohttp import web
+import mode
+
+from burdockdeal.configuration import messages
+from burdockdeal.configuration import snapshots
+from burdockdeal.configuration import standing
+from burdockdeal.core import codec
+from burdockdeal.core import headers
+from burdockdeal.core import journal
+from burdockdeal.settings import model
+
+CHANGES_PATH = "/v1/peer/changes"
+SNAPSHOT_PATH = "/v1/peer/snapshot"
+
+_TIMEOUT_S = 2.0
+_PART_BYTES = 200_000
+_MOST_PAGES = 4096
+_PIN_S = 5.0
+
+_FAILURES = (
+    aiohttp.ClientError,
+    asyncio.TimeoutError,
+    codec.MalformedError,
+    OSError,
+)
+
+
+class Puller(mode.Service):
+    """Fetches changes from peers and hands them out.
+
+    :param clock: returns monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        settings: model.Settings,
+        in_force: standing.Standing,
+        session: aiohttp.ClientSession,
+        *,
+        clock: abc.Callable[[], float],
+    ) -> None:
+        super().__init__()
+        self._settings = settings
+        self._standing = in_force
+        self._session = session
+        self._pulling: set[model.Address] = set()
+        self._clock = clock
+        self._pinned: tuple[messages.Part, ...] = ()
+        self._pinned_at = -_PIN_S
+
+    def pull_from(self, peer: model.Address) -> None:
+        """Fetch what is newer from a peer, in the background."""
+        if peer not in self._pulling:
+            self._pulling.add(peer)
+            self.add_future(self._pull(peer))
+
+    async def _pull(self, peer: model.Address) -> None:
+        try:
+            await self._pull_all(peer)
+        except _FAILURES as error:
+            journal.debug("pull_failed", peer=peer, error=repr(error))
+        finally:
+            self._pulling.discard(peer)
+
+    async def _pull_all(self, peer: model.Address) -> None:
+        for _ in range(_MOST_PAGES):
+            before = self._standing.revision
+            page = await self._fetch(
+                peer, f"{CHANGES_PATH}?after={before}", messages.Changes
+            )
+            if page.needs_snapshot:
+                await self._pull_snapshot(peer)
+            else:
+                self._standing.take(page.changes)
+            done = self._standing.revision >= page.revision
+            if done or self._standing.revision == before:
+                return
+
+    async def _pull_snapshot(self, peer: model.Address) -> None:
+        first = await self._fetch(
+            peer, f"{SNAPSHOT_PATH}?position=0", messages.Part
+        )
+        parts = [first]
+        for position in range(1, first.parts):
+            query = f"position={position}&revision={first.revision}"
+            parts.append(
+                await self._fetch(
+                    peer, f"{SNAPSHOT_PATH}?{query}", messages.Part
+                )
+            )
+        self._standing.take_snapshot(snapshots.join(parts))
+
+    async def _fetch(
+        self, peer: model.Address, path: str, kind: type[codec.T]
+    ) -> codec.T:
+        async with self._session.get(
+            f"http://{peer}{path}",
+            headers={headers.PEER_TOKEN: self._settings.peer_token},
+            timeout=aiohttp.ClientTimeout(total=_TIMEOUT_S),
+        ) as response:
+            response.raise_for_status()
+            return codec.decode(await response.read(), kind)
+
+    async def handle_changes(self, request: web.BaseRequest) -> web.Response:
+        """Answer a peer that is behind."""
+        after = _read_number(request, "after")
+        return _reply(self._standing.page(after))
+
+    async def handle_snapshot(self, request: web.BaseRequest) -> web.Response:
+        """Hand out one part of a snapshot.
+
+        The parts stay those of one revision for a while, so that a peer
+        gets them all though the configuration moves on.
+        """
+        position = _read_number(request, "position")
+        if not position:
+            self._pin()
+        if position >= len(self._pinned):
+            return web.Response(status=404)
+        part = self._pinned[position]
+        if position and part.revision != _read_number(request, "revision"):
+            return web.Response(status=409)
+        return _reply(part)
+
+    def _pin(self) -> None:
+        now = self._clock()
+        if now - self._pinned_at >= _PIN_S:
+            self._pinned_at = now
+            self._pinned = snapshots.split(
+                self._standing.configuration, part_bytes=_PART_BYTES
+            )
+
+
+def _read_number(request: web.BaseRequest, name: str) -> int:
+    try:
+        return max(0, int(request.query.get(name, "0")))
+    except ValueError:
+        return 0
+
+
+def _reply(message: object) -> web.Response:
+    return web.Response(
+        body=codec.encode(message), content_type="application/json"
+    )
--- a/packages/burdockdeal/burdockdeal/configuration/service.py
+++ b/packages/burdockdeal/burdockdeal/configuration/service.py
@@ -1,170 +1,123 @@
-"""The configuration service: following the log and passing it on."""
+"""The configuration service: relays follow the log in the store."""
 
-import asyncio
 from collections import abc
+import random
 
-import aiohttp
-from aiohttp import web
 import mode
 
-from burdockdeal.configuration import decisions
+from burdockdeal.configuration import archive
 from burdockdeal.configuration import messages
-from burdockdeal.configuration import state
-from burdockdeal.core import codec
+from burdockdeal.configuration import snapshots
+from burdockdeal.configuration import standing
 from burdockdeal.core import errors
-from burdockdeal.core import headers
 from burdockdeal.core import journal
-from burdockdeal.platform import store
-from burdockdeal.settings import model
+from burdockdeal.platform import decisions as platform
 
 _WATCH_S = 5.0
-_RETRY_S = 0.5
-_PEER_TIMEOUT_S = 2.0
-
-
-class Standing:
-    """Holds the configuration in force here, and its changes."""
-
-    def __init__(self) -> None:
-        self.configuration = state.Configuration()
-        self.changes: tuple[messages.Change, ...] = ()
-        self._listeners: list[abc.Callable[[], None]] = []
-
-    @property
-    def revision(self) -> int:
-        """The revision in force here, 0 before the first."""
-        return self.configuration.revision
-
-    def on_change(self, listener: abc.Callable[[], None]) -> None:
-        """Call a function whenever a newer revision is in force."""
-        self._listeners.append(listener)
-
-    def take(self, changes: abc.Iterable[messages.Change]) -> None:
-        """Put the changes that come next in force."""
-        before = self.configuration
-        for change in sorted(changes, key=lambda change: change.revision):
-            following = decisions.apply(self.configuration, change)
-            if following is not self.configuration:
-                self.configuration = following
-                self.changes = (*self.changes, change)
-        if self.configuration is before:
-            return
-        journal.record("configuration_in_force", revision=self.revision)
-        for listener in self._listeners:
-            listener()
+_IDLE_S = 0.5
+_FIRST_PAUSE_S = 0.25
+_MOST_PAUSE_S = 3.0
+_COMPACTION_JITTER_S = 15.0
 
 
 class Follower(mode.Service):
-    """Follows the change log, in the store or at peers.
+    """Follows the change log in the store while this daemon is a relay.
 
+    :param log: the change log in the store.
+    :param in_force: takes in what was read.
     :param is_relay: tells whether this daemon watches the store for its
         failure domain.
+    :param pass_on: sends changes on to the daemons of the domain.
     """
 
     def __init__(
         self,
-        settings: model.Settings,
-        standing: Standing,
-        platform: store.Store,
-        session: aiohttp.ClientSession,
+        log: archive.Archive,
+        in_force: standing.Standing,
+        chance: random.Random,
         *,
         is_relay: abc.Callable[[], bool],
+        pass_on: abc.Callable[[tuple[messages.Change, ...]], None],
     ) -> None:
         super().__init__()
-        self._settings = settings
-        self._standing = standing
-        self._store = platform
-        self._session = session
+        self._log = log
+        self._standing = in_force
+        self._chance = chance
         self._is_relay = is_relay
-        self._pulling: set[model.Address] = set()
+        self._pass_on = pass_on
 
     @mode.Service.task
     async def _watch_forever(self) -> None:
-        seen = 0
+        failures = 0
+        seen: int | None = None
         while not self.should_stop:
             if not self._is_relay():
-                seen = 0
-                await self.sleep(_RETRY_S)
+                seen = None
+                await self.sleep(_IDLE_S)
                 continue
             try:
-                seen = await self._watch(seen)
+                seen = await self._follow(seen)
+                failures = 0
             except errors.PlatformError as error:
-                journal.warn("store_unavailable", error=error)
-                seen = 0
-                await self.sleep(_RETRY_S)
-
-    async def _watch(self, seen: int) -> int:
-        if not seen:
-            await self.catch_up()
-        listing = await self._store.watch(
-            messages.LOG_PREFIX, after=seen, wait_s=_WATCH_S
-        )
-        self._standing.take(
-            codec.decode(entry.value, messages.Change)
-            for entry in listing.entries
-        )
-        return listing.revision
-
-    async def catch_up(self) -> None:
-        """Read what the store holds beyond the revision in force.
-
-        :raises PlatformError: if the store did not answer.
+                seen = None
+                failures += 1
+                journal.warn(
+                    "store_unavailable", failures=failures, error=error
+                )
+                await self.sleep(
+                    platform.back_off(
+                        failures,
+                        self._chance,
+                        first_s=_FIRST_PAUSE_S,
+                        most_s=_MOST_PAUSE_S,
+                    )
+                )
+
+    async def _follow(self, seen: int | None) -> int:
+        """Take in what is new.
+
+        :param seen: the version of the newest entry that was taken in,
+            None if it isn't known.
+        :returns: the same, as of now.
         """
-        start = decisions.log_key(self._standing.revision + 1)
-        listing = await self._store.list(messages.LOG_PREFIX, start=start)
-        while listing.entries:
-            self._standing.take(
-                codec.decode(entry.value, messages.Change)
-                for entry in listing.entries
-            )
-            start = decisions.log_key(self._standing.revision + 1)
-            listing = await self._store.list(messages.LOG_PREFIX, start=start)
-
-    def pull_from(self, peer: model.Address) -> None:
-        """Fetch newer changes from a peer, in the background."""
-        if peer not in self._pulling:
-            self._pulling.add(peer)
-            self.add_future(self._pull(peer))
+        before = self._standing.revision
+        if seen is None:
+            await self._log.catch_up()
+            slot = await self._log.read_slot(self._standing.revision)
+            self._pass_on_after(before)
+            return slot.version if self._standing.revision else 0
+        listing = await self._log.watch(seen, _WATCH_S)
+        changes = tuple(map(archive.read_change, listing.entries))
+        self._standing.take(changes)
+        if any(
+            change.revision > self._standing.revision for change in changes
+        ):
+            # Something between was missed.
+            await self._log.catch_up()
+        self._pass_on_after(before)
+        return max(
+            (
+                entry.version
+                for entry, change in zip(listing.entries, changes, strict=True)
+                if change.revision <= self._standing.revision
+            ),
+            default=seen,
+        )
 
-    async def _pull(self, peer: model.Address) -> None:
-        after = self._standing.revision
-        try:
-            async with self._session.get(
-                f"http://{peer}/v1/peer/changes?after={after}",
-                headers={headers.PEER_TOKEN: self._settings.peer_token},
-                timeout=aiohttp.ClientTimeout(total=_PEER_TIMEOUT_S),
-            ) as response:
-                response.raise_for_status()
-                raw = await response.read()
-            self._standing.take(codec.decode(raw, messages.Changes).changes)
-        except (
-            aiohttp.ClientError,
-            asyncio.TimeoutError,
-            codec.MalformedError,
-            OSError,
-        ) as error:
-            journal.debug("pull_failed", peer=peer, error=repr(error))
-        finally:
-            self._pulling.discard(peer)
+    def _pass_on_after(self, revision: int) -> None:
+        if self._standing.revision > revision:
+            self._pass_on(self._standing.page(revision).changes)
 
-    async def handle_changes(self, request: web.BaseRequest) -> web.Response:
-        """Answer a peer that is behind."""
-        after = int(request.query.get("after", "0"))
-        newer = tuple(
-            change
-            for change in self._standing.changes
-            if change.revision > after
-        )
-        return web.Response(
-            body=codec.encode(messages.Changes(newer)),
-            content_type="application/json",
-        )
+    @mode.Service.task
+    async def _compact_forever(self) -> None:
+        while not self.should_stop:
+            await self.sleep(self._chance.uniform(0, _COMPACTION_JITTER_S))
+            if not self._is_relay() or not self._is_due():
+                continue
+            try:
+                await self._log.compact()
+            except errors.PlatformError as error:
+                journal.warn("compaction_failed", error=error)
 
-    async def handle_applied(self, request: web.BaseRequest) -> web.Response:
-        """Tell which revision is in force here."""
-        applied = messages.Applied(
-            self._settings.failure_domain, self._standing.revision, 1, 0
-        )
-        return web.Response(
-            body=codec.encode(applied), content_type="application/json"
-        )
+    def _is_due(self) -> bool:
+        return snapshots.is_due(self._standing.revision, self._log.snapshot)
--- /dev/null
+++ b/packages/burdockdeal/burdockdeal/configuration/wiring.py
@@ -0,0 +1,159 @@
+"""Assembly of the slices of configuration and audit."""
+
+from collections import abc
+import contextlib
+import dataclasses
+import random
+
+import aiohttp
+from aiohttp import web
+
+from burdockdeal.audit import api as audit_api
+from burdockdeal.audit import ledger
+from burdockdeal.configuration import api
+from burdockdeal.configuration import archive
+from burdockdeal.configuration import peers
+from burdockdeal.configuration import service
+from burdockdeal.configuration import spread
+from burdockdeal.configuration import standing
+from burdockdeal.configuration import writer
+from burdockdeal.membership import messages as membership
+from burdockdeal.platform import state as rates
+from burdockdeal.platform import store
+from burdockdeal.settings import model
+
+_BURST_S = 3.0
+
+#: Answers a peer's control message.
+Handler = abc.Callable[[web.BaseRequest], abc.Awaitable[web.StreamResponse]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Means:
+    """What the slice is given by the daemon.
+
+    :param session: for messages to other daemons.
+    :param members: returns what is believed of all daemons.
+    :param is_relay: tells whether this daemon watches the store.
+    :param new_id: makes unique ids.
+    :param clock: returns monotonic seconds.
+    :param wall_ms: returns the wall clock, in milliseconds.
+    """
+
+    settings: model.Settings
+    platform: store.Store
+    session: aiohttp.ClientSession
+    chance: random.Random
+    members: abc.Callable[[], tuple[membership.Member, ...]]
+    is_relay: abc.Callable[[], bool]
+    new_id: abc.Callable[[], str]
+    clock: abc.Callable[[], float]
+    wall_ms: abc.Callable[[], int]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Slice:
+    """The parts of the slice that others use."""
+
+    follower: service.Follower
+    puller: peers.Puller
+    spreader: spread.Spreader
+    records: ledger.Ledger
+    add_routes: abc.Callable[[web.Application], None]
+
+    @property
+    def peer_handlers(self) -> dict[str, Handler]:
+        """The control messages that this slice answers, by path."""
+        return {
+            peers.CHANGES_PATH: self.puller.handle_changes,
+            peers.SNAPSHOT_PATH: self.puller.handle_snapshot,
+            spread.PATH: self.spreader.handle_spread,
+        }
+
+    @contextlib.asynccontextmanager
+    async def run(self) -> abc.AsyncIterator[None]:
+        """Run the slice's services while the block runs."""
+        async with self.puller, self.spreader, self.follower, self.records:
+            yield
+
+
+def _rate(calls_per_s: float) -> rates.Rate:
+    return rates.Rate(calls_per_s, max(1.0, calls_per_s * _BURST_S))
+
+
+def make_platform(
+    settings: model.Settings,
+    chance: random.Random,
+    clock: abc.Callable[[], float],
+) -> store.Store:
+    """Make the store's client with the budget of the settings."""
+    budget = settings.store_budget
+    return store.Store(
+        settings.store,
+        rate=rates.Rate(budget.calls_per_s, budget.burst),
+        opens_at=clock() + chance.uniform(0, budget.start_spread_s),
+        clock=clock,
+    )
+
+
+def build(means: Means, in_force: standing.Standing) -> Slice:
+    """Build the slice.
+
+    :param in_force: the configuration in force in this daemon.
+    """
+    settings = means.settings
+    budget = settings.store_budget
+    follows = archive.Archive(
+        means.platform.make_lane(_rate(budget.relay_calls_per_s)),
+        in_force,
+        means.new_id,
+    )
+    writes = archive.Archive(
+        means.platform.make_lane(_rate(budget.operator_calls_per_s)),
+        in_force,
+        means.new_id,
+    )
+    puller = peers.Puller(settings, in_force, means.session, clock=means.clock)
+    spreader = spread.Spreader(
+        settings,
+        in_force,
+        means.session,
+        means.chance,
+        members=means.members,
+        pull=puller.pull_from,
+        clock=means.clock,
+    )
+    follower = service.Follower(
+        follows,
+        in_force,
+        means.chance,
+        is_relay=means.is_relay,
+        pass_on=spreader.push_domain,
+    )
+    append = writer.make_append(
+        writes,
+        in_force,
+        means.chance,
+        wall_ms=means.wall_ms,
+        clock=means.clock,
+        pass_on=spreader.push_fleet,
+    )
+    records = ledger.Ledger(
+        means.platform.make_lane(rates.Rate(budget.calls_per_s, budget.burst)),
+        writes,
+        in_force,
+        clock=means.clock,
+    )
+
+    def add_routes(app: web.Application) -> None:
+        api.add_routes(
+            app,
+            in_force,
+            append,
+            spreader.ask_domains,
+            means.new_id,
+            audit_api.make_judged(records, in_force, means.wall_ms),
+        )
+        audit_api.add_routes(app, records)
+
+    return Slice(follower, puller, spreader, records, add_routes)
--- a/packages/burdockdeal/burdockdeal/daemon/assembly.py
+++ b/packages/burdockdeal/burdockdeal/daemon/assembly.py
@@ -12,12 +12,10 @@
 from burdockdeal.admission import gate
 from burdockdeal.announce import api as announce_api
 from burdockdeal.announce import decisions as announce
-from burdockdeal.audit import api as audit_api
 from burdockdeal.configuration import api as configuration_api
 from burdockdeal.configuration import resources
-from burdockdeal.configuration import service as configuration
-from burdockdeal.configuration import spread
-from burdockdeal.configuration import writer
+from burdockdeal.configuration import standing as configuration
+from burdockdeal.configuration import wiring as configuration_wiring
 from burdockdeal.core import call
 from burdockdeal.core import codec
 from burdockdeal.core import headers
@@ -152,13 +150,12 @@
 def _make_peer_dispatch(
     parts: Parts,
     handle_call: front.Handler,
-    follower: configuration.Follower,
+    config_slice: configuration_wiring.Slice,
     members: membership_service.Membership,
 ) -> front.Handler:
     table = {
         "/v1/peer/exchange": members.handle_exchange,
-        "/v1/peer/changes": follower.handle_changes,
-        "/v1/peer/applied": follower.handle_applied,
+        **config_slice.peer_handlers,
     }
     token = parts.settings.peer_token.encode()
 
@@ -179,8 +176,7 @@
 def _build_operator_app(
     parts: Parts,
     platform: store.Store,
-    append: writer.Append,
-    ask_domains: spread.AskDomains,
+    config_slice: configuration_wiring.Slice,
     told: metrics.Metrics,
 ) -> web.Application:
     def reply(message: object, status: int = 200) -> web.Response:
@@ -204,7 +200,7 @@
                 daemon=parts.settings.daemon,
                 revision=parts.standing.revision,
                 store_calls=platform.calls,
-                domains=await ask_domains(),
+                domains=await config_slice.spreader.ask_domains(),
                 members=parts.roster.members,
             )
         )
@@ -218,8 +214,7 @@
     app.router.add_get("/readyz", readyz)
     app.router.add_get("/metrics", told.handle)
     app.router.add_get("/v1/status", status)
-    configuration_api.add_routes(app, parts.standing, append, ask_domains)
-    audit_api.add_routes(app, parts.standing)
+    config_slice.add_routes(app)
     return app
 
 
@@ -275,7 +270,11 @@
     limits = settings.limits
     local_addr = (settings.listen.peer.host, 0)
     async with contextlib.AsyncExitStack() as stack:
-        platform = await stack.enter_async_context(store.Store(settings.store))
+        platform = await stack.enter_async_context(
+            configuration_wiring.make_platform(
+                settings, parts.chance, parts.clock
+            )
+        )
         session = await stack.enter_async_context(
             transfer.build_session(limits.header_bytes, local_addr)
         )
@@ -285,13 +284,21 @@
                 cookie_jar=aiohttp.DummyCookieJar(),
             )
         )
-        follower = configuration.Follower(
-            settings,
+        config_slice = configuration_wiring.build(
+            configuration_wiring.Means(
+                settings=settings,
+                platform=platform,
+                session=control,
+                chance=parts.chance,
+                members=lambda: parts.roster.members,
+                is_relay=parts.is_relay,
+                new_id=lambda: secrets.token_hex(8),
+                clock=parts.clock,
+                wall_ms=_wall_ms,
+            ),
             parts.standing,
-            platform,
-            control,
-            is_relay=parts.is_relay,
         )
+        parts.roster.on_change(config_slice.spreader.forget_members)
         members = membership_service.Membership(
             settings,
             parts.roster,
@@ -299,7 +306,7 @@
             control,
             parts.chance,
             revision=lambda: parts.standing.revision,
-            on_newer=follower.pull_from,
+            on_newer=config_slice.puller.pull_from,
         )
         told = metrics.Metrics(_make_gauges(parts, platform))
         local = owner.make_owner(
@@ -329,23 +336,13 @@
             count=told.count,
             replay_bytes=limits.replay_bytes,
         )
-        append = writer.make_append(
-            platform,
-            follower,
-            parts.standing,
-            lambda: secrets.token_hex(8),
-            _wall_ms,
-        )
-        ask_domains = spread.make_ask_domains(
-            lambda: parts.roster.members, control, settings.peer_token
-        )
-        operator_app = _build_operator_app(
-            parts, platform, append, ask_domains, told
-        )
+        operator_app = _build_operator_app(parts, platform, config_slice, told)
         upstream_app = announce_api.build_app(
             parts.side, lambda: parts.gate.running
         )
-        dispatch = _make_peer_dispatch(parts, handle_call, follower, members)
+        dispatch = _make_peer_dispatch(
+            parts, handle_call, config_slice, members
+        )
 
         def serve(handler: front.Handler) -> web.ServerRunner:
             return web.ServerRunner(
@@ -368,6 +365,6 @@
         )
         await _listen(stack, serve(dispatch), settings.listen.peer)
         await _listen(stack, serve(handle_entry), settings.listen.caller)
-        await stack.enter_async_context(follower)
+        await stack.enter_async_context(config_slice.run())
         await stack.enter_async_context(members)
         yield parts
--- a/packages/burdockdeal/burdockdeal/platform/store.py
+++ b/packages/burdockdeal/burdockdeal/platform/store.py
@@ -1,11 +1,15 @@
 """The client of the platform's store.
 
 The store speaks HTTP: keys below /v1/kv, listings and watches at
-/v1/list and /v1/watch, leases at /v1/leases.
+/v1/list and /v1/watch, leases at /v1/leases. Calls go out in lanes, each
+with a budget of its own, so that neither a mistake nor a restart of the
+whole fleet sends more than the store takes.
 """
 
 import asyncio
+from collections import abc
 import dataclasses
+import time
 import typing
 from urllib import parse
 
@@ -14,7 +18,9 @@
 
 from burdockdeal.core import codec
 from burdockdeal.core import errors
+from burdockdeal.platform import decisions
 from burdockdeal.platform import messages
+from burdockdeal.platform import state
 from burdockdeal.settings import model
 
 #: A value may hold a megabyte.
@@ -23,8 +29,14 @@
 _TIMEOUT_S = 2.0
 _WATCH_MARGIN_S = 2.0
 
+_UNAVAILABLE = 503
+_EXPECTED = frozenset({200, 404, 409})
+
 T = typing.TypeVar("T")
 
+#: What no lane may exceed unless it says so.
+_UNBOUNDED = state.Rate(1e9, 1e9)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Answer:
@@ -32,54 +44,159 @@
     body: bytes
 
 
+def _read(raw: bytes, kind: type[T]) -> T:
+    try:
+        return codec.decode(raw, kind)
+    except codec.MalformedError as error:
+        raise errors.StoreUncertainError(str(error)) from error
+
+
+class _Wire:
+    """What the lanes share: the session, the counts, the outage."""
+
+    def __init__(self, clock: abc.Callable[[], float]) -> None:
+        self.clock = clock
+        self.session: aiohttp.ClientSession | None = None
+        self.calls = state.Calls()
+        self.outage = state.Outage()
+
+
+@dataclasses.dataclass(slots=True)
+class _Attempt:
+    """One HTTP request, as the session's trace sees it."""
+
+    reused: bool = False
+
+
+def _trace_reuse() -> aiohttp.TraceConfig:
+    """Make a trace that marks requests sent on a standing connection.
+
+    The session sends such a request again by itself if the connection
+    breaks, so that a refused connection proves nothing about the first.
+    """
+
+    async def mark(
+        session: aiohttp.ClientSession, context: object, params: object
+    ) -> None:
+        context.trace_request_ctx.reused = True
+
+    trace = aiohttp.TraceConfig()
+    trace.on_connection_reuseconn.append(mark)
+    return trace
+
+
 class Store:
-    """A connection to the store, which counts its calls.
+    """A connection to the store, which counts and bounds its calls.
 
     :param address: where the store listens.
+    :param rate: the budget of this lane.
+    :param opens_at: no call leaves before, on the given clock.
     """
 
-    def __init__(self, address: model.Address) -> None:
+    def __init__(
+        self,
+        address: model.Address,
+        *,
+        rate: state.Rate = _UNBOUNDED,
+        opens_at: float = 0.0,
+        clock: abc.Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._address = address
         self._base = f"http://{address.host}:{address.port}"
-        self._session: aiohttp.ClientSession | None = None
-        self.calls = 0
+        self._rate = rate
+        self._opens_at = opens_at
+        self._bucket = state.Bucket(rate.burst, clock())
+        self._wire = _Wire(clock)
 
     async def __aenter__(self) -> "Store":
-        self._session = aiohttp.ClientSession(
+        self._wire.session = aiohttp.ClientSession(
             timeout=aiohttp.ClientTimeout(total=_TIMEOUT_S),
             cookie_jar=aiohttp.DummyCookieJar(),
+            trace_configs=[_trace_reuse()],
         )
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
-        assert self._session is not None
-        await self._session.close()
+        assert self._wire.session is not None
+        await self._wire.session.close()
+
+    def make_lane(self, rate: state.Rate) -> "Store":
+        """Make a lane with a budget of its own on the same connection."""
+        lane = Store(
+            self._address,
+            rate=rate,
+            opens_at=self._opens_at,
+            clock=self._wire.clock,
+        )
+        lane._wire = self._wire
+        return lane
+
+    @property
+    def calls(self) -> int:
+        """Calls that all lanes have sent."""
+        return self._wire.calls.total
+
+    @property
+    def counted(self) -> state.Calls:
+        """Calls that all lanes have sent, by kind."""
+        return self._wire.calls
+
+    @property
+    def outage(self) -> state.Outage:
+        """How the store has fared lately."""
+        return self._wire.outage
+
+    def _admit(self, kind: str) -> None:
+        now = self._wire.clock()
+        self._bucket, allowed = decisions.spend(self._bucket, self._rate, now)
+        if allowed and now >= self._opens_at:
+            self._wire.calls = decisions.count(self._wire.calls, kind)
+            return
+        self._wire.calls = decisions.count(
+            self._wire.calls, "refused_by_budget"
+        )
+        raise errors.StoreBudgetError("the budget of store calls is used up")
+
+    def _note(self, answered: bool) -> None:
+        wire = self._wire
+        if not answered:
+            wire.calls = decisions.count(wire.calls, "failed")
+        wire.outage = decisions.note_answer(
+            wire.outage, answered, wire.clock()
+        )
 
     async def _send(
         self,
         method: str,
         path: str,
         *,
+        kind: str = "reads",
         body: str | None = None,
         timeout_s: float = _TIMEOUT_S,
     ) -> _Answer:
-        assert self._session is not None
-        self.calls += 1
+        assert self._wire.session is not None
+        self._admit(kind)
+        attempt = _Attempt()
         try:
-            async with self._session.request(
+            async with self._wire.session.request(
                 method,
                 yarl.URL(self._base + path, encoded=True),
                 data=None if body is None else body.encode(),
                 timeout=aiohttp.ClientTimeout(total=timeout_s),
+                trace_request_ctx=attempt,
             ) as response:
                 answer = _Answer(response.status, await response.read())
-        except aiohttp.ClientConnectorError as error:
-            raise errors.StoreUnavailableError(str(error)) from error
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
+            self._note(False)
+            never_sent = isinstance(error, aiohttp.ClientConnectorError)
+            if never_sent and not attempt.reused:
+                raise errors.StoreUnavailableError(str(error)) from error
             detail = f"{method} {path}: {error!r}"
             raise errors.StoreUncertainError(detail) from error
-        if answer.status == 503:
+        self._note(answer.status in _EXPECTED)
+        if answer.status == _UNAVAILABLE:
             raise errors.StoreUnavailableError(f"{method} {path}: 503")
-        if answer.status not in (200, 404, 409):
+        if answer.status not in _EXPECTED:
             detail = f"{method} {path}: {answer.status}"
             raise errors.StoreUncertainError(detail)
         return answer
@@ -93,7 +210,7 @@
         answer = await self._send("GET", f"/v1/kv/{parse.quote(key)}")
         if answer.status == 404:
             return None
-        return codec.decode(answer.body, messages.Entry)
+        return _read(answer.body, messages.Entry)
 
     async def put(
         self, key: str, value: str, *, version: int, lease: str = ""
@@ -108,9 +225,12 @@
         """
         query = parse.urlencode({"version": version, "lease": lease})
         answer = await self._send(
-            "PUT", f"/v1/kv/{parse.quote(key)}?{query}", body=value
+            "PUT",
+            f"/v1/kv/{parse.quote(key)}?{query}",
+            kind="writes",
+            body=value,
         )
-        written = codec.decode(answer.body, messages.Written)
+        written = _read(answer.body, messages.Written)
         if answer.status == 409:
             raise errors.StoreConflictError(key, written.version)
         return written.version
@@ -121,10 +241,12 @@
         :raises StoreConflictError: if another version stands there.
         """
         answer = await self._send(
-            "DELETE", f"/v1/kv/{parse.quote(key)}?version={version}"
+            "DELETE",
+            f"/v1/kv/{parse.quote(key)}?version={version}",
+            kind="writes",
         )
         if answer.status == 409:
-            written = codec.decode(answer.body, messages.Written)
+            written = _read(answer.body, messages.Written)
             raise errors.StoreConflictError(key, written.version)
 
     async def list(
@@ -138,7 +260,7 @@
             {"prefix": prefix, "start": start, "limit": limit}
         )
         answer = await self._send("GET", f"/v1/list?{query}")
-        return codec.decode(answer.body, messages.Listing)
+        return _read(answer.body, messages.Listing)
 
     async def watch(
         self, prefix: str, *, after: int, wait_s: float
@@ -153,19 +275,24 @@
             {"prefix": prefix, "after": after, "wait_s": wait_s}
         )
         answer = await self._send(
-            "GET", f"/v1/watch?{query}", timeout_s=wait_s + _WATCH_MARGIN_S
+            "GET",
+            f"/v1/watch?{query}",
+            kind="watches",
+            timeout_s=wait_s + _WATCH_MARGIN_S,
         )
-        return codec.decode(answer.body, messages.Listing)
+        return _read(answer.body, messages.Listing)
 
     async def grant(self, ttl_s: float) -> messages.Lease:
         """Ask for a lease."""
-        answer = await self._send("POST", f"/v1/leases?ttl_s={ttl_s}")
-        return codec.decode(answer.body, messages.Lease)
+        answer = await self._send(
+            "POST", f"/v1/leases?ttl_s={ttl_s}", kind="leases"
+        )
+        return _read(answer.body, messages.Lease)
 
     async def renew(self, lease: str) -> bool:
         """Renew a lease.
 
         :returns: False if it had lapsed.
         """
-        answer = await self._send("POST", f"/v1/leases/{lease}")
+        answer = await self._send("POST", f"/v1/leases/{lease}", kind="leases")
         return answer.status == 200
--- a/packages/burdockdeal/burdockdeal/settings/model.py
+++ b/packages/burdockdeal/burdockdeal/settings/model.py
@@ -9,6 +9,7 @@
 from burdockdeal.core import checking
 from burdockdeal.core import errors
 
+NotNegative = typing.Annotated[float, msgspec.Meta(ge=0)]
 Secret = typing.Annotated[str, msgspec.Meta(min_length=16)]
 
 
@@ -67,6 +68,26 @@
     suspicion_s: checking.Positive = 3.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreBudget:
+    """What one daemon may ask of the platform's store.
+
+    :param calls_per_s: calls in the background of any daemon.
+    :param burst: such calls that may be saved up.
+    :param relay_calls_per_s: calls to follow the configuration, made by
+        the few daemons that watch the store for their failure domain.
+    :param operator_calls_per_s: calls on behalf of operators.
+    :param start_spread_s: the first call is put off by a random time up
+        to this, so that a start of the whole fleet is spread out.
+    """
+
+    calls_per_s: checking.Positive = 0.5
+    burst: checking.PositiveInt = 20
+    relay_calls_per_s: checking.Positive = 10.0
+    operator_calls_per_s: checking.Positive = 100.0
+    start_spread_s: NotNegative = 0.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Settings:
     """A daemon's settings, checked whole and passed whole.
@@ -79,6 +100,7 @@
     :param peers: peers to try when the store is away.
     :param advertise: where other daemons reach this one, if not at
         listen.peer.
+    :param store_budget: bounds on calls to the platform's store.
     :param policy: the routing policy's name.
     """
 
@@ -95,6 +117,7 @@
     seed: int | None = None
     limits: Limits = Limits()
     membership: Membership = Membership()
+    store_budget: StoreBudget = StoreBudget()
 
 
 def _is_ip(host: str) -> bool:
