--- a/packages/burdockdeal/burdockdeal/audit/ledger.py
+++ b/packages/burdockdeal/burdockdeal/audit/ledger.py
@@ -28,7 +28,8 @@
 class Ledger(mode.Service):
     """Gathers records, writes them to the store and reads them back.
 
-    :param platform: the lane that its calls go out in.
+    :param platform: the lane that records are written in.
+    :param asked: the lane for what an operator asks to read.
     :param log: the change log in the store.
     :param in_force: the latest changes, for when the store is away.
     :param clock: returns monotonic seconds.
@@ -37,6 +38,7 @@
     def __init__(
         self,
         platform: store.Store,
+        asked: store.Store,
         log: archive.Archive,
         in_force: standing.Standing,
         *,
@@ -44,6 +46,7 @@
     ) -> None:
         super().__init__()
         self._store = platform
+        self._asked = asked
         self._log = log
         self._standing = in_force
         self._clock = clock
@@ -132,8 +135,10 @@
         )
         self._sequence = sequence
 
-    async def _read_head(self) -> tuple[int, int]:
-        entry = await self._store.get(messages.HEAD_KEY)
+    async def _read_head(
+        self, lane: store.Store | None = None
+    ) -> tuple[int, int]:
+        entry = await (lane or self._store).get(messages.HEAD_KEY)
         if entry is None:
             return 0, 0
         return codec.decode(entry.value, messages.Head).sequence, entry.version
@@ -151,10 +156,26 @@
             return messages.Segment(sequence), entry.version
         return segment, entry.version
 
+    async def _read_old(self, sequence: int) -> messages.Segment:
+        """Read a segment; empty if it has been written over."""
+        entry = await self._asked.get(decisions.segment_key(sequence))
+        if entry is not None:
+            segment = codec.decode(entry.value, messages.Segment)
+            if segment.sequence == sequence:
+                return segment
+        return messages.Segment(sequence)
+
+    async def _try_flush(self) -> bool:
+        try:
+            await self.flush()
+        except errors.PlatformError as error:
+            journal.debug("audit_unwritten", error=error)
+        return not self.waiting
+
     async def read(self, query: state.Query) -> messages.Trail:
         """Read a page of the trail."""
+        complete = await self._try_flush()
         try:
-            await self.flush()
             accepted, more_accepted = await self._read_accepted(query.cursor)
             others, more_others = await self._read_others(query.cursor)
         except errors.PlatformError as error:
@@ -168,7 +189,7 @@
             more_others=more_others,
         )
         older = decisions.format_cursor(cursor) if more else ""
-        return messages.Trail(records, True, older, self.lost)
+        return messages.Trail(records, complete, older, self.lost)
 
     def _read_held(self, query: state.Query) -> messages.Trail:
         held = [*map(decisions.describe, self._standing.changes)]
@@ -193,7 +214,7 @@
     async def _read_others(
         self, cursor: state.Cursor
     ) -> tuple[list[state.Found], bool]:
-        newest, _ = await self._read_head()
+        newest, _ = await self._read_head(self._asked)
         sequence = newest if cursor.sequence is None else cursor.sequence
         index = cursor.index
         oldest = max(0, newest - decisions.SEGMENTS + 1)
@@ -201,8 +222,7 @@
         for _ in range(_SCAN_SEGMENTS):
             if sequence < oldest:
                 break
-            segment, _ = await self._read(sequence)
-            found += _list(segment, index)
+            found += _list(await self._read_old(sequence), index)
             sequence, index = sequence - 1, None
         return found, sequence >= oldest
 
--- a/packages/burdockdeal/burdockdeal/configuration/decisions.py
+++ b/packages/burdockdeal/burdockdeal/configuration/decisions.py
@@ -97,9 +97,8 @@
     if standing is None or spec is None or standing.spec != spec:
         return False
     return (
-        expected is None
-        or expected == standing.generation
-        or (expected > 0 and operator == standing.changed_by)
+        expected in (None, standing.generation)
+        or operator == standing.changed_by
     )
 
 
--- a/packages/burdockdeal/burdockdeal/configuration/messages.py
+++ b/packages/burdockdeal/burdockdeal/configuration/messages.py
@@ -130,12 +130,14 @@
     :param revision: the lowest of those that answered.
     :param daemons: how many answered.
     :param unreached: daemons that did not answer and have not left.
+    :param lost: daemons believed dead for long, which are not counted.
     """
 
     failure_domain: str
     revision: int
     daemons: int
     unreached: int
+    lost: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/burdockdeal/burdockdeal/configuration/spread.py
+++ b/packages/burdockdeal/burdockdeal/configuration/spread.py
@@ -19,6 +19,7 @@
 from burdockdeal.core import codec
 from burdockdeal.core import headers
 from burdockdeal.membership import messages as membership
+from burdockdeal.membership import roster as rosters
 from burdockdeal.settings import model
 
 PATH = "/v1/peer/spread"
@@ -31,6 +32,8 @@
 _PUSH_PAUSE_S = 0.1
 #: A longer batch is left to be pulled.
 _PUSH_BYTES = 64_000
+#: A survey of the members is used for so long, unless they change.
+_SURVEY_S = 1.0
 #: For so long an answer serves others who ask the same.
 _ANSWER_AGE_S = 0.2
 
@@ -41,7 +44,7 @@
 class Spreader(mode.Service):
     """Passes changes on and gathers what is applied.
 
-    :param members: returns what this daemon believes of all daemons.
+    :param roster: what this daemon believes of all daemons.
     :param pull: fetches older changes from a peer.
     :param clock: returns monotonic seconds.
     """
@@ -53,7 +56,7 @@
         session: aiohttp.ClientSession,
         chance: random.Random,
         *,
-        members: abc.Callable[[], tuple[membership.Member, ...]],
+        roster: rosters.Roster,
         pull: abc.Callable[[model.Address], None],
         clock: abc.Callable[[], float],
     ) -> None:
@@ -63,11 +66,12 @@
         self._standing = in_force
         self._session = session
         self._chance = chance
-        self._members = members
+        self._roster = roster
         self._pull = pull
         self._clock = clock
         self._domains: tuple[tree.Domain, ...] = ()
-        self._stale = True
+        self._surveyed_at: float | None = None
+        self._dead_since: dict[str, float] = {}
         self._waiting: dict[bool, list[messages.Change]] = {}
         self._due = asyncio.Event()
         self._asked_at = -_ANSWER_AGE_S
@@ -76,10 +80,17 @@
         )
         self.sent = 0
         self.sent_bytes = 0
+        roster.on_change(self._note_member)
 
-    def forget_members(self) -> None:
-        """Look at the members anew before the next use."""
-        self._stale = True
+    def _note_member(
+        self, known: membership.Member | None, stands: membership.Member
+    ) -> None:
+        """Note since when a daemon is believed dead."""
+        if stands.health is membership.Health.DEAD:
+            self._dead_since.setdefault(stands.daemon, self._clock())
+        else:
+            self._dead_since.pop(stands.daemon, None)
+        self._surveyed_at = None
 
     def push_domain(self, changes: tuple[messages.Change, ...]) -> None:
         """Send changes to the daemons of the own failure domain, soon."""
@@ -120,10 +131,17 @@
         return await asyncio.shield(self._asking)
 
     def _survey(self) -> tuple[tree.Domain, ...]:
-        if self._stale:
+        now = self._clock()
+        if self._surveyed_at is None or now - self._surveyed_at > _SURVEY_S:
+            dead_s = {
+                daemon: now - since
+                for daemon, since in self._dead_since.items()
+            }
             remembered = [domain.name for domain in self._domains]
-            self._domains = tree.survey(self._members(), remembered)
-            self._stale = False
+            self._domains = tree.survey(
+                self._roster.members, remembered, dead_s
+            )
+            self._surveyed_at = now
         return self._domains
 
     async def _spread(
@@ -150,7 +168,7 @@
             names = tuple(sorted(domain.reachable))
             branch = tree.Branch("", "", names)
             answer = await self._deliver(domain, branch, (), _WAIT_MS, changes)
-        lost = messages.Applied(domain.name, 0, 0, domain.lost)
+        lost = messages.Applied(domain.name, 0, 0, domain.missing, domain.lost)
         return tree.combine(domain.name, (answer, lost))
 
     async def _cover(
@@ -167,10 +185,7 @@
         """
         name = self._settings.failure_domain
         path = (*path, self._settings.daemon)
-        domain = next(
-            (found for found in self._survey() if found.name == name),
-            tree.Domain(name, {}, 0),
-        )
+        domain = tree.Domain(name, self._own_domain())
         names = tree.choose(domain.reachable, first, last, path)
         answers = await asyncio.gather(
             *(
@@ -181,6 +196,10 @@
         own = messages.Applied(name, self._standing.revision, 1, 0)
         return tree.combine(name, (own, *answers))
 
+    def _own_domain(self) -> dict[str, model.Address]:
+        members = self._roster.in_domain(self._settings.failure_domain)
+        return {name: member.peer for name, member in members.items()}
+
     async def _deliver(
         self,
         domain: tree.Domain,
--- a/packages/burdockdeal/burdockdeal/configuration/tests/test_writer.py
+++ b/packages/burdockdeal/burdockdeal/configuration/tests/test_writer.py
@@ -77,7 +77,7 @@
         return asyncio.run(write.step())
     except writer.ChangeUncertainError:
         return "UNCERTAIN"
-    except errors.ConflictError:
+    except (errors.ConflictError, writer.AbsentError):
         return "REFUSED"
     except errors.PlatformError:
         return None
@@ -88,7 +88,7 @@
 )
 
 
-@settings(derandomize=True, max_examples=300, deadline=None)
+@settings(derandomize=True, max_examples=1500, deadline=None)
 @given(
     strategies.lists(fates, max_size=40),
     strategies.lists(strategies.integers(0, 4), min_size=5, max_size=40),
@@ -98,10 +98,21 @@
     store = memory_store.MemoryStore(
         lambda method, key: next(coming, Fate.GOOD)
     )
+    plainly, store.decide = store.decide, lambda method, key: Fate.GOOD
+    settle(make_site(store), make_request("c", name="gone"))
+    store.decide = plainly
     sites = [make_site(store, name) for name in "abc"]
+    deletion = dataclasses.replace(
+        make_request("c2", name="gone", expected=1), spec=None, is_put=False
+    )
+    requests = [
+        make_request("c0", name="s0", expected=0),
+        make_request("c1", name="s1", expected=0),
+        deletion,
+    ]
     writes = [
-        site.begin(make_request(f"c{index}", name=f"s{index}", expected=0))
-        for index, site in enumerate(sites)
+        site.begin(request)
+        for site, request in zip(sites, requests, strict=True)
     ]
     ended: dict[int, object] = {}
     history: dict[int, str] = {}
--- a/packages/burdockdeal/burdockdeal/configuration/tree.py
+++ b/packages/burdockdeal/burdockdeal/configuration/tree.py
@@ -15,7 +15,8 @@
 #: Daemons that one daemon passes a change on to.
 FANOUT = 10
 
-_GONE = (membership.Health.DEAD, membership.Health.LEFT)
+#: For so long a daemon believed dead counts as not reached, in seconds.
+DEAD_COUNTS_S = 30.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -36,12 +37,15 @@
     """What one daemon believes of a failure domain.
 
     :param reachable: the daemons to ask, by name.
-    :param lost: daemons believed dead that did not leave.
+    :param missing: daemons that can't be asked and may serve on.
+    :param lost: daemons believed dead for so long that they are no
+        longer waited for.
     """
 
     name: str
     reachable: abc.Mapping[str, model.Address]
-    lost: int
+    missing: int = 0
+    lost: int = 0
 
 
 def choose(
@@ -98,6 +102,7 @@
         revision=min(heard, default=0),
         daemons=sum(answer.daemons for answer in given),
         unreached=sum(answer.unreached for answer in given),
+        lost=sum(answer.lost for answer in given),
     )
 
 
@@ -113,16 +118,21 @@
 
 
 def survey(
-    members: abc.Iterable[membership.Member], remembered: abc.Iterable[str]
+    members: abc.Iterable[membership.Member],
+    remembered: abc.Iterable[str],
+    dead_s: abc.Mapping[str, float],
 ) -> tuple[Domain, ...]:
     """Sort the members into failure domains.
 
-    A daemon believed dead that did not leave counts as lost, unless
-    another runs at its address since. A domain that was known and of
-    which no record is left is lost as a whole: only one whose daemons
-    all left is gone.
+    A daemon believed dead that did not leave may have been cut off and
+    serve on. It counts as missing for a while, and for as long as its
+    whole domain is out of reach, unless another runs at its address. A
+    domain that was known and of which no record is left is missing as a
+    whole: only one whose daemons all left is gone.
 
     :param remembered: domains that were known before.
+    :param dead_s: how long each daemon has been believed dead, in
+        seconds.
     """
     by_domain: dict[str, list[membership.Member]] = {
         name: [] for name in remembered
@@ -130,29 +140,34 @@
     for member in members:
         by_domain.setdefault(member.failure_domain, []).append(member)
     surveyed = (
-        _survey_domain(name, by_domain[name]) for name in sorted(by_domain)
+        _survey_domain(name, by_domain[name], dead_s)
+        for name in sorted(by_domain)
     )
     return tuple(domain for domain in surveyed if domain is not None)
 
 
 def _survey_domain(
-    name: str, members: list[membership.Member]
+    name: str,
+    members: list[membership.Member],
+    dead_s: abc.Mapping[str, float],
 ) -> Domain | None:
     if not members:
-        return Domain(name, {}, 1)
+        return Domain(name, {}, missing=1)
     reachable = {
         member.daemon: member.peer
         for member in members
-        if member.health not in _GONE
+        if member.health not in membership.GONE
     }
     taken = set(reachable.values())
-    lost = sum(
-        member.health is membership.Health.DEAD and member.peer not in taken
+    dead = [
+        member.daemon
         for member in members
-    )
-    if not reachable and not lost:
-        return None
-    return Domain(name, reachable, lost)
+        if member.health is membership.Health.DEAD and member.peer not in taken
+    ]
+    if not reachable:
+        return Domain(name, {}, missing=len(dead)) if dead else None
+    lost = sum(dead_s.get(daemon, 0.0) > DEAD_COUNTS_S for daemon in dead)
+    return Domain(name, reachable, len(dead) - lost, lost)
 
 
 def judge(
@@ -170,14 +185,19 @@
         or domain.revision < generation
     ]
     everywhere = bool(domains) and not behind
+    lost = sum(domain.lost for domain in domains)
+    reason, message = "AllDomains", ""
+    if not everywhere:
+        reason = "DomainsBehind"
+        message = "not yet in " + ", ".join(behind)
+    elif lost:
+        reason = "AllReachable"
+        message = f"{lost} daemons believed dead are not counted"
     return messages.Status(
         conditions=(
             messages.Condition("Accepted", True, "InLog", ""),
             messages.Condition(
-                "InForceEverywhere",
-                everywhere,
-                "AllDomains" if everywhere else "DomainsBehind",
-                "" if everywhere else "not yet in " + ", ".join(behind),
+                "InForceEverywhere", everywhere, reason, message
             ),
         ),
         domains=tuple(domains),
--- a/packages/burdockdeal/burdockdeal/configuration/wiring.py
+++ b/packages/burdockdeal/burdockdeal/configuration/wiring.py
@@ -1,12 +1,12 @@
 """Assembly of the slices of configuration and audit."""
 
 from collections import abc
-import contextlib
 import dataclasses
 import random
 
 import aiohttp
 from aiohttp import web
+import mode
 
 from burdockdeal.audit import api as audit_api
 from burdockdeal.audit import ledger
@@ -17,7 +17,8 @@
 from burdockdeal.configuration import spread
 from burdockdeal.configuration import standing
 from burdockdeal.configuration import writer
-from burdockdeal.membership import messages as membership
+from burdockdeal.daemon import metrics
+from burdockdeal.membership import roster
 from burdockdeal.platform import state as rates
 from burdockdeal.platform import store
 from burdockdeal.settings import model
@@ -33,7 +34,7 @@
     """What the slice is given by the daemon.
 
     :param session: for messages to other daemons.
-    :param members: returns what is believed of all daemons.
+    :param roster: what is believed of all daemons.
     :param is_relay: tells whether this daemon watches the store.
     :param new_id: makes unique ids.
     :param clock: returns monotonic seconds.
@@ -44,7 +45,7 @@
     platform: store.Store
     session: aiohttp.ClientSession
     chance: random.Random
-    members: abc.Callable[[], tuple[membership.Member, ...]]
+    roster: roster.Roster
     is_relay: abc.Callable[[], bool]
     new_id: abc.Callable[[], str]
     clock: abc.Callable[[], float]
@@ -60,6 +61,7 @@
     spreader: spread.Spreader
     records: ledger.Ledger
     add_routes: abc.Callable[[web.Application], None]
+    gauges: abc.Callable[[], tuple[metrics.Gauge, ...]]
 
     @property
     def peer_handlers(self) -> dict[str, Handler]:
@@ -70,11 +72,10 @@
             spread.PATH: self.spreader.handle_spread,
         }
 
-    @contextlib.asynccontextmanager
-    async def run(self) -> abc.AsyncIterator[None]:
-        """Run the slice's services while the block runs."""
-        async with self.puller, self.spreader, self.follower, self.records:
-            yield
+    @property
+    def services(self) -> tuple[mode.Service, ...]:
+        """What is to run, in the order of the start."""
+        return (self.puller, self.spreader, self.follower, self.records)
 
 
 def _rate(calls_per_s: float) -> rates.Rate:
@@ -96,6 +97,57 @@
     )
 
 
+def make_gauges(
+    platform: store.Store, spreader: spread.Spreader, records: ledger.Ledger
+) -> tuple[metrics.Gauge, ...]:
+    """Make what the slice tells in the metrics."""
+
+    def read_calls(kind: str) -> abc.Callable[[], float]:
+        return lambda: getattr(platform.counted, kind)
+
+    kinds = [field.name for field in dataclasses.fields(rates.Calls)]
+    return (
+        metrics.Gauge(
+            "burdockdeal_store_calls_total",
+            "Calls to the platform's store since the start.",
+            lambda: platform.calls,
+        ),
+        *(
+            metrics.Gauge(
+                f"burdockdeal_store_{kind}_total",
+                f"Calls to the platform's store since the start: {kind}.",
+                read_calls(kind),
+            )
+            for kind in kinds
+        ),
+        metrics.Gauge(
+            "burdockdeal_store_failures_in_a_row",
+            "Calls in a row that the store did not answer.",
+            lambda: platform.outage.failures,
+        ),
+        metrics.Gauge(
+            "burdockdeal_spread_messages_total",
+            "Messages sent to spread or ask for the configuration.",
+            lambda: spreader.sent,
+        ),
+        metrics.Gauge(
+            "burdockdeal_spread_bytes_total",
+            "Bytes of bodies of those messages.",
+            lambda: spreader.sent_bytes,
+        ),
+        metrics.Gauge(
+            "burdockdeal_audit_waiting",
+            "Records of the audit trail that are not in the store yet.",
+            lambda: records.waiting,
+        ),
+        metrics.Gauge(
+            "burdockdeal_audit_lost_total",
+            "Records of the audit trail that were dropped.",
+            lambda: records.lost,
+        ),
+    )
+
+
 def build(means: Means, in_force: standing.Standing) -> Slice:
     """Build the slice.
 
@@ -103,23 +155,20 @@
     """
     settings = means.settings
     budget = settings.store_budget
+    asked = means.platform.make_lane(_rate(budget.operator_calls_per_s))
     follows = archive.Archive(
         means.platform.make_lane(_rate(budget.relay_calls_per_s)),
         in_force,
         means.new_id,
     )
-    writes = archive.Archive(
-        means.platform.make_lane(_rate(budget.operator_calls_per_s)),
-        in_force,
-        means.new_id,
-    )
+    writes = archive.Archive(asked, in_force, means.new_id)
     puller = peers.Puller(settings, in_force, means.session, clock=means.clock)
     spreader = spread.Spreader(
         settings,
         in_force,
         means.session,
         means.chance,
-        members=means.members,
+        roster=means.roster,
         pull=puller.pull_from,
         clock=means.clock,
     )
@@ -140,6 +189,7 @@
     )
     records = ledger.Ledger(
         means.platform.make_lane(rates.Rate(budget.calls_per_s, budget.burst)),
+        asked,
         writes,
         in_force,
         clock=means.clock,
@@ -156,4 +206,7 @@
         )
         audit_api.add_routes(app, records)
 
-    return Slice(follower, puller, spreader, records, add_routes)
+    def gauges() -> tuple[metrics.Gauge, ...]:
+        return make_gauges(means.platform, spreader, records)
+
+    return Slice(follower, puller, spreader, records, add_routes, gauges)
--- a/packages/burdockdeal/burdockdeal/daemon/assembly.py
+++ b/packages/burdockdeal/burdockdeal/daemon/assembly.py
@@ -8,8 +8,10 @@
 
 import aiohttp
 from aiohttp import web
+import mode
 
 from burdockdeal.admission import gate
+from burdockdeal.admission import state as admission
 from burdockdeal.announce import api as announce_api
 from burdockdeal.announce import decisions as announce
 from burdockdeal.configuration import api as configuration_api
@@ -21,10 +23,11 @@
 from burdockdeal.core import headers
 from burdockdeal.daemon import messages
 from burdockdeal.daemon import metrics
-from burdockdeal.membership import decisions as membership_decisions
+from burdockdeal.membership import contacts
 from burdockdeal.membership import messages as membership
 from burdockdeal.membership import roster
 from burdockdeal.membership import service as membership_service
+from burdockdeal.membership import transport
 from burdockdeal.platform import store
 from burdockdeal.routing import board
 from burdockdeal.routing import policies
@@ -38,7 +41,7 @@
 from burdockdeal.serving import transfer
 from burdockdeal.settings import model
 
-_RELAYS_PER_DOMAIN = 2
+_DEFAULT_SERVICE = resources.Service()
 _OPEN_PATHS = frozenset({"/healthz", "/readyz", "/metrics"})
 
 
@@ -68,11 +71,12 @@
         self.side = announce_api.Side(self.clock)
         self.standing = configuration.Standing()
         self.board = board.Board(settings.failure_domain, self.clock)
-        self.gate = gate.Gate(self.clock, self._slots, self._queue_limit)
+        self.gate = gate.Gate(self.clock, self._room)
         self.snapshot: classify.Snapshot | None = None
+        self.services: tuple[mode.Service, ...] = ()
         self.side.on_change(self._declare_upstream)
         self.standing.on_change(self._take_configuration)
-        self.roster.on_change(lambda: self.board.forget(self.roster.members))
+        self.roster.on_change(self._take_member)
 
     def _slots(self) -> int:
         upstream = self.side.upstream
@@ -81,11 +85,16 @@
         share = announce.ramp(upstream, self.clock())
         return max(1, round(upstream.announce.slots * share))
 
-    def _queue_limit(self) -> int:
+    def _room(self) -> admission.Room:
         service = self.roster.own.service
-        if self.snapshot and service in self.snapshot.services:
-            return self.snapshot.services[service].queue_limit
-        return resources.Service().queue_limit
+        services = self.snapshot.services if self.snapshot else {}
+        spec = services.get(service, _DEFAULT_SERVICE)
+        slots = self._slots()
+        return admission.Room(
+            slots=slots,
+            uploads=max(1, int(slots * spec.upload_share)),
+            queue_limit=spec.queue_limit,
+        )
 
     def _declare_upstream(self) -> None:
         upstream = self.side.upstream
@@ -97,21 +106,34 @@
             slots=announced.slots if announced else 0,
         )
 
+    def _take_member(
+        self, known: membership.Member | None, stands: membership.Member
+    ) -> None:
+        if known is not None:
+            self.board.forget(known, stands)
+
     def _take_configuration(self) -> None:
         self.snapshot = classify.build_snapshot(self.standing.configuration)
 
+    def find_crashed(self) -> str | None:
+        """Name a service that crashed and why, None if all run."""
+        for service in self.services:
+            if service.crashed:
+                return f"{service.label}: {service.crash_reason!r}"
+        return None
+
     def is_relay(self) -> bool:
         """Tell whether this daemon watches the store for its domain."""
         domain = self.settings.failure_domain
-        relays = membership_decisions.choose_relays(
-            self.roster.members, domain, _RELAYS_PER_DOMAIN
-        )
-        return self.settings.daemon in relays
+        return self.settings.daemon in self.roster.relays(domain)
 
     def load(self) -> routing.Report:
         """Tell the load beside this daemon, as put on each answer."""
         return routing.Report(
-            self.gate.running, self.gate.waiting, self._slots()
+            in_flight=self.gate.running,
+            waiting=self.gate.waiting,
+            slots=self._slots(),
+            service_ms=round(self.gate.service_s * 1000, 3),
         )
 
     def missing(self) -> tuple[str, ...]:
@@ -127,7 +149,7 @@
     ) -> membership.Member | None:
         views = [
             parts.board.view(member)
-            for member in parts.roster.serving(work.service)
+            for member in parts.roster.serving(work.service).values()
             if member.daemon not in tried
         ]
         return policy(views).member if views else None
@@ -154,7 +176,9 @@
     members: membership_service.Membership,
 ) -> front.Handler:
     table = {
-        "/v1/peer/exchange": members.handle_exchange,
+        "/v1/peer/ping": members.handle_ping,
+        "/v1/peer/ping-request": members.handle_ping_request,
+        "/v1/peer/page": members.handle_page,
         **config_slice.peer_handlers,
     }
     token = parts.settings.peer_token.encode()
@@ -229,7 +253,7 @@
 
 
 def _make_gauges(
-    parts: Parts, platform: store.Store
+    parts: Parts, config_slice: configuration_wiring.Slice
 ) -> tuple[metrics.Gauge, ...]:
     return (
         metrics.Gauge(
@@ -245,18 +269,14 @@
         metrics.Gauge(
             "burdockdeal_members",
             "Daemons that are known and not believed gone.",
-            lambda: len(parts.roster.peers) + 1,
+            lambda: parts.roster.size,
         ),
         metrics.Gauge(
             "burdockdeal_configuration_revision",
             "The revision of the configuration in force here.",
             lambda: parts.standing.revision,
         ),
-        metrics.Gauge(
-            "burdockdeal_store_calls_total",
-            "Calls to the platform's store since the start.",
-            lambda: platform.calls,
-        ),
+        *config_slice.gauges(),
     )
 
 
@@ -290,7 +310,7 @@
                 platform=platform,
                 session=control,
                 chance=parts.chance,
-                members=lambda: parts.roster.members,
+                roster=parts.roster,
                 is_relay=parts.is_relay,
                 new_id=lambda: secrets.token_hex(8),
                 clock=parts.clock,
@@ -298,17 +318,17 @@
             ),
             parts.standing,
         )
-        parts.roster.on_change(config_slice.spreader.forget_members)
         members = membership_service.Membership(
             settings,
             parts.roster,
-            platform,
-            control,
+            transport.make_post(control, settings.peer_token),
+            contacts.make_meet(parts.roster, platform, parts.clock),
             parts.chance,
+            parts.clock,
             revision=lambda: parts.standing.revision,
             on_newer=config_slice.puller.pull_from,
         )
-        told = metrics.Metrics(_make_gauges(parts, platform))
+        told = metrics.Metrics(_make_gauges(parts, config_slice))
         local = owner.make_owner(
             parts.side,
             parts.gate,
@@ -365,6 +385,7 @@
         )
         await _listen(stack, serve(dispatch), settings.listen.peer)
         await _listen(stack, serve(handle_entry), settings.listen.caller)
-        await stack.enter_async_context(config_slice.run())
-        await stack.enter_async_context(members)
+        parts.services = (*config_slice.services, members)
+        for service in parts.services:
+            await stack.enter_async_context(service)
         yield parts
--- a/packages/standins/burdockdeal_standins/memory_store.py
+++ b/packages/standins/burdockdeal_standins/memory_store.py
@@ -15,8 +15,9 @@
     """What becomes of a call.
 
     LOST takes effect and loses its answer; TWICE takes effect and is sent
-    again by the client, so that the answer is a conflict; LATE takes effect only when
-    the test lets it; STALE reads the state before the last write.
+    again by the client, so that the answer is a conflict; LATE takes
+    effect only when the test lets it; STALE reads the state before the
+    last write.
     """
 
     GOOD = "GOOD"
--- a/packages/standins/burdockdeal_standins/store.py
+++ b/packages/standins/burdockdeal_standins/store.py
@@ -28,7 +28,10 @@
     :param silent: every call is left without an answer.
     :param delay_ms: each call takes this much longer.
     :param lose_answers: so many writes take effect and lose their answer.
-    :param stale_reads: so many listings show the state before the last
+    :param late_writes: so many writes lose their answer at once and reach
+        the store only later.
+    :param late_ms: how much later, in milliseconds.
+    :param stale_reads: so many reads show the state before the last
         write.
     """
 
@@ -36,6 +39,8 @@
     silent: bool = False
     delay_ms: float = 0.0
     lose_answers: int = 0
+    late_writes: int = 0
+    late_ms: float = 1000.0
     stale_reads: int = 0
 
 
@@ -57,6 +62,7 @@
         self.keys: list[str] = []
         self.leased: dict[str, str] = {}
         self.leases: dict[str, tuple[float, float]] = {}
+        self.before: dict[str, messages.Entry] = {}
         self.revision = 0
         self.counts = Counts()
         self.faults = Faults()
@@ -76,7 +82,9 @@
     def put(self, key: str, value: str) -> int:
         """Write a key."""
         self.revision += 1
-        if key not in self.entries:
+        if key in self.entries:
+            self.before[key] = self.entries[key]
+        else:
             bisect.insort(self.keys, key)
         self.entries[key] = messages.Entry(key, value, self.revision)
         return self.revision
@@ -85,6 +93,7 @@
         """Delete a key."""
         self.revision += 1
         del self.entries[key]
+        self.before.pop(key, None)
         self.keys.remove(key)
         self.leased.pop(key, None)
 
@@ -119,12 +128,30 @@
 def build_app(data: Data) -> web.Application:
     """Build the store's HTTP interface."""
 
+    def use_up(fault: str) -> bool:
+        left = getattr(data.faults, fault)
+        if left > 0:
+            data.faults = dataclasses.replace(data.faults, **{fault: left - 1})
+        return left > 0
+
+    def cut_off(request: web.Request) -> None:
+        if request.transport is not None:
+            request.transport.abort()
+
     async def lose_answer(request: web.Request) -> None:
-        if data.faults.lose_answers > 0:
-            left = data.faults.lose_answers - 1
-            data.faults = dataclasses.replace(data.faults, lose_answers=left)
-            if request.transport is not None:
-                request.transport.abort()
+        if use_up("lose_answers"):
+            cut_off(request)
+
+    async def delay_write(request: web.Request) -> None:
+        if use_up("late_writes"):
+            late_s = data.faults.late_ms / 1000
+            cut_off(request)
+            await asyncio.sleep(late_s)
+
+    def see(key: str) -> messages.Entry | None:
+        if use_up("stale_reads"):
+            return data.before.get(key)
+        return data.entries.get(key)
 
     async def tell() -> None:
         async with data.changed:
@@ -145,7 +172,7 @@
 
     async def get(request: web.Request) -> web.Response:
         data.count("reads")
-        entry = data.entries.get(request.match_info["key"])
+        entry = see(request.match_info["key"])
         return _reply(entry) if entry else web.Response(status=404)
 
     async def put(request: web.Request) -> web.Response:
@@ -154,6 +181,7 @@
         value = (await request.read()).decode()
         if len(value) > VALUE_LIMIT_BYTES:
             return web.Response(status=413)
+        await delay_write(request)
         if int(request.query["version"]) != data.version(key):
             return _reply(messages.Written(data.version(key)), 409)
         lease = request.query.get("lease", "")
@@ -181,9 +209,7 @@
         found = data.below(
             request.query["prefix"], request.query.get("start", "")
         )
-        if data.faults.stale_reads > 0:
-            left = data.faults.stale_reads - 1
-            data.faults = dataclasses.replace(data.faults, stale_reads=left)
+        if use_up("stale_reads"):
             found = [e for e in found if e.version < data.revision]
         limit = int(request.query.get("limit", "1000"))
         return _reply(messages.Listing(tuple(found[:limit]), data.revision))
