--- a/packages/burdockdeal/burdockdeal/bookings/assembly.py
+++ b/packages/burdockdeal/burdockdeal/bookings/assembly.py
@@ -12,6 +12,7 @@
 from burdockdeal.bookings import guard
 from burdockdeal.bookings import ledger
 from burdockdeal.bookings import messages
+from burdockdeal.bookings import pinning
 from burdockdeal.bookings import runs
 from burdockdeal.core import call
 from burdockdeal.membership import messages as membership
@@ -61,7 +62,7 @@
             retention_s=limits.key_retention_s,
             per_second=limits.claims_per_s,
         )
-        self.pins = guard.Pins(
+        self.pins = pinning.Pins(
             settings.peer_token, standing.find, store_claims.look
         )
         self._ask_clock, self._ask_fate = guard.make_asks(
--- a/packages/burdockdeal/burdockdeal/bookings/tests/test_sessions.py
+++ b/packages/burdockdeal/burdockdeal/bookings/tests/test_sessions.py
@@ -129,7 +129,10 @@
             request_id, "bookings", "booking", 110.0, idempotency_key=key
         ),
         outbound=serving.Outbound(
-            "POST", "/b", multidict.CIMultiDict(), bodies.Body(None, body)
+            "POST",
+            "/b",
+            multidict.CIMultiDict(),
+            bodies.Body(None, body, model.Limits()),
         ),
         daemon="d1",
         peer=PEER,
--- a/packages/burdockdeal/burdockdeal/daemon/assembly.py
+++ b/packages/burdockdeal/burdockdeal/daemon/assembly.py
@@ -14,29 +14,34 @@
 from burdockdeal.admission import state as admission
 from burdockdeal.announce import api as announce_api
 from burdockdeal.announce import decisions as announce
-from burdockdeal.audit import api as audit_api
 from burdockdeal.bookings import assembly as bookings
 from burdockdeal.configuration import api as configuration_api
 from burdockdeal.configuration import resources
-from burdockdeal.configuration import service as configuration
-from burdockdeal.configuration import spread
-from burdockdeal.configuration import writer
-from burdockdeal.core import call
+from burdockdeal.configuration import standing as configuration
+from burdockdeal.configuration import wiring as configuration_wiring
 from burdockdeal.core import codec
 from burdockdeal.core import errors
 from burdockdeal.core import headers
 from burdockdeal.core import verdict
+from burdockdeal.daemon import gauges
 from burdockdeal.daemon import listening
+from burdockdeal.daemon import measuring
 from burdockdeal.daemon import messages
 from burdockdeal.daemon import metrics
+from burdockdeal.measurement import meter
+from burdockdeal.measurement import prober
 from burdockdeal.membership import contacts
 from burdockdeal.membership import messages as membership
 from burdockdeal.membership import roster
 from burdockdeal.membership import service as membership_service
 from burdockdeal.membership import transport
+from burdockdeal.overload import connections
+from burdockdeal.overload import guard as guards
 from burdockdeal.platform import store
+from burdockdeal.retry import attempts
+from burdockdeal.retry import budget as budgets
 from burdockdeal.routing import board
-from burdockdeal.routing import policies
+from burdockdeal.routing import selection
 from burdockdeal.routing import state as routing
 from burdockdeal.serving import classify
 from burdockdeal.serving import entry
@@ -80,8 +85,13 @@
         )
         self.side = announce_api.Side(self.clock)
         self.standing = configuration.Standing()
-        self.board = board.Board(settings.failure_domain, self.clock)
         self.gate = gate.Gate(self.clock, self._room)
+        self.meter = meter.Meter(self.clock)
+        self.board = board.Board(
+            settings.daemon, settings.failure_domain, self.clock, self.load
+        )
+        self.budget = budgets.Budget()
+        self.bounds = connections.bound_listeners(settings.limits, self.clock)
         self.snapshot: classify.Snapshot | None = None
         self.stopping: stopping.Stopping
         self.services: tuple[mode.Service, ...] = ()
@@ -133,6 +143,15 @@
                 return f"{service.label}: {service.crash_reason!r}"
         return None
 
+    def build_guard(self) -> guards.Guard:
+        """Build the guard of this daemon's entry."""
+        return guards.Guard(
+            lambda: self.snapshot.ranks if self.snapshot else {},
+            self.settings.limits.requests,
+            self.clock,
+            self.chance,
+        )
+
     def is_relay(self) -> bool:
         """Tell whether this daemon watches the store for its domain."""
         domain = self.settings.failure_domain
@@ -144,7 +163,8 @@
             in_flight=self.gate.running,
             waiting=self.gate.waiting,
             slots=self._slots(),
-            service_ms=round(self.gate.service_s * 1000, 3),
+            service_ms=self.meter.service_ms(),
+            failed_share=self.meter.failed_share,
         )
 
     def missing(self) -> tuple[str, ...]:
@@ -152,20 +172,15 @@
         return () if self.snapshot else ("configuration",)
 
 
-def _make_choose(parts: Parts) -> entry.Choose:
-    policy = policies.POLICIES[parts.settings.policy](parts.chance)
-
-    def choose(
-        work: call.Call, tried: frozenset[str]
-    ) -> membership.Member | None:
-        views = [
-            parts.board.view(member)
-            for member in parts.roster.serving(work.service).values()
-            if member.daemon not in tried
-        ]
-        return policy(views).member if views else None
-
-    return choose
+def _make_choose(parts: Parts) -> attempts.Choose:
+    return selection.make_choose(
+        parts.settings.policy,
+        parts.chance,
+        parts.board,
+        serving=parts.roster.list_serving,
+        services=lambda: parts.snapshot.services if parts.snapshot else {},
+        ranks=lambda: parts.snapshot.ranks if parts.snapshot else {},
+    )
 
 
 def _make_open_answer(
@@ -183,17 +198,18 @@
 def _make_peer_dispatch(
     parts: Parts,
     handle_call: front.Handler,
-    follower: configuration.Follower,
+    config_slice: configuration_wiring.Slice,
     members: membership_service.Membership,
+    probing: measuring.Measuring,
     booked: bookings.Bookings,
 ) -> front.Handler:
     table = {
         **booked.peer_handlers,
+        prober.PATH: probing.receiver.handle,
         "/v1/peer/ping": members.handle_ping,
         "/v1/peer/ping-request": members.handle_ping_request,
         "/v1/peer/page": members.handle_page,
-        "/v1/peer/changes": follower.handle_changes,
-        "/v1/peer/applied": follower.handle_applied,
+        **config_slice.peer_handlers,
     }
     token = parts.settings.peer_token.encode()
 
@@ -214,8 +230,7 @@
 def _build_operator_app(
     parts: Parts,
     platform: store.Store,
-    append: writer.Append,
-    ask_domains: spread.AskDomains,
+    config_slice: configuration_wiring.Slice,
     told: metrics.Metrics,
 ) -> web.Application:
     def reply(message: object, status: int = 200) -> web.Response:
@@ -239,7 +254,7 @@
                 daemon=parts.settings.daemon,
                 revision=parts.standing.revision,
                 store_calls=platform.calls,
-                domains=await ask_domains(),
+                domains=await config_slice.spreader.ask_domains(),
                 members=parts.roster.members,
             )
         )
@@ -253,43 +268,10 @@
     app.router.add_get("/readyz", readyz)
     app.router.add_get("/metrics", told.handle)
     app.router.add_get("/v1/status", status)
-    configuration_api.add_routes(app, parts.standing, append, ask_domains)
-    audit_api.add_routes(app, parts.standing)
+    config_slice.add_routes(app)
     return app
 
 
-def _make_gauges(
-    parts: Parts, platform: store.Store
-) -> tuple[metrics.Gauge, ...]:
-    return (
-        metrics.Gauge(
-            "burdockdeal_in_flight",
-            "Calls in flight to the upstream.",
-            lambda: parts.gate.running,
-        ),
-        metrics.Gauge(
-            "burdockdeal_waiting",
-            "Calls that wait at the gate.",
-            lambda: parts.gate.waiting,
-        ),
-        metrics.Gauge(
-            "burdockdeal_members",
-            "Daemons that are known and not believed gone.",
-            lambda: parts.roster.size,
-        ),
-        metrics.Gauge(
-            "burdockdeal_configuration_revision",
-            "The revision of the configuration in force here.",
-            lambda: parts.standing.revision,
-        ),
-        metrics.Gauge(
-            "burdockdeal_store_calls_total",
-            "Calls to the platform's store since the start.",
-            lambda: platform.calls,
-        ),
-    )
-
-
 @contextlib.asynccontextmanager
 async def run_daemon(settings: model.Settings) -> abc.AsyncIterator[Parts]:
     """Run a daemon while the block runs.
@@ -300,7 +282,11 @@
     limits = settings.limits
     local_addr = (settings.listen.peer.host, 0)
     async with contextlib.AsyncExitStack() as stack:
-        platform = await stack.enter_async_context(store.Store(settings.store))
+        platform = await stack.enter_async_context(
+            configuration_wiring.make_platform(
+                settings, parts.chance, parts.clock
+            )
+        )
         session = await stack.enter_async_context(
             transfer.build_session(limits.header_bytes, local_addr)
         )
@@ -310,12 +296,19 @@
                 cookie_jar=aiohttp.DummyCookieJar(),
             )
         )
-        follower = configuration.Follower(
-            settings,
+        config_slice = configuration_wiring.build(
+            configuration_wiring.Means(
+                settings=settings,
+                platform=platform,
+                session=control,
+                chance=parts.chance,
+                roster=parts.roster,
+                is_relay=parts.is_relay,
+                new_id=lambda: secrets.token_hex(8),
+                clock=parts.clock,
+                wall_ms=_wall_ms,
+            ),
             parts.standing,
-            platform,
-            control,
-            is_relay=parts.is_relay,
         )
         members = membership_service.Membership(
             settings,
@@ -325,9 +318,27 @@
             parts.chance,
             parts.clock,
             revision=lambda: parts.standing.revision,
-            on_newer=follower.pull_from,
+            on_newer=config_slice.puller.pull_from,
+        )
+        guard = await stack.enter_async_context(parts.build_guard())
+        probing = measuring.build_measuring(
+            settings,
+            control,
+            parts.standing,
+            parts.board,
+            parts.chance,
+            load=parts.load,
+            incarnation=lambda: parts.side.upstream.incarnation,
+        )
+        told = metrics.Metrics(
+            (
+                *gauges.make_gauges(parts.gate, parts.roster, parts.standing),
+                *config_slice.gauges(),
+                *probing.make_gauges(),
+                *metrics.make_retry_gauges(parts.budget),
+                *metrics.make_overload_gauges(parts.bounds, guard),
+            )
         )
-        told = metrics.Metrics(_make_gauges(parts, platform))
         choose = _make_choose(parts)
         booked = bookings.Bookings(
             settings, parts.roster, platform, control, parts.clock
@@ -341,6 +352,7 @@
                 parts.clock,
                 booked.ledger,
                 booked.prepare,
+                parts.meter,
             )
         )
         remote = booked.guard_sends(
@@ -358,37 +370,27 @@
             parts.clock,
             settings.listen.peer,
             parts.roster.own.incarnation,
-            limits.replay_bytes,
+            limits,
         )
         handle_entry = entry.make_entry(
             snapshot=lambda: parts.snapshot,
             choose=choose,
             pins=booked.pins,
             open_answer=_make_open_answer(parts, local, remote),
+            budget=parts.budget,
+            guard=guard,
             tallies=parts.board,
             new_id=lambda: secrets.token_hex(8),
             clock=parts.clock,
             count=told.count,
-            replay_bytes=limits.replay_bytes,
-        )
-        append = writer.make_append(
-            platform,
-            follower,
-            parts.standing,
-            lambda: secrets.token_hex(8),
-            _wall_ms,
-        )
-        ask_domains = spread.make_ask_domains(
-            lambda: parts.roster.members, control, settings.peer_token
-        )
-        operator_app = _build_operator_app(
-            parts, platform, append, ask_domains, told
+            limits=limits,
         )
+        operator_app = _build_operator_app(parts, platform, config_slice, told)
         upstream_app = announce_api.build_app(
             parts.side, lambda: parts.gate.running
         )
         dispatch = _make_peer_dispatch(
-            parts, handle_call, follower, members, booked
+            parts, handle_call, config_slice, members, probing, booked
         )
         handle_entry = booked.answer_keys(handle_entry, choose)
 
@@ -405,26 +407,22 @@
             return web.ServerRunner(server, shutdown_timeout=_CUT_S)
 
         fronts: list[front.Front] = []
-        await listening.listen(
-            stack,
-            web.AppRunner(
-                operator_app, access_log=None, shutdown_timeout=_CUT_S
-            ),
-            settings.listen.operator,
+        operators = web.AppRunner(
+            operator_app, access_log=None, shutdown_timeout=_CUT_S
         )
-        await listening.listen(
-            stack,
-            web.AppRunner(
-                upstream_app, access_log=None, shutdown_timeout=_CUT_S
-            ),
-            settings.listen.upstream,
-        )
-        await listening.listen(stack, serve(dispatch), settings.listen.peer)
-        stop_callers = await listening.listen(
-            stack,
-            serve(handle_entry, half_open=True),
-            settings.listen.caller,
+        upstreams = web.AppRunner(
+            upstream_app, access_log=None, shutdown_timeout=_CUT_S
         )
+        callers = serve(handle_entry, half_open=True)
+        for runner, address, bound in (
+            (operators, settings.listen.operator, parts.bounds.operator),
+            (upstreams, settings.listen.upstream, parts.bounds.upstream),
+            (serve(dispatch), settings.listen.peer, parts.bounds.peer),
+            (callers, settings.listen.caller, parts.bounds.caller),
+        ):
+            stop_callers = await listening.listen(
+                stack, runner, address, bound
+            )
         parts.stopping = shutdown.make_stopping(
             settings,
             parts.side,
@@ -434,7 +432,11 @@
             stop_callers,
             parts.clock,
         )
-        parts.services = (follower, members)
+        parts.services = (
+            *config_slice.services,
+            members,
+            probing.prober,
+        )
         for service in parts.services:
             await stack.enter_async_context(service)
         yield parts
--- a/packages/burdockdeal/burdockdeal/membership/tests/test_specification.py
+++ b/packages/burdockdeal/burdockdeal/membership/tests/test_specification.py
@@ -84,9 +84,5 @@
 )
 def test_each_invariant_bites(broken: dict, caught_by: str) -> None:
     rules = specification.Rules(**broken)
-    caught = [
-        bounds
-        for bounds in (_ONE_WATCHER, _TWO_WATCHERS)
-        if check(rules, bounds, {caught_by})[caught_by] is False
-    ]
-    assert caught
+    told = check(rules, specification.Bounds(), {caught_by})
+    assert told[caught_by] is False
--- a/packages/burdockdeal/burdockdeal/serving/entry.py
+++ b/packages/burdockdeal/burdockdeal/serving/entry.py
@@ -6,14 +6,16 @@
 
 from aiohttp import web
 
-from burdockdeal.bookings import guard
-from burdockdeal.bookings import messages as bookings
+from burdockdeal.bookings import pinning
 from burdockdeal.core import call
 from burdockdeal.core import errors
 from burdockdeal.core import headers
 from burdockdeal.core import journal
 from burdockdeal.core import verdict
 from burdockdeal.membership import messages as membership
+from burdockdeal.overload import guard as guards
+from burdockdeal.retry import attempts
+from burdockdeal.retry import budget as budgets
 from burdockdeal.retry import decisions as retry
 from burdockdeal.routing import board
 from burdockdeal.serving import bodies
@@ -21,9 +23,7 @@
 from burdockdeal.serving import messages
 from burdockdeal.serving import refusals
 from burdockdeal.serving import transfer
-
-#: Choose an instance for a call, not among those tried.
-Choose = abc.Callable[[call.Call, frozenset[str]], membership.Member | None]
+from burdockdeal.settings import model
 
 #: Count an outcome: rank and verdict.
 Count = abc.Callable[[str, verdict.Verdict], None]
@@ -32,14 +32,16 @@
 def make_entry(
     *,
     snapshot: abc.Callable[[], classify.Snapshot | None],
-    choose: Choose,
-    pins: guard.Pins,
+    choose: attempts.Choose,
+    pins: pinning.Pins,
     open_answer: messages.OpenAnswer,
+    budget: budgets.Budget,
+    guard: guards.Guard,
     tallies: board.Board,
     new_id: abc.Callable[[], str],
     clock: abc.Callable[[], float],
     count: Count,
-    replay_bytes: int,
+    limits: model.Limits,
 ) -> abc.Callable[[web.BaseRequest], abc.Awaitable[web.StreamResponse]]:
     """Make the handler of callers' requests."""
 
@@ -47,16 +49,41 @@
     async def watch_send(
         send: messages.Send,
     ) -> abc.AsyncIterator[messages.Answer]:
-        started = clock()
-        tallies.note_sent(send.daemon, send.incarnation)
-        try:
+        with tallies.watch(
+            send.daemon,
+            send.incarnation,
+            send.request.service,
+            timed=not send.outbound.body.streamed,
+        ) as seen:
             async with open_answer(send) as answer:
-                tallies.note_answer(
-                    send.daemon, send.incarnation, clock() - started
-                )
+                seen.answered(answer.status)
                 yield answer
-        finally:
-            tallies.note_done(send.daemon, send.incarnation)
+
+    def open_to(
+        work: call.Call,
+        outbound: messages.Outbound,
+        member: membership.Member,
+        attempt: int,
+    ) -> contextlib.AbstractAsyncContextManager[messages.Answer]:
+        return watch_send(
+            messages.Send(
+                request=work,
+                outbound=outbound,
+                daemon=member.daemon,
+                peer=member.peer,
+                incarnation=member.upstream_incarnation,
+                attempt=attempt,
+                daemon_incarnation=member.incarnation,
+            )
+        )
+
+    dispatch = pinning.make_dispatch(
+        attempts.make_dispatch(
+            choose=choose, open_to=open_to, budget=budget, clock=clock
+        ),
+        open_to,
+        pins,
+    )
 
     async def answer_call(
         request: web.BaseRequest, work: call.Call
@@ -65,52 +92,14 @@
             method=request.method,
             target=request.raw_path,
             headers=transfer.keep_end_to_end(request.headers),
-            body=await bodies.take_body(request, replay_bytes),
+            body=await bodies.take_body(request, limits),
         )
         added = {
             headers.VERDICT: verdict.Verdict.RAN.value,
             headers.REQUEST_ID: work.request_id,
         }
-        tried: frozenset[str] = frozenset()
-        pin = pins.find_pin(work)
-        attempts = 0
-        last: errors.CallError | None = None
-        while True:
-            member = pin or choose(work, tried)
-            if member is None:
-                error = last or errors.NotRunError(verdict.Reason.NO_INSTANCE)
-                pin = await pins.review(work, error, pin)
-                continue
-            tried |= {member.daemon}
-            attempts += 1
-            send = messages.Send(
-                request=work,
-                outbound=outbound,
-                daemon=member.daemon,
-                peer=member.peer,
-                incarnation=member.upstream_incarnation,
-                attempt=attempts,
-                daemon_incarnation=member.incarnation,
-            )
-            try:
-                async with watch_send(send) as answer:
-                    return await transfer.pass_on(request, answer, added)
-            except errors.KeyHeldError as error:
-                if pin is not None or not outbound.body.replayable:
-                    raise
-                holder = bookings.Holder(error.daemon, error.incarnation)
-                pin = pins.find_holder(holder)
-            except errors.CallError as error:
-                last = error
-                if pin is None and retry.may_resend(
-                    work,
-                    error.outcome,
-                    attempt=attempts,
-                    replayable=outbound.body.replayable,
-                    now=clock(),
-                ):
-                    continue
-                pin = await pins.review(work, error, pin)
+        async with dispatch(work, outbound) as answer:
+            return await transfer.pass_on(request, answer, added, limits)
 
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
         request_id = new_id()
@@ -128,13 +117,16 @@
                 now=clock(),
             )
             rank = work.rank
-            answer = await answer_call(request, work)
+            with guard.hold(work):
+                answer = await answer_call(request, work)
             count(rank, verdict.Verdict.RAN)
             journal.debug("request_answered", request_id=request_id, rank=rank)
             return answer
         except errors.CallError as error:
             count(rank, error.outcome)
-            journal.record(
+            # A flood's refusals are counted, and only shown if asked for.
+            flood = error.reason in retry.FULL_REASONS
+            (journal.debug if flood else journal.record)(
                 "request_refused",
                 request_id=request_id,
                 rank=rank,
--- a/packages/burdockdeal/burdockdeal/serving/owner.py
+++ b/packages/burdockdeal/burdockdeal/serving/owner.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 import contextlib
+import dataclasses
 
 import aiohttp
 from aiohttp import web
@@ -19,6 +20,7 @@
 from burdockdeal.core import errors
 from burdockdeal.core import headers
 from burdockdeal.core import verdict
+from burdockdeal.measurement import meter
 from burdockdeal.routing import state as routing
 from burdockdeal.serving import bodies
 from burdockdeal.serving import classify
@@ -80,12 +82,14 @@
     clock: Clock,
     ledger: ledgers.Ledger,
     prepare: abc.Callable[[messages.Send], abc.Awaitable[None]],
+    times: meter.Meter,
 ) -> messages.OpenAnswer:
     """Make the function that opens answers of the upstream beside us.
 
     :param snapshot: returns the configuration in force, None before one.
     :param ledger: knows which sends may start.
     :param prepare: called with each send once it has its slot.
+    :param times: takes how long the upstream takes.
     """
 
     def check(send: messages.Send) -> None:
@@ -132,7 +136,10 @@
                 ledger.start(*_name_send(send))
             now = clock()
             announced = side.upstream.announce
-            with watch_address():
+            with (
+                watch_address(),
+                times.watch(timed=not send.outbound.body.streamed) as head,
+            ):
                 async with transfer.open_response(
                     session,
                     f"http://{announced.host}:{announced.port}",
@@ -141,6 +148,7 @@
                     remaining_s=send.request.deadline - now,
                     expect=False,
                 ) as response:
+                    head(response.status)
                     _check_upstream_ran(response)
                     yield messages.read_answer(response)
 
@@ -161,7 +169,7 @@
     clock: Clock,
     own_peer: model.Address,
     incarnation: int,
-    replay_bytes: int,
+    limits: model.Limits,
 ) -> abc.Callable[[web.BaseRequest], abc.Awaitable[web.StreamResponse]]:
     """Make the handler of calls that other daemons send to this one.
 
@@ -169,10 +177,18 @@
     :param incarnation: of this daemon.
     """
 
-    def report(error: errors.CallError | None = None) -> str:
+    def report(started: float, error: errors.CallError | None = None) -> str:
+        spent_ms = round((clock() - started) * 1000, 3)
+        answered = 0 if error else 1
+        standing = load()
         told = messages.OwnerReport(
             verdict=error.outcome if error else verdict.Verdict.RAN,
-            load=load(),
+            # The call that is answered here is as good as gone.
+            load=dataclasses.replace(
+                standing,
+                in_flight=max(0, standing.in_flight - answered),
+                spent_ms=spent_ms,
+            ),
             reason=error.reason if error else None,
             detail=error.detail if error else "",
             incarnation=incarnation,
@@ -183,6 +199,7 @@
         return codec.encode(told).decode()
 
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
+        started = clock()
         envelope = codec.decode(
             request.headers[headers.ENVELOPE], call.Envelope
         )
@@ -190,7 +207,7 @@
             method=request.method,
             target=request.raw_path,
             headers=transfer.keep_end_to_end(request.headers),
-            body=await bodies.take_body(request, replay_bytes),
+            body=await bodies.take_body(request, limits),
         )
         send = messages.Send(
             request=call.unseal(envelope, clock()),
@@ -204,12 +221,15 @@
         try:
             async with open_answer(send) as answer:
                 return await transfer.pass_on(
-                    request, answer, {headers.REPORT: report()}
+                    request,
+                    answer,
+                    {headers.REPORT: report(started)},
+                    limits,
                 )
         except errors.CallError as error:
             return web.Response(
                 status=verdict.HTTP_STATUS[error.reason],
-                headers={headers.REPORT: report(error)},
+                headers={headers.REPORT: report(started, error)},
             )
 
     return handle
--- a/packages/burdockdeal/burdockdeal/serving/transfer.py
+++ b/packages/burdockdeal/burdockdeal/serving/transfer.py
@@ -13,7 +13,9 @@
 from burdockdeal.core import errors
 from burdockdeal.core import headers
 from burdockdeal.core import verdict
+from burdockdeal.overload import pacing
 from burdockdeal.serving import messages
+from burdockdeal.settings import model
 
 _CONNECT_TIMEOUT_S = 1.0
 _IDLE_CONNECTION_S = 60.0
@@ -158,6 +160,7 @@
     request: web.BaseRequest,
     response: messages.Answer,
     added: abc.Mapping[str, str],
+    limits: model.Limits,
 ) -> web.StreamResponse:
     """Pass an answer on as it comes.
 
@@ -170,7 +173,7 @@
     kept = keep_end_to_end(response.headers)
     kept.update(added)
     try:
-        first = await response.content.readany()
+        first = await pacing.read_part(response.content, limits)
     except (aiohttp.ClientError, OSError) as error:
         # Nothing was passed on yet, so the client can be told plainly.
         raise errors.RanError(
@@ -190,8 +193,8 @@
     await passed.prepare(request)
     try:
         while first:
-            await passed.write(first)
-            first = await response.content.readany()
+            await pacing.write_steadily(passed, first, limits)
+            first = await pacing.read_part(response.content, limits)
     except (aiohttp.ClientError, OSError) as error:
         if request.transport is not None:
             request.transport.abort()
