Prove membership with real processes; filter the trail in the command

Cause: pauses, cuts and newcomers were proved on paper only, and the command showed neither what a trail leaves out nor the id of a change whose fate is unknown.

--- a/packages/operator/burdockdeal_operator/commands.py
+++ b/packages/operator/burdockdeal_operator/commands.py
@@ -5,6 +5,7 @@
 import dataclasses
 import sys
 import time
+from urllib import parse
 
 from burdockdeal.audit import messages as audit
 from burdockdeal.configuration import messages
@@ -49,7 +50,12 @@
         return asyncio.run(work)
     except client.RefusedError as error:
         code = exits.OF_STATUS.get(error.status, exits.Exit.REFUSED)
-        _fail(code, *(error.problem.faults or (str(error),)))
+        problem = error.problem
+        lines = problem.faults or (problem.error,)
+        if problem.change_id:
+            look = f"look for change {problem.change_id} in the audit trail"
+            lines = (*lines, look)
+        _fail(code, *lines)
     except client.UnreachableError as error:
         _fail(exits.Exit.UNREACHABLE, str(error))
     except errors.CheckError as error:
@@ -229,9 +235,33 @@
             lambda fleet: text.render_services(fleet.members),
         )
 
-    def audit(self) -> None:
-        """Show who changed what, when, and how it ended."""
-        self._show("/v1/audit", audit.Trail, text.render_trail)
+    def audit(
+        self,
+        *,
+        operator: str = "",
+        resource: str = "",
+        outcome: str = "",
+        limit: int = 200,
+        cursor: str = "",
+    ) -> None:
+        """Show who changed what, when, and how it ended.
+
+        :param operator: only the changes of this operator.
+        :param resource: only the changes of this one, as Rank/tracking.
+        :param outcome: ACCEPTED, REFUSED, SUPERSEDED or UNCERTAIN.
+        :param limit: records of one page, the newest.
+        :param cursor: from the page before, for older records.
+        """
+        query = parse.urlencode(
+            {
+                "operator": operator,
+                "resource": resource,
+                "outcome": outcome,
+                "limit": limit,
+                "cursor": cursor,
+            }
+        )
+        self._show(f"/v1/audit?{query}", audit.Trail, text.render_trail)
 
     def _show(
         self, path: str, kind: type, render: abc.Callable[[object], str]
--- a/packages/operator/burdockdeal_operator/text.py
+++ b/packages/operator/burdockdeal_operator/text.py
@@ -116,8 +116,8 @@
 
 
 def render_trail(trail: audit.Trail) -> str:
-    """List the audit trail."""
-    return render_table(
+    """List the audit trail, and say what it leaves out."""
+    table = render_table(
         ("AT", "OPERATOR", "RESOURCE", "ACTION", "FROM", "TO", "OUTCOME"),
         (
             (
@@ -132,3 +132,11 @@
             for record in trail.records
         ),
     )
+    notes = []
+    if not trail.complete:
+        notes.append("the store is away: only what this daemon holds")
+    if trail.lost:
+        notes.append(f"{trail.lost} records were lost at this daemon")
+    if trail.older:
+        notes.append(f"older records: --cursor={trail.older}")
+    return "\n".join((table, *notes))
--- a/packages/standins/burdockdeal_standins/fleet.py
+++ b/packages/standins/burdockdeal_standins/fleet.py
@@ -382,6 +382,36 @@
         }
         return Relay(self.session, ports[0], admin_port, host, near, addresses)
 
+    async def add_domain(
+        self, number: int, places: abc.Sequence[Place], **changes: object
+    ) -> "Relay":
+        """Start a failure domain whose daemons are reached by a relay.
+
+        :param number: of the domain, which gives it its own addresses.
+        """
+        host = f"127.0.{number}.1"
+        listens = {
+            place.name: model.Listen(
+                *(model.Address(host, free_port(host)) for _ in range(4))
+            )
+            for place in places
+        }
+        link = await self.add_domain_relay(
+            host, {name: listen.peer for name, listen in listens.items()}
+        )
+        await asyncio.gather(
+            *(
+                self.add(
+                    place,
+                    listen=listens[place.name],
+                    advertise=link.addresses[place.name],
+                    **changes,
+                )
+                for place in places
+            )
+        )
+        return link
+
     def all_logs(self) -> str:
         """Read the ends of all processes' outputs."""
         paths = sorted(self.folder.glob("*.log"))
