--- /dev/null
+++ b/packages/bench/burdockdeal_bench/tests/test_hops.py
@@ -0,0 +1,38 @@
+"""The arithmetic of what hops cost."""
+
+import os
+
+import pytest
+
+from burdockdeal_bench import hops
+
+
+def _times(seconds: float, cpu_us: float) -> hops.Times:
+    return hops.Times((seconds,) * 100, cpu_us)
+
+
+def test_ratios_are_of_what_is_added() -> None:
+    told = hops.build_report(
+        {
+            hops.Path("direct", 0, ""): _times(0.001, 0.0),
+            hops.Path("bare", 1, ""): _times(0.002, 400.0),
+            hops.Path("daemons", 1, ""): _times(0.0025, 600.0),
+            hops.Path("bare", 2, ""): _times(0.003, 800.0),
+            hops.Path("daemons", 2, ""): _times(0.005, 1600.0),
+        },
+        idle_kb=50_000,
+        after_kb=51_000,
+    )
+    assert told.ratios_p50 == pytest.approx((1.5, 2.0), abs=0.02)
+    assert told.ratios_p99 == pytest.approx((1.5, 2.0), abs=0.02)
+    assert told.ratios_cpu == pytest.approx((1.5, 2.0))
+    assert told.calls == 100
+    assert len(hops.format_table(told).splitlines()) == 7
+
+
+def test_a_process_is_read() -> None:
+    own = os.getpid()
+    before = hops.read_cpu_ns([own])
+    assert sum(range(1_000_000)) > 0
+    assert hops.read_cpu_ns([own]) >= before
+    assert hops.read_resident_kb(own) > 1_000
