--- a/packages/bench/burdockdeal_bench/slopes/fleets.py
+++ b/packages/bench/burdockdeal_bench/slopes/fleets.py
@@ -125,25 +125,30 @@
     return lambda count: asyncio.run(measure(count))
 
 
-def _measure_changes(count: int) -> float:
+async def _count_changes(domains: int, count: int) -> float:
     """Count the store's calls for some changes, the idle ones left out."""
+    async with _run_daemons(_lay_in_domains(domains)) as fleet:
+        first = next(iter(fleet.nodes.values()))
+        before = await _count_store_calls(fleet)
+        await asyncio.sleep(_IDLE_S)
+        idle = await _count_store_calls(fleet) - before
+        before = await _count_store_calls(fleet)
+        began = time.monotonic()
+        for number in range(count):
+            await fleet.declare(
+                first, "Service", f"s{number}", resources.Service()
+            )
+        await asyncio.sleep(_IDLE_S - (time.monotonic() - began))
+        return await _count_store_calls(fleet) - before - idle
 
-    async def measure() -> float:
-        async with _run_daemons(_lay_in_domains(2)) as fleet:
-            first = next(iter(fleet.nodes.values()))
-            before = await _count_store_calls(fleet)
-            await asyncio.sleep(_IDLE_S)
-            idle = await _count_store_calls(fleet) - before
-            before = await _count_store_calls(fleet)
-            began = time.monotonic()
-            for number in range(count):
-                await fleet.declare(
-                    first, "Service", f"s{number}", resources.Service()
-                )
-            await asyncio.sleep(_IDLE_S - (time.monotonic() - began))
-            return await _count_store_calls(fleet) - before - idle
 
-    return asyncio.run(measure())
+def _measure_changes(count: int) -> float:
+    return asyncio.run(_count_changes(2, count))
+
+
+def _measure_change_domains(domains: int) -> float:
+    count = _CHANGES[0]
+    return asyncio.run(_count_changes(domains, count)) / count
 
 
 def _measure_status(count: int) -> float:
@@ -206,4 +211,11 @@
     slope.Slope(
         "store-calls-change", "calls", "change", _CHANGES, _measure_changes
     ),
+    slope.Slope(
+        "store-calls-spread",
+        "calls/change",
+        "failure domain of two",
+        _DOMAINS,
+        _measure_change_domains,
+    ),
 )
