--- a/packages/burdockdeal/burdockdeal/daemon/assembly.py
+++ b/packages/burdockdeal/burdockdeal/daemon/assembly.py
@@ -20,20 +20,27 @@
 from burdockdeal.configuration import service as configuration
 from burdockdeal.configuration import spread
 from burdockdeal.configuration import writer
-from burdockdeal.core import call
 from burdockdeal.core import codec
 from burdockdeal.core import headers
+from burdockdeal.daemon import gauges
 from burdockdeal.daemon import listening
+from burdockdeal.daemon import measuring
 from burdockdeal.daemon import messages
 from burdockdeal.daemon import metrics
+from burdockdeal.measurement import meter
+from burdockdeal.measurement import prober
 from burdockdeal.membership import contacts
 from burdockdeal.membership import messages as membership
 from burdockdeal.membership import roster
 from burdockdeal.membership import service as membership_service
 from burdockdeal.membership import transport
+from burdockdeal.overload import connections
+from burdockdeal.overload import guard as guards
 from burdockdeal.platform import store
+from burdockdeal.retry import attempts
+from burdockdeal.retry import budget as budgets
 from burdockdeal.routing import board
-from burdockdeal.routing import policies
+from burdockdeal.routing import selection
 from burdockdeal.routing import state as routing
 from burdockdeal.serving import classify
 from burdockdeal.serving import entry
@@ -73,8 +80,13 @@
         )
         self.side = announce_api.Side(self.clock)
         self.standing = configuration.Standing()
-        self.board = board.Board(settings.failure_domain, self.clock)
         self.gate = gate.Gate(self.clock, self._room)
+        self.meter = meter.Meter(self.clock)
+        self.board = board.Board(
+            settings.daemon, settings.failure_domain, self.clock, self.load
+        )
+        self.budget = budgets.Budget()
+        self.bounds = connections.bound_listeners(settings.limits, self.clock)
         self.snapshot: classify.Snapshot | None = None
         self.services: tuple[mode.Service, ...] = ()
         self.side.on_change(self._declare_upstream)
@@ -125,6 +137,15 @@
                 return f"{service.label}: {service.crash_reason!r}"
         return None
 
+    def build_guard(self) -> guards.Guard:
+        """Build the guard of this daemon's entry."""
+        return guards.Guard(
+            lambda: self.snapshot.ranks if self.snapshot else {},
+            self.settings.limits.requests,
+            self.clock,
+            self.chance,
+        )
+
     def is_relay(self) -> bool:
         """Tell whether this daemon watches the store for its domain."""
         domain = self.settings.failure_domain
@@ -136,7 +157,8 @@
             in_flight=self.gate.running,
             waiting=self.gate.waiting,
             slots=self._slots(),
-            service_ms=round(self.gate.service_s * 1000, 3),
+            service_ms=self.meter.service_ms(),
+            failed_share=self.meter.failed_share,
         )
 
     def missing(self) -> tuple[str, ...]:
@@ -144,20 +166,15 @@
         return () if self.snapshot else ("configuration",)
 
 
-def _make_choose(parts: Parts) -> entry.Choose:
-    policy = policies.POLICIES[parts.settings.policy](parts.chance)
-
-    def choose(
-        work: call.Call, tried: frozenset[str]
-    ) -> membership.Member | None:
-        views = [
-            parts.board.view(member)
-            for member in parts.roster.serving(work.service).values()
-            if member.daemon not in tried
-        ]
-        return policy(views).member if views else None
-
-    return choose
+def _make_choose(parts: Parts) -> attempts.Choose:
+    return selection.make_choose(
+        parts.settings.policy,
+        parts.chance,
+        parts.board,
+        serving=parts.roster.list_serving,
+        services=lambda: parts.snapshot.services if parts.snapshot else {},
+        ranks=lambda: parts.snapshot.ranks if parts.snapshot else {},
+    )
 
 
 def _make_open_answer(
@@ -177,8 +194,10 @@
     handle_call: front.Handler,
     follower: configuration.Follower,
     members: membership_service.Membership,
+    probing: measuring.Measuring,
 ) -> front.Handler:
     table = {
+        prober.PATH: probing.receiver.handle,
         "/v1/peer/ping": members.handle_ping,
         "/v1/peer/ping-request": members.handle_ping_request,
         "/v1/peer/page": members.handle_page,
@@ -248,38 +267,6 @@
     return app
 
 
-def _make_gauges(
-    parts: Parts, platform: store.Store
-) -> tuple[metrics.Gauge, ...]:
-    return (
-        metrics.Gauge(
-            "burdockdeal_in_flight",
-            "Calls in flight to the upstream.",
-            lambda: parts.gate.running,
-        ),
-        metrics.Gauge(
-            "burdockdeal_waiting",
-            "Calls that wait at the gate.",
-            lambda: parts.gate.waiting,
-        ),
-        metrics.Gauge(
-            "burdockdeal_members",
-            "Daemons that are known and not believed gone.",
-            lambda: parts.roster.size,
-        ),
-        metrics.Gauge(
-            "burdockdeal_configuration_revision",
-            "The revision of the configuration in force here.",
-            lambda: parts.standing.revision,
-        ),
-        metrics.Gauge(
-            "burdockdeal_store_calls_total",
-            "Calls to the platform's store since the start.",
-            lambda: platform.calls,
-        ),
-    )
-
-
 @contextlib.asynccontextmanager
 async def run_daemon(settings: model.Settings) -> abc.AsyncIterator[Parts]:
     """Run a daemon while the block runs.
@@ -317,13 +304,33 @@
             revision=lambda: parts.standing.revision,
             on_newer=follower.pull_from,
         )
-        told = metrics.Metrics(_make_gauges(parts, platform))
+        guard = await stack.enter_async_context(parts.build_guard())
+        probing = measuring.build_measuring(
+            settings,
+            control,
+            parts.standing,
+            parts.board,
+            parts.chance,
+            load=parts.load,
+            incarnation=lambda: parts.side.upstream.incarnation,
+        )
+        told = metrics.Metrics(
+            (
+                *gauges.make_gauges(
+                    parts.gate, parts.roster, parts.standing, platform
+                ),
+                *probing.make_gauges(),
+                *metrics.make_retry_gauges(parts.budget),
+                *metrics.make_overload_gauges(parts.bounds, guard),
+            )
+        )
         local = owner.make_owner(
             parts.side,
             parts.gate,
             session,
             lambda: parts.snapshot,
             parts.clock,
+            parts.meter,
         )
         remote = peers.make_peer_opener(
             session, settings.peer_token, parts.clock, parts.board.note_report
@@ -333,17 +340,19 @@
             parts.load,
             parts.clock,
             settings.listen.peer,
-            limits.replay_bytes,
+            limits,
         )
         handle_entry = entry.make_entry(
             snapshot=lambda: parts.snapshot,
             choose=_make_choose(parts),
             open_answer=_make_open_answer(parts, local, remote),
+            budget=parts.budget,
+            guard=guard,
             tallies=parts.board,
             new_id=lambda: secrets.token_hex(8),
             clock=parts.clock,
             count=told.count,
-            replay_bytes=limits.replay_bytes,
+            limits=limits,
         )
         append = writer.make_append(
             platform,
@@ -361,7 +370,9 @@
         upstream_app = announce_api.build_app(
             parts.side, lambda: parts.gate.running
         )
-        dispatch = _make_peer_dispatch(parts, handle_call, follower, members)
+        dispatch = _make_peer_dispatch(
+            parts, handle_call, follower, members, probing
+        )
 
         def serve(handler: front.Handler) -> web.ServerRunner:
             return web.ServerRunner(
@@ -372,21 +383,16 @@
                 )
             )
 
-        await listening.listen(
-            stack,
-            web.AppRunner(operator_app, access_log=None),
-            settings.listen.operator,
-        )
-        await listening.listen(
-            stack,
-            web.AppRunner(upstream_app, access_log=None),
-            settings.listen.upstream,
-        )
-        await listening.listen(stack, serve(dispatch), settings.listen.peer)
-        await listening.listen(
-            stack, serve(handle_entry), settings.listen.caller
-        )
-        parts.services = (follower, members)
+        operators = web.AppRunner(operator_app, access_log=None)
+        upstreams = web.AppRunner(upstream_app, access_log=None)
+        for runner, address, bound in (
+            (operators, settings.listen.operator, parts.bounds.operator),
+            (upstreams, settings.listen.upstream, parts.bounds.upstream),
+            (serve(dispatch), settings.listen.peer, parts.bounds.peer),
+            (serve(handle_entry), settings.listen.caller, parts.bounds.caller),
+        ):
+            await listening.listen(stack, runner, address, bound)
+        parts.services = (follower, members, probing.prober)
         for service in parts.services:
             await stack.enter_async_context(service)
         yield parts
--- a/packages/burdockdeal/burdockdeal/membership/roster.py
+++ b/packages/burdockdeal/burdockdeal/membership/roster.py
@@ -36,6 +36,7 @@
         self.news = gossip.News()
         self._members: dict[str, messages.Member] = {}
         self._serving: dict[str, dict[str, messages.Member]] = {}
+        self._listed: dict[str, tuple[messages.Member, ...]] = {}
         self._domains: dict[str, dict[str, messages.Member]] = {}
         self._gone: dict[str, messages.Member] = {}
         self._suspects: dict[str, set[str]] = {}
@@ -82,6 +83,17 @@
         """Map daemon to record of those whose upstream serves a service."""
         return self._serving.get(service, _EMPTY)
 
+    def list_serving(self, service: str) -> tuple[messages.Member, ...]:
+        """List the records of those whose upstream serves a service.
+
+        :returns: the same tuple while none of them has changed.
+        """
+        if service not in self._serving:
+            return ()
+        if service not in self._listed:
+            self._listed[service] = tuple(self._serving[service].values())
+        return self._listed[service]
+
     def in_domain(self, domain: str) -> abc.Mapping[str, messages.Member]:
         """Map daemon to record of a domain's daemons that are not gone."""
         return self._domains.get(domain, _EMPTY)
@@ -206,6 +218,7 @@
             self._suspects.setdefault(domain, set()).add(daemon)
         if _may_serve(member):
             self._serving.setdefault(member.service, {})[daemon] = member
+            self._listed.pop(member.service, None)
 
     def _unset(self, member: messages.Member) -> None:
         daemon, domain = member.daemon, member.failure_domain
@@ -216,6 +229,7 @@
         self._suspects.get(domain, set()).discard(daemon)
         _drop(self._domains, domain, daemon)
         _drop(self._serving, member.service, daemon)
+        self._listed.pop(member.service, None)
 
 
 def _drop(
