--- a/packages/burdockdeal/burdockdeal/daemon/assembly.py
+++ b/packages/burdockdeal/burdockdeal/daemon/assembly.py
@@ -14,12 +14,15 @@
 from burdockdeal.admission import state as admission
 from burdockdeal.announce import api as announce_api
 from burdockdeal.announce import decisions as announce
+from burdockdeal.bookings import assembly as bookings
 from burdockdeal.configuration import api as configuration_api
 from burdockdeal.configuration import resources
 from burdockdeal.configuration import standing as configuration
 from burdockdeal.configuration import wiring as configuration_wiring
 from burdockdeal.core import codec
+from burdockdeal.core import errors
 from burdockdeal.core import headers
+from burdockdeal.core import verdict
 from burdockdeal.daemon import gauges
 from burdockdeal.daemon import listening
 from burdockdeal.daemon import measuring
@@ -48,8 +51,12 @@
 from burdockdeal.serving import peers
 from burdockdeal.serving import transfer
 from burdockdeal.settings import model
+from burdockdeal.shutdown import assembly as shutdown
+from burdockdeal.shutdown import stopping
 
 _DEFAULT_SERVICE = resources.Service()
+#: Seconds that connections are given when all is done, or is cut off.
+_CUT_S = 0.1
 _OPEN_PATHS = frozenset({"/healthz", "/readyz", "/metrics"})
 
 
@@ -86,6 +93,7 @@
         self.budget = budgets.Budget()
         self.bounds = connections.bound_listeners(settings.limits, self.clock)
         self.snapshot: classify.Snapshot | None = None
+        self.stopping: stopping.Stopping
         self.services: tuple[mode.Service, ...] = ()
         self.side.on_change(self._declare_upstream)
         self.standing.on_change(self._take_configuration)
@@ -193,8 +201,10 @@
     config_slice: configuration_wiring.Slice,
     members: membership_service.Membership,
     probing: measuring.Measuring,
+    booked: bookings.Bookings,
 ) -> front.Handler:
     table = {
+        **booked.peer_handlers,
         prober.PATH: probing.receiver.handle,
         "/v1/peer/ping": members.handle_ping,
         "/v1/peer/ping-request": members.handle_ping_request,
@@ -206,12 +216,12 @@
     async def dispatch(request: web.BaseRequest) -> web.StreamResponse:
         given = request.headers.get(headers.PEER_TOKEN, "").encode()
         if not secrets.compare_digest(given, token):
-            return web.Response(status=401)
+            raise errors.NotRunError(verdict.Reason.UNAUTHENTICATED)
         if headers.ENVELOPE in request.headers:
             return await handle_call(request)
         control = table.get(request.path)
         if control is None:
-            return web.Response(status=404)
+            raise errors.NotRunError(verdict.Reason.NO_RULE)
         return await control(request)
 
     return dispatch
@@ -329,27 +339,43 @@
                 *metrics.make_overload_gauges(parts.bounds, guard),
             )
         )
-        local = owner.make_owner(
-            parts.side,
-            parts.gate,
-            session,
-            lambda: parts.snapshot,
-            parts.clock,
-            parts.meter,
+        choose = _make_choose(parts)
+        booked = bookings.Bookings(
+            settings, parts.roster, platform, control, parts.clock
         )
-        remote = peers.make_peer_opener(
-            session, settings.peer_token, parts.clock, parts.board.note_report
+        local = booked.keep_runs(
+            owner.make_owner(
+                parts.side,
+                parts.gate,
+                session,
+                lambda: parts.snapshot,
+                parts.clock,
+                booked.ledger,
+                booked.prepare,
+                parts.meter,
+            )
+        )
+        remote = booked.guard_sends(
+            peers.make_peer_opener(
+                session,
+                settings.peer_token,
+                parts.clock,
+                parts.board.note_report,
+                booked.clocks.note,
+            )
         )
         handle_call = owner.make_peer_handler(
             local,
             parts.load,
             parts.clock,
             settings.listen.peer,
+            parts.roster.own.incarnation,
             limits,
         )
         handle_entry = entry.make_entry(
             snapshot=lambda: parts.snapshot,
-            choose=_make_choose(parts),
+            choose=choose,
+            pins=booked.pins,
             open_answer=_make_open_answer(parts, local, remote),
             budget=parts.budget,
             guard=guard,
@@ -364,27 +390,48 @@
             parts.side, lambda: parts.gate.running
         )
         dispatch = _make_peer_dispatch(
-            parts, handle_call, config_slice, members, probing
+            parts, handle_call, config_slice, members, probing, booked
         )
-
-        def serve(handler: front.Handler) -> web.ServerRunner:
-            return web.ServerRunner(
-                front.Front(
-                    handler,
-                    header_bytes=limits.header_bytes,
-                    idle_s=limits.caller_idle_s,
-                )
+        handle_entry = booked.answer_keys(handle_entry, choose)
+
+        def serve(
+            handler: front.Handler, *, half_open: bool = False
+        ) -> web.ServerRunner:
+            server = front.Front(
+                handler,
+                header_bytes=limits.header_bytes,
+                idle_s=limits.caller_idle_s,
+                half_open=half_open,
             )
+            fronts.append(server)
+            return web.ServerRunner(server, shutdown_timeout=_CUT_S)
 
-        operators = web.AppRunner(operator_app, access_log=None)
-        upstreams = web.AppRunner(upstream_app, access_log=None)
+        fronts: list[front.Front] = []
+        operators = web.AppRunner(
+            operator_app, access_log=None, shutdown_timeout=_CUT_S
+        )
+        upstreams = web.AppRunner(
+            upstream_app, access_log=None, shutdown_timeout=_CUT_S
+        )
+        callers = serve(handle_entry, half_open=True)
         for runner, address, bound in (
             (operators, settings.listen.operator, parts.bounds.operator),
             (upstreams, settings.listen.upstream, parts.bounds.upstream),
             (serve(dispatch), settings.listen.peer, parts.bounds.peer),
-            (serve(handle_entry), settings.listen.caller, parts.bounds.caller),
+            (callers, settings.listen.caller, parts.bounds.caller),
         ):
-            await listening.listen(stack, runner, address, bound)
+            stop_callers = await listening.listen(
+                stack, runner, address, bound
+            )
+        parts.stopping = shutdown.make_stopping(
+            settings,
+            parts.side,
+            parts.roster,
+            fronts,
+            lambda: booked.active,
+            stop_callers,
+            parts.clock,
+        )
         parts.services = (
             *config_slice.services,
             members,
--- a/packages/burdockdeal/burdockdeal/daemon/listening.py
+++ b/packages/burdockdeal/burdockdeal/daemon/listening.py
@@ -12,6 +12,9 @@
 
 _BACKLOG = 1024
 
+#: Take no more connections.
+Stop = abc.Callable[[], abc.Awaitable[None]]
+
 
 @contextlib.contextmanager
 def _bind(address: model.Address) -> abc.Iterator[socket.socket]:
@@ -28,17 +31,27 @@
     runner: web.BaseRunner,
     address: model.Address,
     bound: connections.Connections,
-) -> None:
+) -> Stop:
     """Serve on an address until the stack is unwound.
 
     :param bound: bounds the listener's connections.
 
     The loop resolves even IP numbers on its pool of threads; a socket
     that is bound here needs none.
+
+    :returns: a function that takes no more connections and keeps those
+        that stand.
     """
     listener = stack.enter_context(_bind(address))
     await runner.setup()
     stack.push_async_callback(runner.cleanup)
     await stack.enter_async_context(bound)
     bound.watch(runner.server)
-    await web.SockSite(runner, listener, backlog=_BACKLOG).start()
+    site = web.SockSite(runner, listener, backlog=_BACKLOG)
+    await site.start()
+
+    async def stop() -> None:
+        await site.stop()
+        listener.close()
+
+    return stop
--- a/packages/burdockdeal/burdockdeal/retry/attempts.py
+++ b/packages/burdockdeal/burdockdeal/retry/attempts.py
@@ -195,7 +195,7 @@
             self._budget.note_latency(self._work, self._clock() - started)
 
     def _is_final(self, outcome: Outcome) -> bool:
-        failed = decisions.is_failure(outcome.answer.response.status)
+        failed = decisions.is_failure(outcome.answer.status)
         return not (failed and self._work.idempotent)
 
     def _note_failure(self, outcome: Outcome) -> state.Progress:
@@ -212,6 +212,9 @@
         )
 
     def _may_resend(self, progress: state.Progress, outcome: Outcome) -> bool:
+        if isinstance(outcome.error, errors.KeyHeldError):
+            # Only the daemon that holds the key may run it.
+            return False
         now = self._clock()
         replayable = self._outbound.body.replayable
         if not decisions.may_resend(
--- a/packages/burdockdeal/burdockdeal/retry/tests/test_attempts.py
+++ b/packages/burdockdeal/burdockdeal/retry/tests/test_attempts.py
@@ -84,9 +84,7 @@
         if kind == "broken":
             raise FAILURES[kind]()
         status = 500 if kind == "500" else status
-        yield types.SimpleNamespace(
-            response=types.SimpleNamespace(status=status)
-        )
+        yield types.SimpleNamespace(status=status)
 
     async def _call_on(self, work: call.Call) -> int:
         depth = work.depth + 1
@@ -113,7 +111,7 @@
         )
         try:
             async with dispatch(work, OUTBOUND) as answer:
-                return answer.response.status
+                return answer.status
         except errors.CallError:
             return 503
 
--- a/packages/burdockdeal/burdockdeal/serving/entry.py
+++ b/packages/burdockdeal/burdockdeal/serving/entry.py
@@ -6,6 +6,7 @@
 
 from aiohttp import web
 
+from burdockdeal.bookings import pinning
 from burdockdeal.core import call
 from burdockdeal.core import errors
 from burdockdeal.core import headers
@@ -32,6 +33,7 @@
     *,
     snapshot: abc.Callable[[], classify.Snapshot | None],
     choose: attempts.Choose,
+    pins: pinning.Pins,
     open_answer: messages.OpenAnswer,
     budget: budgets.Budget,
     guard: guards.Guard,
@@ -54,7 +56,7 @@
             timed=not send.outbound.body.streamed,
         ) as seen:
             async with open_answer(send) as answer:
-                seen.answered(answer.response.status)
+                seen.answered(answer.status)
                 yield answer
 
     def open_to(
@@ -71,11 +73,16 @@
                 peer=member.peer,
                 incarnation=member.upstream_incarnation,
                 attempt=attempt,
+                daemon_incarnation=member.incarnation,
             )
         )
 
-    dispatch = attempts.make_dispatch(
-        choose=choose, open_to=open_to, budget=budget, clock=clock
+    dispatch = pinning.make_dispatch(
+        attempts.make_dispatch(
+            choose=choose, open_to=open_to, budget=budget, clock=clock
+        ),
+        open_to,
+        pins,
     )
 
     async def answer_call(
@@ -92,9 +99,7 @@
             headers.REQUEST_ID: work.request_id,
         }
         async with dispatch(work, outbound) as answer:
-            return await transfer.pass_on(
-                request, answer.response, added, limits
-            )
+            return await transfer.pass_on(request, answer, added, limits)
 
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
         request_id = new_id()
--- a/packages/burdockdeal/burdockdeal/serving/front.py
+++ b/packages/burdockdeal/burdockdeal/serving/front.py
@@ -7,15 +7,24 @@
 from aiohttp import web
 from aiohttp import web_protocol
 
+from burdockdeal.core import codec
 from burdockdeal.core import errors
 from burdockdeal.core import journal
 from burdockdeal.core import verdict
+from burdockdeal.serving import half_open
 from burdockdeal.serving import refusals
+from burdockdeal.serving import transfer
 
 Handler = abc.Callable[[web.BaseRequest], abc.Awaitable[web.StreamResponse]]
 
 
 def _explain(exc: BaseException | None, status: int) -> errors.CallError:
+    if isinstance(exc, errors.CallError):
+        return exc
+    if isinstance(exc, codec.MalformedError):
+        return errors.NotRunError(verdict.Reason.MALFORMED, str(exc))
+    if isinstance(exc, transfer.CutAnswerError):
+        return errors.RanError(verdict.Reason.BROKEN_CONNECTION, str(exc))
     if isinstance(exc, http_exceptions.LineTooLong):
         return errors.NotRunError(verdict.Reason.HEADER_TOO_LARGE)
     if status < http.HTTPStatus.INTERNAL_SERVER_ERROR:
@@ -26,6 +35,14 @@
 class _Protocol(web_protocol.RequestHandler):
     """Answers what could not be handled with a verdict."""
 
+    def eof_received(self) -> bool:
+        """Keep a half-closed connection until its request is answered.
+
+        :returns: whether the transport stays open for writing.
+        """
+        manager = self._manager
+        return bool(manager and manager.half_open) and half_open.keep(self)
+
     def handle_error(
         self,
         request: web.BaseRequest,
@@ -47,18 +64,39 @@
         return response
 
 
+class _Request(web.BaseRequest):
+    """A request whose connection ends with it once the server closes."""
+
+    @property
+    def keep_alive(self) -> bool:
+        server = self.protocol._manager
+        closing = server is None or server.closing
+        return not closing and not self._message.should_close
+
+
 class Front(web.Server):
     """A low-level server for the path of requests.
 
     :param handler: answers each request.
     :param header_bytes: the largest line or field that is taken.
     :param idle_s: seconds that an idle connection is kept.
+    :param half_open: whether a client that closes its sending side is
+        still answered; if not, it is taken to be gone.
     """
 
     def __init__(
-        self, handler: Handler, *, header_bytes: int, idle_s: float
+        self,
+        handler: Handler,
+        *,
+        header_bytes: int,
+        idle_s: float,
+        half_open: bool = False,
     ) -> None:
-        super().__init__(handler, handler_cancellation=True)
+        super().__init__(
+            self._count(handler),
+            request_factory=self._make_own_request,
+            handler_cancellation=True,
+        )
         self._options = {
             "access_log": None,
             "auto_decompress": False,
@@ -66,7 +104,33 @@
             "max_line_size": header_bytes,
             "max_field_size": header_bytes,
         }
+        self.half_open = half_open
+        self._active = 0
+        #: Whether each connection ends with its next answer.
+        self.closing = False
 
     def __call__(self) -> web_protocol.RequestHandler:
         """Make the protocol of one connection."""
         return _Protocol(self, loop=self._loop, **self._options)
+
+    @property
+    def busy(self) -> int:
+        """How many requests are handled, or answers not yet sent off."""
+        return self._active + sum(
+            protocol.transport is not None
+            and protocol.transport.get_write_buffer_size() > 0
+            for protocol in self.connections
+        )
+
+    def _count(self, handler: Handler) -> Handler:
+        async def handle(request: web.BaseRequest) -> web.StreamResponse:
+            self._active += 1
+            try:
+                return await handler(request)
+            finally:
+                self._active -= 1
+
+        return handle
+
+    def _make_own_request(self, message, payload, protocol, writer, task):
+        return _Request(message, payload, protocol, writer, task, self._loop)
--- a/packages/burdockdeal/burdockdeal/settings/model.py
+++ b/packages/burdockdeal/burdockdeal/settings/model.py
@@ -66,6 +66,10 @@
     :param body_grace_s: seconds of waiting before that rate is asked for.
     :param answer_idle_s: seconds without a byte of an answer that began,
         or in which a client takes none.
+    :param stop_s: seconds that a graceful stop takes at most.
+    :param keys: idempotency keys that are remembered at once.
+    :param key_retention_s: seconds for which a key is remembered.
+    :param claims_per_s: keys of callers' own that are claimed a second.
     """
 
     connections: checking.PositiveInt = 2000
@@ -81,6 +85,9 @@
     body_grace_s: checking.Positive = 10.0
     answer_idle_s: checking.Positive = 30.0
     stop_s: checking.Positive = 30.0
+    keys: checking.PositiveInt = 20_000
+    key_retention_s: checking.Positive = 600.0
+    claims_per_s: checking.Positive = 5.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
