Merge bookings: pinned calls within the retry budget

Change: the sends of a call that a key pins to a daemon go through the same attempts. An instance that was gone (DRAINING, STALE_INSTANCE, UNREACHABLE) is passed over for a second by the entry that met it, and sending the call elsewhere then costs no token.

--- a/packages/burdockdeal/burdockdeal/daemon/assembly.py
+++ b/packages/burdockdeal/burdockdeal/daemon/assembly.py
@@ -1,5 +1,6 @@
 """Assembly of a daemon out of its slices."""
 
+import asyncio
 from collections import abc
 import contextlib
 import random
@@ -15,6 +16,7 @@
 from burdockdeal.announce import api as announce_api
 from burdockdeal.announce import decisions as announce
 from burdockdeal.audit import api as audit_api
+from burdockdeal.bookings import assembly as bookings
 from burdockdeal.configuration import api as configuration_api
 from burdockdeal.configuration import resources
 from burdockdeal.configuration import service as configuration
@@ -22,7 +24,9 @@
 from burdockdeal.configuration import writer
 from burdockdeal.core import call
 from burdockdeal.core import codec
+from burdockdeal.core import errors
 from burdockdeal.core import headers
+from burdockdeal.core import verdict
 from burdockdeal.daemon import messages
 from burdockdeal.daemon import metrics
 from burdockdeal.membership import contacts
@@ -33,7 +37,7 @@
 from burdockdeal.overload import connections
 from burdockdeal.overload import guard as guards
 from burdockdeal.platform import store
-from burdockdeal.retry import attempts
+from burdockdeal.retry import absence
 from burdockdeal.retry import budget as budgets
 from burdockdeal.routing import board
 from burdockdeal.routing import policies
@@ -46,8 +50,12 @@
 from burdockdeal.serving import peers
 from burdockdeal.serving import transfer
 from burdockdeal.settings import model
+from burdockdeal.shutdown import state as shutdown
+from burdockdeal.shutdown import stopping
 
 _DEFAULT_SERVICE = resources.Service()
+#: Seconds that connections are given when all is done, or is cut off.
+_CUT_S = 0.1
 _OPEN_PATHS = frozenset({"/healthz", "/readyz", "/metrics"})
 
 
@@ -81,6 +89,7 @@
         self.budget = budgets.Budget()
         self.bounds = connections.bound_listeners(settings.limits, self.clock)
         self.snapshot: classify.Snapshot | None = None
+        self.stopping: stopping.Stopping
         self.services: tuple[mode.Service, ...] = ()
         self.side.on_change(self._declare_upstream)
         self.standing.on_change(self._take_configuration)
@@ -158,7 +167,7 @@
         return () if self.snapshot else ("configuration",)
 
 
-def _make_choose(parts: Parts) -> attempts.Choose:
+def _make_choose(parts: Parts) -> absence.Choose:
     policy = policies.POLICIES[parts.settings.policy](parts.chance)
 
     def choose(
@@ -191,8 +200,10 @@
     handle_call: front.Handler,
     follower: configuration.Follower,
     members: membership_service.Membership,
+    booked: bookings.Bookings,
 ) -> front.Handler:
     table = {
+        **booked.peer_handlers,
         "/v1/peer/ping": members.handle_ping,
         "/v1/peer/ping-request": members.handle_ping_request,
         "/v1/peer/page": members.handle_page,
@@ -204,12 +215,12 @@
     async def dispatch(request: web.BaseRequest) -> web.StreamResponse:
         given = request.headers.get(headers.PEER_TOKEN, "").encode()
         if not secrets.compare_digest(given, token):
-            return web.Response(status=401)
+            raise errors.NotRunError(verdict.Reason.UNAUTHENTICATED)
         if headers.ENVELOPE in request.headers:
             return await handle_call(request)
         control = table.get(request.path)
         if control is None:
-            return web.Response(status=404)
+            raise errors.NotRunError(verdict.Reason.NO_RULE)
         return await control(request)
 
     return dispatch
@@ -267,12 +278,42 @@
     runner: web.BaseRunner,
     address: model.Address,
     bound: connections.Connections,
-) -> None:
+) -> web.TCPSite:
     await runner.setup()
     stack.push_async_callback(runner.cleanup)
     await stack.enter_async_context(bound)
     bound.watch(runner.server)
-    await web.TCPSite(runner, address.host, address.port).start()
+    site = web.TCPSite(runner, address.host, address.port)
+    await site.start()
+    return site
+
+
+def _make_stopping(
+    parts: Parts,
+    booked: bookings.Bookings,
+    fronts: abc.Sequence[front.Front],
+    callers: web.TCPSite,
+) -> stopping.Stopping:
+    closing: set[asyncio.Task[None]] = set()
+
+    def leave() -> None:
+        parts.side.close()
+        parts.roster.declare(health=membership.Health.LEFT)
+        for server in fronts:
+            server.closing = True
+
+    def refuse_connections() -> None:
+        closing.add(asyncio.create_task(callers.stop()))
+
+    return stopping.Stopping(
+        shutdown.Terms(stopping.LINGER_S, parts.settings.limits.stop_s),
+        lambda: booked.active + sum(server.busy for server in fronts),
+        {
+            shutdown.Phase.LEAVING: leave,
+            shutdown.Phase.FINISHING: refuse_connections,
+        },
+        parts.clock,
+    )
 
 
 def _make_gauges(
@@ -352,26 +393,42 @@
                 *metrics.make_overload_gauges(parts.bounds, guard),
             )
         )
-        local = owner.make_owner(
-            parts.side,
-            parts.gate,
-            session,
-            lambda: parts.snapshot,
-            parts.clock,
+        choose = _make_choose(parts)
+        booked = bookings.Bookings(
+            settings, parts.roster, platform, control, parts.clock
+        )
+        local = booked.keep_runs(
+            owner.make_owner(
+                parts.side,
+                parts.gate,
+                session,
+                lambda: parts.snapshot,
+                parts.clock,
+                booked.ledger,
+                booked.prepare,
+            )
         )
-        remote = peers.make_peer_opener(
-            session, settings.peer_token, parts.clock, parts.board.note_report
+        remote = booked.guard_sends(
+            peers.make_peer_opener(
+                session,
+                settings.peer_token,
+                parts.clock,
+                parts.board.note_report,
+                booked.clocks.note,
+            )
         )
         handle_call = owner.make_peer_handler(
             local,
             parts.load,
             parts.clock,
             settings.listen.peer,
+            parts.roster.own.incarnation,
             limits,
         )
         handle_entry = entry.make_entry(
             snapshot=lambda: parts.snapshot,
-            choose=_make_choose(parts),
+            choose=choose,
+            pins=booked.pins,
             open_answer=_make_open_answer(parts, local, remote),
             budget=parts.budget,
             guard=guard,
@@ -397,24 +454,35 @@
         upstream_app = announce_api.build_app(
             parts.side, lambda: parts.gate.running
         )
-        dispatch = _make_peer_dispatch(parts, handle_call, follower, members)
+        dispatch = _make_peer_dispatch(
+            parts, handle_call, follower, members, booked
+        )
+        handle_entry = booked.answer_keys(handle_entry, choose)
 
         def serve(handler: front.Handler) -> web.ServerRunner:
-            return web.ServerRunner(
-                front.Front(
-                    handler,
-                    header_bytes=limits.header_bytes,
-                    idle_s=limits.caller_idle_s,
-                )
+            server = front.Front(
+                handler,
+                header_bytes=limits.header_bytes,
+                idle_s=limits.caller_idle_s,
             )
+            fronts.append(server)
+            return web.ServerRunner(server, shutdown_timeout=_CUT_S)
 
-        operators = web.AppRunner(operator_app, access_log=None)
-        upstreams = web.AppRunner(upstream_app, access_log=None)
+        fronts: list[front.Front] = []
+        operators = web.AppRunner(
+            operator_app, access_log=None, shutdown_timeout=_CUT_S
+        )
+        upstreams = web.AppRunner(
+            upstream_app, access_log=None, shutdown_timeout=_CUT_S
+        )
         listen, bounds = settings.listen, parts.bounds
         await _listen(stack, operators, listen.operator, bounds.operator)
         await _listen(stack, upstreams, listen.upstream, bounds.upstream)
         await _listen(stack, serve(dispatch), listen.peer, bounds.peer)
-        await _listen(stack, serve(handle_entry), listen.caller, bounds.caller)
+        site = await _listen(
+            stack, serve(handle_entry), listen.caller, bounds.caller
+        )
+        parts.stopping = _make_stopping(parts, booked, fronts, site)
         parts.services = (follower, members)
         for service in parts.services:
             await stack.enter_async_context(service)
--- a/packages/burdockdeal/burdockdeal/retry/attempts.py
+++ b/packages/burdockdeal/burdockdeal/retry/attempts.py
@@ -9,27 +9,19 @@
 from burdockdeal.core import errors
 from burdockdeal.core import verdict
 from burdockdeal.membership import messages as membership
+from burdockdeal.retry import absence
 from burdockdeal.retry import budget as budgets
 from burdockdeal.retry import decisions
 from burdockdeal.retry import opening
 from burdockdeal.retry import state
 from burdockdeal.serving import messages
 
-#: Choose an instance for a call, not among those tried.
-Choose = abc.Callable[[call.Call, frozenset[str]], membership.Member | None]
-
 #: Open the answer of one send: call, request, instance and the send's
 #: number.
 OpenTo = abc.Callable[
     [call.Call, messages.Outbound, membership.Member, int], opening.Opened
 ]
 
-#: Open the answer to a call, sent as often as it may be.
-Dispatch = abc.Callable[
-    [call.Call, messages.Outbound],
-    contextlib.AbstractAsyncContextManager[messages.Answer],
-]
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Outcome:
@@ -48,6 +40,7 @@
     """The sends of one call.
 
     :param choose: chooses an instance for each.
+    :param gone: is told of instances that were gone.
     :param open_to: opens the answer of each.
     :param budget: pays for those after the first.
     :param clock: returns monotonic time in seconds.
@@ -58,7 +51,8 @@
         work: call.Call,
         outbound: messages.Outbound,
         *,
-        choose: Choose,
+        choose: absence.Choose,
+        gone: absence.Absence,
         open_to: OpenTo,
         budget: budgets.Budget,
         clock: abc.Callable[[], float],
@@ -66,37 +60,65 @@
         self._work = work
         self._outbound = outbound
         self._choose = choose
+        self._gone = gone
         self._open_to = open_to
         self._budget = budget
         self._clock = clock
         self._counted = False
+        self._progress = decisions.begin(work)
 
-    async def obtain(
-        self, stack: contextlib.AsyncExitStack
-    ) -> messages.Answer:
-        """Obtain an answer.
+    @contextlib.asynccontextmanager
+    async def open(
+        self, pin: membership.Member | None = None
+    ) -> abc.AsyncIterator[messages.Answer]:
+        """Open the answer to the call, sent as often as it may be.
 
-        :param stack: is given what closes the answer.
+        :param pin: the only instance that may answer, None if any may.
         :raises CallError: if there is none.
         """
-        if not decisions.is_first(self._work):
+        if not (self._counted or decisions.is_first(self._work)):
             self._pay_for_repeat()
-        progress = decisions.begin(self._work)
+        async with contextlib.AsyncExitStack() as stack:
+            if pin is None:
+                yield await self._obtain(stack)
+            else:
+                yield await self._obtain_from(pin, stack)
+
+    async def _obtain_from(
+        self, pin: membership.Member, stack: contextlib.AsyncExitStack
+    ) -> messages.Answer:
+        if self._counted:
+            # Only this instance can tell what became of the call, so it is
+            # asked even if that can't be paid for.
+            self._budget.pay(self._work)
+        outcome = await self._send(pin, self._progress)
+        if outcome.opened is None:
+            self._progress = self._note_failure(outcome)
+            raise outcome.error
+        stack.push_async_exit(outcome.opened)
+        return outcome.answer
+
+    async def _obtain(
+        self, stack: contextlib.AsyncExitStack
+    ) -> messages.Answer:
         kept: Outcome | None = None
         outcome: Outcome | None = None
-        while member := self._choose(self._work, progress.tried):
-            outcome = await self._attempt(member, progress)
+        while member := self._choose(self._work, self._progress.tried):
+            outcome = await self._attempt(member, self._progress)
             if outcome.opened is not None:
                 stack.push_async_exit(outcome.opened)
                 if self._is_final(outcome):
                     return outcome.answer
                 kept = kept or outcome
-            progress = self._note_failure(outcome)
-            if not self._may_resend(progress, outcome):
+            self._progress = self._note_failure(outcome)
+            reason = outcome.error.reason if outcome.error else None
+            if reason in decisions.GONE_REASONS:
+                self._gone.note(member)
+            if not self._may_resend(outcome):
                 break
         if kept is not None:
             return kept.answer
-        raise _give_up(progress, outcome)
+        raise _give_up(self._progress, outcome)
 
     def _pay_for_repeat(self) -> None:
         if not self._budget.pay(self._work):
@@ -195,7 +217,7 @@
             self._budget.note_latency(self._work, self._clock() - started)
 
     def _is_final(self, outcome: Outcome) -> bool:
-        failed = decisions.is_failure(outcome.answer.response.status)
+        failed = decisions.is_failure(outcome.answer.status)
         return not (failed and self._work.idempotent)
 
     def _note_failure(self, outcome: Outcome) -> state.Progress:
@@ -211,15 +233,18 @@
             outcome.progress, error.outcome, error.reason
         )
 
-    def _may_resend(self, progress: state.Progress, outcome: Outcome) -> bool:
+    def _may_resend(self, outcome: Outcome) -> bool:
         now = self._clock()
         replayable = self._outbound.body.replayable
         if not decisions.may_resend(
-            self._work, progress, replayable=replayable, now=now
+            self._work, self._progress, replayable=replayable, now=now
         ):
             return False
+        if isinstance(outcome.error, errors.KeyHeldError):
+            return False
         reason = outcome.error.reason if outcome.error else None
-        if reason is verdict.Reason.UNREACHABLE:
+        if reason in decisions.GONE_REASONS:
+            # The instance is now passed over, so that this ends by itself.
             return True
         account = self._budget.find(self._work)
         full = decisions.is_full(account, now)
@@ -254,32 +279,31 @@
     return error
 
 
-def make_dispatch(
+def make_begin(
     *,
-    choose: Choose,
+    choose: absence.Choose,
     open_to: OpenTo,
     budget: budgets.Budget,
     clock: abc.Callable[[], float],
-) -> Dispatch:
-    """Make the function that sees a call answered.
+) -> abc.Callable[[call.Call, messages.Outbound], Attempts]:
+    """Make the function that begins the sends of a call.
 
     :param choose: chooses an instance for each send.
     :param open_to: opens the answer of each send.
     """
 
-    @contextlib.asynccontextmanager
-    async def dispatch(
-        work: call.Call, outbound: messages.Outbound
-    ) -> abc.AsyncIterator[messages.Answer]:
-        attempts = Attempts(
+    gone = absence.Absence(clock)
+    choose_present = gone.make_choose(choose)
+
+    def begin(work: call.Call, outbound: messages.Outbound) -> Attempts:
+        return Attempts(
             work,
             outbound,
-            choose=choose,
+            choose=choose_present,
+            gone=gone,
             open_to=open_to,
             budget=budget,
             clock=clock,
         )
-        async with contextlib.AsyncExitStack() as stack:
-            yield await attempts.obtain(stack)
 
-    return dispatch
+    return begin
--- a/packages/burdockdeal/burdockdeal/retry/opening.py
+++ b/packages/burdockdeal/burdockdeal/retry/opening.py
@@ -34,7 +34,7 @@
         """Whether an answer has begun that a repeat could not better."""
         if not self.answered:
             return False
-        return not decisions.is_failure(self.task.result().response.status)
+        return not decisions.is_failure(self.task.result().status)
 
     async def close(self) -> None:
         """End it, and with it what runs for it upstream."""
--- a/packages/burdockdeal/burdockdeal/serving/bodies.py
+++ b/packages/burdockdeal/burdockdeal/serving/bodies.py
@@ -7,13 +7,14 @@
 from burdockdeal.overload import pacing
 from burdockdeal.settings import model
 
-_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+#: The interim answer.
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
 async def invite_body(request: web.BaseRequest) -> None:
     """Send 100 Continue to a client that waits for it."""
     if request.headers.get("Expect", "").lower() == "100-continue":
-        await request.writer.write(_CONTINUE)
+        await request.writer.write(CONTINUE)
         request.writer.output_size = 0
 
 
@@ -36,6 +37,11 @@
         self._whole = whole
         self._started = False
 
+    @property
+    def whole(self) -> bytes | None:
+        """The bytes, None if they are streamed."""
+        return self._whole
+
     @property
     def streamed(self) -> bool:
         """Whether the body is passed on as it comes."""
--- a/packages/burdockdeal/burdockdeal/serving/entry.py
+++ b/packages/burdockdeal/burdockdeal/serving/entry.py
@@ -6,6 +6,8 @@
 
 from aiohttp import web
 
+from burdockdeal.bookings import guard as pinning
+from burdockdeal.bookings import messages as bookings
 from burdockdeal.core import call
 from burdockdeal.core import errors
 from burdockdeal.core import headers
@@ -13,6 +15,7 @@
 from burdockdeal.core import verdict
 from burdockdeal.membership import messages as membership
 from burdockdeal.overload import guard as guards
+from burdockdeal.retry import absence
 from burdockdeal.retry import attempts
 from burdockdeal.retry import budget as budgets
 from burdockdeal.retry import decisions as retry
@@ -31,7 +34,8 @@
 def make_entry(
     *,
     snapshot: abc.Callable[[], classify.Snapshot | None],
-    choose: attempts.Choose,
+    choose: absence.Choose,
+    pins: pinning.Pins,
     open_answer: messages.OpenAnswer,
     budget: budgets.Budget,
     guard: guards.Guard,
@@ -72,10 +76,11 @@
                 peer=member.peer,
                 incarnation=member.upstream_incarnation,
                 attempt=attempt,
+                daemon_incarnation=member.incarnation,
             )
         )
 
-    dispatch = attempts.make_dispatch(
+    begin = attempts.make_begin(
         choose=choose, open_to=open_to, budget=budget, clock=clock
     )
 
@@ -92,10 +97,21 @@
             headers.VERDICT: verdict.Verdict.RAN.value,
             headers.REQUEST_ID: work.request_id,
         }
-        async with dispatch(work, outbound) as answer:
-            return await transfer.pass_on(
-                request, answer.response, added, limits
-            )
+        sends = begin(work, outbound)
+        pin = pins.find_pin(work)
+        while True:
+            try:
+                async with sends.open(pin) as answer:
+                    return await transfer.pass_on(
+                        request, answer, added, limits
+                    )
+            except errors.KeyHeldError as error:
+                if pin is not None or not outbound.body.replayable:
+                    raise
+                holder = bookings.Holder(error.daemon, error.incarnation)
+                pin = pins.find_holder(holder)
+            except errors.CallError as error:
+                pin = await pins.review(work, error, pin)
 
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
         request_id = new_id()
