--- a/packages/burdockdeal/burdockdeal/daemon/assembly.py
+++ b/packages/burdockdeal/burdockdeal/daemon/assembly.py
@@ -22,13 +22,17 @@
 from burdockdeal.configuration import service as configuration
 from burdockdeal.configuration import spread
 from burdockdeal.configuration import writer
-from burdockdeal.core import call
 from burdockdeal.core import codec
 from burdockdeal.core import errors
 from burdockdeal.core import headers
 from burdockdeal.core import verdict
+from burdockdeal.daemon import gauges
+from burdockdeal.daemon import listening
+from burdockdeal.daemon import measuring
 from burdockdeal.daemon import messages
 from burdockdeal.daemon import metrics
+from burdockdeal.measurement import meter
+from burdockdeal.measurement import prober
 from burdockdeal.membership import contacts
 from burdockdeal.membership import messages as membership
 from burdockdeal.membership import roster
@@ -40,7 +44,7 @@
 from burdockdeal.retry import absence
 from burdockdeal.retry import budget as budgets
 from burdockdeal.routing import board
-from burdockdeal.routing import policies
+from burdockdeal.routing import selection
 from burdockdeal.routing import state as routing
 from burdockdeal.serving import classify
 from burdockdeal.serving import entry
@@ -84,8 +88,11 @@
         )
         self.side = announce_api.Side(self.clock)
         self.standing = configuration.Standing()
-        self.board = board.Board(settings.failure_domain, self.clock)
         self.gate = gate.Gate(self.clock, self._room)
+        self.meter = meter.Meter(self.clock)
+        self.board = board.Board(
+            settings.daemon, settings.failure_domain, self.clock, self.load
+        )
         self.budget = budgets.Budget()
         self.bounds = connections.bound_listeners(settings.limits, self.clock)
         self.snapshot: classify.Snapshot | None = None
@@ -159,7 +166,8 @@
             in_flight=self.gate.running,
             waiting=self.gate.waiting,
             slots=self._slots(),
-            service_ms=round(self.gate.service_s * 1000, 3),
+            service_ms=self.meter.service_ms(),
+            failed_share=self.meter.failed_share,
         )
 
     def missing(self) -> tuple[str, ...]:
@@ -168,19 +176,14 @@
 
 
 def _make_choose(parts: Parts) -> absence.Choose:
-    policy = policies.POLICIES[parts.settings.policy](parts.chance)
-
-    def choose(
-        work: call.Call, tried: frozenset[str]
-    ) -> membership.Member | None:
-        views = [
-            parts.board.view(member)
-            for member in parts.roster.serving(work.service).values()
-            if member.daemon not in tried
-        ]
-        return policy(views).member if views else None
-
-    return choose
+    return selection.make_choose(
+        parts.settings.policy,
+        parts.chance,
+        parts.board,
+        serving=parts.roster.list_serving,
+        services=lambda: parts.snapshot.services if parts.snapshot else {},
+        ranks=lambda: parts.snapshot.ranks if parts.snapshot else {},
+    )
 
 
 def _make_open_answer(
@@ -200,10 +203,12 @@
     handle_call: front.Handler,
     follower: configuration.Follower,
     members: membership_service.Membership,
+    probing: measuring.Measuring,
     booked: bookings.Bookings,
 ) -> front.Handler:
     table = {
         **booked.peer_handlers,
+        prober.PATH: probing.receiver.handle,
         "/v1/peer/ping": members.handle_ping,
         "/v1/peer/ping-request": members.handle_ping_request,
         "/v1/peer/page": members.handle_page,
@@ -273,26 +278,11 @@
     return app
 
 
-async def _listen(
-    stack: contextlib.AsyncExitStack,
-    runner: web.BaseRunner,
-    address: model.Address,
-    bound: connections.Connections,
-) -> web.TCPSite:
-    await runner.setup()
-    stack.push_async_callback(runner.cleanup)
-    await stack.enter_async_context(bound)
-    bound.watch(runner.server)
-    site = web.TCPSite(runner, address.host, address.port)
-    await site.start()
-    return site
-
-
 def _make_stopping(
     parts: Parts,
     booked: bookings.Bookings,
     fronts: abc.Sequence[front.Front],
-    callers: web.TCPSite,
+    callers: web.BaseSite,
 ) -> stopping.Stopping:
     closing: set[asyncio.Task[None]] = set()
 
@@ -316,38 +306,6 @@
     )
 
 
-def _make_gauges(
-    parts: Parts, platform: store.Store
-) -> tuple[metrics.Gauge, ...]:
-    return (
-        metrics.Gauge(
-            "burdockdeal_in_flight",
-            "Calls in flight to the upstream.",
-            lambda: parts.gate.running,
-        ),
-        metrics.Gauge(
-            "burdockdeal_waiting",
-            "Calls that wait at the gate.",
-            lambda: parts.gate.waiting,
-        ),
-        metrics.Gauge(
-            "burdockdeal_members",
-            "Daemons that are known and not believed gone.",
-            lambda: parts.roster.size,
-        ),
-        metrics.Gauge(
-            "burdockdeal_configuration_revision",
-            "The revision of the configuration in force here.",
-            lambda: parts.standing.revision,
-        ),
-        metrics.Gauge(
-            "burdockdeal_store_calls_total",
-            "Calls to the platform's store since the start.",
-            lambda: platform.calls,
-        ),
-    )
-
-
 @contextlib.asynccontextmanager
 async def run_daemon(settings: model.Settings) -> abc.AsyncIterator[Parts]:
     """Run a daemon while the block runs.
@@ -386,9 +344,21 @@
             on_newer=follower.pull_from,
         )
         guard = await stack.enter_async_context(parts.build_guard())
+        probing = measuring.build_measuring(
+            settings,
+            control,
+            parts.standing,
+            parts.board,
+            parts.chance,
+            load=parts.load,
+            incarnation=lambda: parts.side.upstream.incarnation,
+        )
         told = metrics.Metrics(
             (
-                *_make_gauges(parts, platform),
+                *gauges.make_gauges(
+                    parts.gate, parts.roster, parts.standing, platform
+                ),
+                *probing.make_gauges(),
                 *metrics.make_retry_gauges(parts.budget),
                 *metrics.make_overload_gauges(parts.bounds, guard),
             )
@@ -404,6 +374,7 @@
                 session,
                 lambda: parts.snapshot,
                 parts.clock,
+                parts.meter,
                 booked.ledger,
                 booked.prepare,
             )
@@ -455,7 +426,7 @@
             parts.side, lambda: parts.gate.running
         )
         dispatch = _make_peer_dispatch(
-            parts, handle_call, follower, members, booked
+            parts, handle_call, follower, members, probing, booked
         )
         handle_entry = booked.answer_keys(handle_entry, choose)
 
@@ -476,14 +447,17 @@
             upstream_app, access_log=None, shutdown_timeout=_CUT_S
         )
         listen, bounds = settings.listen, parts.bounds
-        await _listen(stack, operators, listen.operator, bounds.operator)
-        await _listen(stack, upstreams, listen.upstream, bounds.upstream)
-        await _listen(stack, serve(dispatch), listen.peer, bounds.peer)
-        site = await _listen(
+        for runner, address, bound in (
+            (operators, listen.operator, bounds.operator),
+            (upstreams, listen.upstream, bounds.upstream),
+            (serve(dispatch), listen.peer, bounds.peer),
+        ):
+            await listening.listen(stack, runner, address, bound)
+        site = await listening.listen(
             stack, serve(handle_entry), listen.caller, bounds.caller
         )
         parts.stopping = _make_stopping(parts, booked, fronts, site)
-        parts.services = (follower, members)
+        parts.services = (follower, members, probing.prober)
         for service in parts.services:
             await stack.enter_async_context(service)
         yield parts
--- /dev/null
+++ b/packages/burdockdeal/burdockdeal/daemon/gauges.py
@@ -0,0 +1,43 @@
+"""Gauges of the daemon's own state."""
+
+from burdockdeal.admission import gate
+from burdockdeal.configuration import service as configuration
+from burdockdeal.daemon import metrics
+from burdockdeal.membership import roster
+from burdockdeal.platform import store
+
+
+def make_gauges(
+    slots: gate.Gate,
+    known: roster.Roster,
+    standing: configuration.Standing,
+    platform: store.Store,
+) -> tuple[metrics.Gauge, ...]:
+    """Make the gauges of the daemon's own state."""
+    return (
+        metrics.Gauge(
+            "burdockdeal_in_flight",
+            "Calls in flight to the upstream.",
+            lambda: slots.running,
+        ),
+        metrics.Gauge(
+            "burdockdeal_waiting",
+            "Calls that wait at the gate.",
+            lambda: slots.waiting,
+        ),
+        metrics.Gauge(
+            "burdockdeal_members",
+            "Daemons that are known and not believed gone.",
+            lambda: known.size,
+        ),
+        metrics.Gauge(
+            "burdockdeal_configuration_revision",
+            "The revision of the configuration in force here.",
+            lambda: standing.revision,
+        ),
+        metrics.Gauge(
+            "burdockdeal_store_calls_total",
+            "Calls to the platform's store since the start.",
+            lambda: platform.calls,
+        ),
+    )
--- a/packages/burdockdeal/burdockdeal/serving/owner.py
+++ b/packages/burdockdeal/burdockdeal/serving/owner.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 import contextlib
+import dataclasses
 
 import aiohttp
 from aiohttp import web
@@ -19,6 +20,7 @@
 from burdockdeal.core import errors
 from burdockdeal.core import headers
 from burdockdeal.core import verdict
+from burdockdeal.measurement import meter
 from burdockdeal.routing import state as routing
 from burdockdeal.serving import bodies
 from burdockdeal.serving import classify
@@ -78,12 +80,14 @@
     session: aiohttp.ClientSession,
     snapshot: abc.Callable[[], classify.Snapshot | None],
     clock: Clock,
+    times: meter.Meter,
     ledger: ledgers.Ledger,
     prepare: abc.Callable[[messages.Send], abc.Awaitable[None]],
 ) -> messages.OpenAnswer:
     """Make the function that opens answers of the upstream beside us.
 
     :param snapshot: returns the configuration in force, None before one.
+    :param times: takes how long the upstream takes.
     :param ledger: knows which sends may start.
     :param prepare: called with each send once it has its slot.
     """
@@ -132,7 +136,8 @@
                 ledger.start(*_name_send(send))
             now = clock()
             announced = side.upstream.announce
-            with watch_address():
+            timed = not send.outbound.body.streamed
+            with watch_address(), times.watch(timed=timed) as head:
                 async with transfer.open_response(
                     session,
                     f"http://{announced.host}:{announced.port}",
@@ -141,6 +146,7 @@
                     remaining_s=send.request.deadline - now,
                     expect=False,
                 ) as response:
+                    head(response.status)
                     _check_upstream_ran(response)
                     yield messages.read_answer(response)
 
@@ -169,10 +175,18 @@
     :param incarnation: of this daemon.
     """
 
-    def report(error: errors.CallError | None = None) -> str:
+    def report(started: float, error: errors.CallError | None = None) -> str:
+        spent_ms = round((clock() - started) * 1000, 3)
+        answered = 0 if error else 1
+        standing = load()
         told = messages.OwnerReport(
             verdict=error.outcome if error else verdict.Verdict.RAN,
-            load=load(),
+            # The call that is answered here is as good as gone.
+            load=dataclasses.replace(
+                standing,
+                in_flight=max(0, standing.in_flight - answered),
+                spent_ms=spent_ms,
+            ),
             reason=error.reason if error else None,
             detail=error.detail if error else "",
             incarnation=incarnation,
@@ -183,6 +197,7 @@
         return codec.encode(told).decode()
 
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
+        started = clock()
         envelope = codec.decode(
             request.headers[headers.ENVELOPE], call.Envelope
         )
@@ -204,12 +219,12 @@
         try:
             async with open_answer(send) as answer:
                 return await transfer.pass_on(
-                    request, answer, {headers.REPORT: report()}, limits
+                    request, answer, {headers.REPORT: report(started)}, limits
                 )
         except errors.CallError as error:
             return web.Response(
                 status=verdict.HTTP_STATUS[error.reason],
-                headers={headers.REPORT: report(error)},
+                headers={headers.REPORT: report(started, error)},
             )
 
     return handle
