--- a/packages/burdockdeal/burdockdeal/bookings/pinning.py
+++ b/packages/burdockdeal/burdockdeal/bookings/pinning.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 import contextlib
+import typing
 
 from burdockdeal.bookings import keys
 from burdockdeal.bookings import messages
@@ -11,21 +12,25 @@
 from burdockdeal.membership import messages as membership
 from burdockdeal.serving import messages as serving
 
-#: The number of a send to the daemon that holds a key, apart from those of
-#: the sends before it.
-_PINNED_SEND = 1000
-
 #: Open the answer to a call.
 Dispatch = abc.Callable[
     [call.Call, serving.Outbound],
     contextlib.AbstractAsyncContextManager[serving.Answer],
 ]
 
-#: Open the answer of one send to one instance.
-OpenTo = abc.Callable[
-    [call.Call, serving.Outbound, membership.Member, int],
-    contextlib.AbstractAsyncContextManager[serving.Answer],
-]
+
+class Sends(typing.Protocol):
+    """The sends of one call."""
+
+    def open(
+        self, pin: membership.Member | None = None
+    ) -> contextlib.AbstractAsyncContextManager[serving.Answer]:
+        """Open the answer, of the pinned instance only if there is one."""
+        ...
+
+
+#: Begin the sends of a call.
+Begin = abc.Callable[[call.Call, serving.Outbound], Sends]
 
 
 def _is_final(error: errors.CallError) -> bool:
@@ -108,14 +113,14 @@
         return member
 
 
-def make_dispatch(dispatch: Dispatch, open_to: OpenTo, pins: Pins) -> Dispatch:
+def make_dispatch(begin: Begin, pins: Pins) -> Dispatch:
     """Make the function that sends a call with a key where it belongs.
 
-    :param dispatch: sends a call to any instance.
-    :param open_to: opens the answer of a send to one instance.
+    :param begin: begins the sends of a call.
     """
 
-    async def find_or_dispatch(
+    async def find_or_open(
+        sends: Sends,
         work: call.Call,
         outbound: serving.Outbound,
         stack: contextlib.AsyncExitStack,
@@ -124,7 +129,7 @@
         if pin is not None:
             return pin
         try:
-            return await stack.enter_async_context(dispatch(work, outbound))
+            return await stack.enter_async_context(sends.open())
         except errors.KeyHeldError as error:
             if not outbound.body.replayable:
                 raise
@@ -138,12 +143,12 @@
     async def open_answer(
         work: call.Call, outbound: serving.Outbound
     ) -> abc.AsyncIterator[serving.Answer]:
+        sends = begin(work, outbound)
         async with contextlib.AsyncExitStack() as stack:
-            found = await find_or_dispatch(work, outbound, stack)
+            found = await find_or_open(sends, work, outbound, stack)
             if isinstance(found, membership.Member):
-                sent = open_to(work, outbound, found, _PINNED_SEND)
                 try:
-                    found = await stack.enter_async_context(sent)
+                    found = await stack.enter_async_context(sends.open(found))
                 except errors.CallError as error:
                     await pins.review(work, error, found)
                     raise
--- a/packages/burdockdeal/burdockdeal/bookings/specification.py
+++ b/packages/burdockdeal/burdockdeal/bookings/specification.py
@@ -16,6 +16,7 @@
 from burdockdeal.core import call
 from burdockdeal.core import verdict
 from burdockdeal.retry import decisions as retry
+from burdockdeal.retry import state as retry_state
 
 _DEADLINE = 1.0
 
@@ -105,10 +106,12 @@
 
 def _end(whole: State, outcome: verdict.Verdict, rules: Rules) -> State:
     """End a send at the entry: send again, or tell the caller."""
+    progress = retry.note_failure(
+        retry_state.Progress(resends=retry.LAYER_TOKENS), outcome, None
+    )
     resend = whole.attempt < len(whole.owners) and rules.may_resend(
         _CALL,
-        outcome,
-        attempt=whole.attempt,
+        progress,
         replayable=True,
         now=_TIMES[whole.time],
     )
--- a/packages/burdockdeal/burdockdeal/retry/decisions.py
+++ b/packages/burdockdeal/burdockdeal/retry/decisions.py
@@ -48,6 +48,19 @@
     }
 )
 
+#: Refusals by an instance that is no longer there for the call.
+GONE_REASONS = frozenset(
+    {
+        verdict.Reason.DRAINING,
+        verdict.Reason.STALE_INSTANCE,
+        verdict.Reason.UNREACHABLE,
+    }
+)
+
+#: Seconds for which an entry passes over an instance that was gone, unless
+#: there is no other; the membership has then caught up.
+GONE_S = 1.0
+
 #: Statuses of answers that a repeated call may better.
 FAILED_STATUSES = frozenset({500, 502, 503, 504})
 
--- a/packages/burdockdeal/burdockdeal/retry/tests/test_attempts.py
+++ b/packages/burdockdeal/burdockdeal/retry/tests/test_attempts.py
@@ -25,6 +25,7 @@
 FAILURES = {
     "full": lambda: errors.NotRunError(Reason.QUEUE_FULL),
     "away": lambda: errors.NotRunError(Reason.UNREACHABLE),
+    "leaving": lambda: errors.NotRunError(Reason.DRAINING),
     "broken": lambda: errors.MayHaveRunError(Reason.BROKEN_CONNECTION),
 }
 OUTBOUND = types.SimpleNamespace(
@@ -51,6 +52,8 @@
         self.layers = layers
         self.chance = random.Random(seed)
         self.budgets = [budgets.Budget() for _ in range(DAEMONS)]
+        self.begins: dict[int, list] = {}
+        self.gone: str | None = None
         self.runs = 0
         self.cancelled = 0
         self.log: list[str] = []
@@ -59,20 +62,22 @@
         names = [f"d{n}" for n in range(DAEMONS) if f"d{n}" not in tried]
         if not names:
             return None
-        return types.SimpleNamespace(daemon=self.chance.choice(names))
+        daemon = self.chance.choice(names)
+        return types.SimpleNamespace(daemon=daemon, upstream_incarnation=1)
 
     @contextlib.asynccontextmanager
     async def _open(self, work, outbound, member, attempt):
         layer = self.layers[work.depth]
         fails = self.chance.random() < layer.failing
         kind = layer.failure if fails else "served"
+        kind = "leaving" if member.daemon == self.gone else kind
         loop = asyncio.get_running_loop()
         self.log.append(
             f"{loop.time() * 1000:.0f} ms: call {work.request_id} at depth"
             f" {work.depth}, send {attempt} to {member.daemon} with"
             f" {work.retry_tokens} tokens: {kind}"
         )
-        if kind in ("full", "away"):
+        if kind in FAILURES and kind != "broken":
             raise FAILURES[kind]()
         self.runs += 1
         try:
@@ -103,14 +108,20 @@
             retry_tokens=decisions.grant(depth, tokens),
             idempotent=self.layers[depth].idempotent,
         )
-        dispatch = attempts.make_dispatch(
-            choose=self._choose,
-            open_to=self._open,
-            budget=self.chance.choice(self.budgets),
-            clock=clock,
-        )
+        begin = self.begins.get(depth)
+        if begin is None:
+            begin = self.begins[depth] = [
+                attempts.make_begin(
+                    choose=self._choose,
+                    open_to=self._open,
+                    budget=budget,
+                    clock=clock,
+                )
+                for budget in self.budgets
+            ]
         try:
-            async with dispatch(work, OUTBOUND) as answer:
+            entry = self.chance.choice(begin)
+            async with entry(work, OUTBOUND).open() as answer:
                 return answer.status
         except errors.CallError:
             return 503
@@ -252,6 +263,15 @@
     assert world.sends == world.first_sends
 
 
+def test_an_instance_that_leaves_costs_no_call_and_few_sends() -> None:
+    world = World([Layer(idempotent=False)], 5)
+    world.gone = "d1"
+    statuses = virtual.run(world.play(1000))
+    assert statuses == [200] * 1000
+    # Each of three entries knocks once a second.
+    assert world.sends - 1000 <= DAEMONS * 11
+
+
 @pytest.mark.parametrize("failure", ["full", "broken", "500", "slow"])
 def test_golden_session_of_a_failing_chain(failure, snapshot) -> None:
     layers = [Layer(), Layer("500", 0.3), Layer(failure, 0.6)]
