Count silence from the oldest call that none has overtaken

Change: silence counts from the start of the oldest call that no later one has overtaken; an overtaken call is a long one and tells nothing.

--- a/packages/burdockdeal/burdockdeal/routing/board.py
+++ b/packages/burdockdeal/burdockdeal/routing/board.py
@@ -65,7 +65,7 @@
         now = self._board.clock()
         elapsed_s = now - self._started
         self._answered = True
-        self._tally.answer(self._number, elapsed_s, now)
+        self._tally.answer(self._number, elapsed_s)
         self._board.note_answer(
             self._key,
             self._service,
--- a/packages/burdockdeal/burdockdeal/routing/decisions.py
+++ b/packages/burdockdeal/burdockdeal/routing/decisions.py
@@ -56,6 +56,10 @@
 LAG_DEVIATIONS = 8.0
 LAG_S = 0.01
 
+#: Usual fill of a service from which on a wait says nothing of an
+#: instance.
+FULL_FILL = 0.9
+
 #: A single answer moves the usual time and its deviation by this share,
 #: and counts as at most this many deviations off.
 _SMOOTHING = 0.1
@@ -168,7 +172,12 @@
 
 
 def is_overdue(view: state.View, norm: state.Norm, waited_s: float) -> bool:
-    """Tell whether a wait for an answer is far above what is expected."""
+    """Tell whether a wait for an answer is far above what is expected.
+
+    Never while the whole service is full: calls then wait for their turn.
+    """
+    if norm.fill >= FULL_FILL:
+        return False
     calm = dataclasses.replace(view, silent_s=0.0)
     late_s = waited_s - expect(calm, norm).total_s
     return late_s > LAG_DEVIATIONS * norm.deviation_s + LAG_S
--- a/packages/burdockdeal/burdockdeal/routing/tally.py
+++ b/packages/burdockdeal/burdockdeal/routing/tally.py
@@ -25,11 +25,11 @@
         self.latency_s = 0.0
         self.report: state.Report | None = None
         self.reported_at = 0.0
-        self.answered_at = 0.0
         self.health = state.Health()
         self.ejected_at_call = 0
         self._numbers = itertools.count()
         self._unanswered: dict[int, float] = {}
+        self._newest_answered = 0.0
         self._failure_load = 0.0
         self._failed_at = 0.0
 
@@ -46,11 +46,12 @@
             self._unanswered[number] = now
         return number
 
-    def answer(self, number: int, elapsed_s: float, now: float) -> None:
+    def answer(self, number: int, elapsed_s: float) -> None:
         """Take in that the head of an answer has arrived."""
-        if self._unanswered.pop(number, None) is None:
+        started = self._unanswered.pop(number, None)
+        if started is None:
             return
-        self.answered_at = now
+        self._newest_answered = max(self._newest_answered, started)
         before = self.latency_s or elapsed_s
         self.latency_s = before + _SMOOTHING * (elapsed_s - before)
 
@@ -85,7 +86,12 @@
         return len(self._unanswered)
 
     def silent_s(self, now: float) -> float:
-        """Tell for how long calls have waited without any answer."""
+        """Tell for how long calls have waited without any answer.
+
+        A call that later ones have overtaken is a long one, and tells
+        nothing of the instance.
+        """
         for started in self._unanswered.values():
-            return max(0.0, now - max(started, self.answered_at))
+            if started > self._newest_answered:
+                return now - started
         return 0.0
--- a/packages/burdockdeal/burdockdeal/routing/tests/test_decisions.py
+++ b/packages/burdockdeal/burdockdeal/routing/tests/test_decisions.py
@@ -62,6 +62,13 @@
     )
 
 
+def test_in_a_flood_waits_are_no_silence() -> None:
+    waiting = show(0, sent=9, silent_s=3.0, unanswered=9)
+    assert decisions.is_silent(waiting, NORM)
+    flooded = dataclasses.replace(NORM, fill=1.5)
+    assert not decisions.is_silent(waiting, flooded)
+
+
 def test_a_slow_owner_is_left() -> None:
     slow = show(0, **busy(1, service_ms=200.0))
     assert choose(slow, show(1, link_ms=6.5)) == "d1"
