--- a/packages/burdockdeal/burdockdeal/settings/model.py
+++ b/packages/burdockdeal/burdockdeal/settings/model.py
@@ -9,6 +9,9 @@
 from burdockdeal.core import checking
 from burdockdeal.core import errors
 
+Policy = typing.Literal[
+    "random", "round_robin", "least_reported", "two_choices", "hot_cold"
+]
 Secret = typing.Annotated[str, msgspec.Meta(min_length=16)]
 
 
@@ -91,7 +94,7 @@
     region: checking.Name = "local"
     peers: tuple[Address, ...] = ()
     advertise: Address | None = None
-    policy: str = "hot_cold"
+    policy: Policy = "hot_cold"
     seed: int | None = None
     limits: Limits = Limits()
     membership: Membership = Membership()
