--- a/packages/burdockdeal/burdockdeal/daemon/assembly.py
+++ b/packages/burdockdeal/burdockdeal/daemon/assembly.py
@@ -14,12 +14,10 @@
 from burdockdeal.admission import state as admission
 from burdockdeal.announce import api as announce_api
 from burdockdeal.announce import decisions as announce
-from burdockdeal.audit import api as audit_api
 from burdockdeal.configuration import api as configuration_api
 from burdockdeal.configuration import resources
-from burdockdeal.configuration import service as configuration
-from burdockdeal.configuration import spread
-from burdockdeal.configuration import writer
+from burdockdeal.configuration import standing as configuration
+from burdockdeal.configuration import wiring as configuration_wiring
 from burdockdeal.core import codec
 from burdockdeal.core import headers
 from burdockdeal.daemon import gauges
@@ -34,6 +32,8 @@
 from burdockdeal.membership import roster
 from burdockdeal.membership import service as membership_service
 from burdockdeal.membership import transport
+from burdockdeal.overload import connections
+from burdockdeal.overload import guard as guards
 from burdockdeal.platform import store
 from burdockdeal.retry import attempts
 from burdockdeal.retry import budget as budgets
@@ -84,6 +84,7 @@
             settings.daemon, settings.failure_domain, self.clock, self.load
         )
         self.budget = budgets.Budget()
+        self.bounds = connections.bound_listeners(settings.limits, self.clock)
         self.snapshot: classify.Snapshot | None = None
         self.services: tuple[mode.Service, ...] = ()
         self.side.on_change(self._declare_upstream)
@@ -134,6 +135,15 @@
                 return f"{service.label}: {service.crash_reason!r}"
         return None
 
+    def build_guard(self) -> guards.Guard:
+        """Build the guard of this daemon's entry."""
+        return guards.Guard(
+            lambda: self.snapshot.ranks if self.snapshot else {},
+            self.settings.limits.requests,
+            self.clock,
+            self.chance,
+        )
+
     def is_relay(self) -> bool:
         """Tell whether this daemon watches the store for its domain."""
         domain = self.settings.failure_domain
@@ -180,7 +190,7 @@
 def _make_peer_dispatch(
     parts: Parts,
     handle_call: front.Handler,
-    follower: configuration.Follower,
+    config_slice: configuration_wiring.Slice,
     members: membership_service.Membership,
     probing: measuring.Measuring,
 ) -> front.Handler:
@@ -189,8 +199,7 @@
         "/v1/peer/ping": members.handle_ping,
         "/v1/peer/ping-request": members.handle_ping_request,
         "/v1/peer/page": members.handle_page,
-        "/v1/peer/changes": follower.handle_changes,
-        "/v1/peer/applied": follower.handle_applied,
+        **config_slice.peer_handlers,
     }
     token = parts.settings.peer_token.encode()
 
@@ -211,8 +220,7 @@
 def _build_operator_app(
     parts: Parts,
     platform: store.Store,
-    append: writer.Append,
-    ask_domains: spread.AskDomains,
+    config_slice: configuration_wiring.Slice,
     told: metrics.Metrics,
 ) -> web.Application:
     def reply(message: object, status: int = 200) -> web.Response:
@@ -236,7 +244,7 @@
                 daemon=parts.settings.daemon,
                 revision=parts.standing.revision,
                 store_calls=platform.calls,
-                domains=await ask_domains(),
+                domains=await config_slice.spreader.ask_domains(),
                 members=parts.roster.members,
             )
         )
@@ -250,8 +258,7 @@
     app.router.add_get("/readyz", readyz)
     app.router.add_get("/metrics", told.handle)
     app.router.add_get("/v1/status", status)
-    configuration_api.add_routes(app, parts.standing, append, ask_domains)
-    audit_api.add_routes(app, parts.standing)
+    config_slice.add_routes(app)
     return app
 
 
@@ -265,7 +272,11 @@
     limits = settings.limits
     local_addr = (settings.listen.peer.host, 0)
     async with contextlib.AsyncExitStack() as stack:
-        platform = await stack.enter_async_context(store.Store(settings.store))
+        platform = await stack.enter_async_context(
+            configuration_wiring.make_platform(
+                settings, parts.chance, parts.clock
+            )
+        )
         session = await stack.enter_async_context(
             transfer.build_session(limits.header_bytes, local_addr)
         )
@@ -275,12 +286,19 @@
                 cookie_jar=aiohttp.DummyCookieJar(),
             )
         )
-        follower = configuration.Follower(
-            settings,
+        config_slice = configuration_wiring.build(
+            configuration_wiring.Means(
+                settings=settings,
+                platform=platform,
+                session=control,
+                chance=parts.chance,
+                roster=parts.roster,
+                is_relay=parts.is_relay,
+                new_id=lambda: secrets.token_hex(8),
+                clock=parts.clock,
+                wall_ms=_wall_ms,
+            ),
             parts.standing,
-            platform,
-            control,
-            is_relay=parts.is_relay,
         )
         members = membership_service.Membership(
             settings,
@@ -290,8 +308,9 @@
             parts.chance,
             parts.clock,
             revision=lambda: parts.standing.revision,
-            on_newer=follower.pull_from,
+            on_newer=config_slice.puller.pull_from,
         )
+        guard = await stack.enter_async_context(parts.build_guard())
         probing = measuring.build_measuring(
             settings,
             control,
@@ -303,11 +322,11 @@
         )
         told = metrics.Metrics(
             (
-                *gauges.make_gauges(
-                    parts.gate, parts.roster, parts.standing, platform
-                ),
+                *gauges.make_gauges(parts.gate, parts.roster, parts.standing),
+                *config_slice.gauges(),
                 *probing.make_gauges(),
                 *metrics.make_retry_gauges(parts.budget),
+                *metrics.make_overload_gauges(parts.bounds, guard),
             )
         )
         local = owner.make_owner(
@@ -326,37 +345,26 @@
             parts.load,
             parts.clock,
             settings.listen.peer,
-            limits.replay_bytes,
+            limits,
         )
         handle_entry = entry.make_entry(
             snapshot=lambda: parts.snapshot,
             choose=_make_choose(parts),
             open_answer=_make_open_answer(parts, local, remote),
             budget=parts.budget,
+            guard=guard,
             tallies=parts.board,
             new_id=lambda: secrets.token_hex(8),
             clock=parts.clock,
             count=told.count,
-            replay_bytes=limits.replay_bytes,
-        )
-        append = writer.make_append(
-            platform,
-            follower,
-            parts.standing,
-            lambda: secrets.token_hex(8),
-            _wall_ms,
-        )
-        ask_domains = spread.make_ask_domains(
-            lambda: parts.roster.members, control, settings.peer_token
-        )
-        operator_app = _build_operator_app(
-            parts, platform, append, ask_domains, told
+            limits=limits,
         )
+        operator_app = _build_operator_app(parts, platform, config_slice, told)
         upstream_app = announce_api.build_app(
             parts.side, lambda: parts.gate.running
         )
         dispatch = _make_peer_dispatch(
-            parts, handle_call, follower, members, probing
+            parts, handle_call, config_slice, members, probing
         )
 
         def serve(handler: front.Handler) -> web.ServerRunner:
@@ -368,21 +376,20 @@
                 )
             )
 
-        await listening.listen(
-            stack,
-            web.AppRunner(operator_app, access_log=None),
-            settings.listen.operator,
-        )
-        await listening.listen(
-            stack,
-            web.AppRunner(upstream_app, access_log=None),
-            settings.listen.upstream,
-        )
-        await listening.listen(stack, serve(dispatch), settings.listen.peer)
-        await listening.listen(
-            stack, serve(handle_entry), settings.listen.caller
+        operators = web.AppRunner(operator_app, access_log=None)
+        upstreams = web.AppRunner(upstream_app, access_log=None)
+        for runner, address, bound in (
+            (operators, settings.listen.operator, parts.bounds.operator),
+            (upstreams, settings.listen.upstream, parts.bounds.upstream),
+            (serve(dispatch), settings.listen.peer, parts.bounds.peer),
+            (serve(handle_entry), settings.listen.caller, parts.bounds.caller),
+        ):
+            await listening.listen(stack, runner, address, bound)
+        parts.services = (
+            *config_slice.services,
+            members,
+            probing.prober,
         )
-        parts.services = (follower, members, probing.prober)
         for service in parts.services:
             await stack.enter_async_context(service)
         yield parts
--- a/packages/burdockdeal/burdockdeal/daemon/listening.py
+++ b/packages/burdockdeal/burdockdeal/daemon/listening.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from burdockdeal.daemon import loop
+from burdockdeal.overload import connections
 from burdockdeal.settings import model
 
 _BACKLOG = 1024
@@ -26,13 +27,18 @@
     stack: contextlib.AsyncExitStack,
     runner: web.BaseRunner,
     address: model.Address,
+    bound: connections.Connections,
 ) -> None:
     """Serve on an address until the stack is unwound.
 
+    :param bound: bounds the listener's connections.
+
     The loop resolves even IP numbers on its pool of threads; a socket
     that is bound here needs none.
     """
-    bound = stack.enter_context(_bind(address))
+    listener = stack.enter_context(_bind(address))
     await runner.setup()
     stack.push_async_callback(runner.cleanup)
-    await web.SockSite(runner, bound, backlog=_BACKLOG).start()
+    await stack.enter_async_context(bound)
+    bound.watch(runner.server)
+    await web.SockSite(runner, listener, backlog=_BACKLOG).start()
--- a/packages/burdockdeal/burdockdeal/settings/model.py
+++ b/packages/burdockdeal/burdockdeal/settings/model.py
@@ -9,6 +9,7 @@
 from burdockdeal.core import checking
 from burdockdeal.core import errors
 
+NotNegative = typing.Annotated[float, msgspec.Meta(ge=0)]
 Policy = typing.Literal[
     "random", "round_robin", "least_reported", "two_choices", "hot_cold"
 ]
@@ -52,12 +53,36 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Limits:
-    """Bounds on what a daemon holds."""
+    """Bounds on what a daemon holds, and on how long it waits.
+
+    :param connections: of callers, and of other daemons, at once.
+    :param operator_connections: of operators at once.
+    :param upstream_connections: of the upstream to its interface at once.
+    :param replay_bytes: bodies up to this size are read whole.
+    :param requests: callers' requests in progress at once.
+    :param head_s: seconds within which a connection's first request must
+        have its head here.
+    :param caller_idle_s: seconds that an idle connection is kept.
+    :param body_idle_s: seconds without a byte of a request's body.
+    :param body_bytes_per_s: the least mean rate of a request's body,
+        counted over the time spent waiting for it.
+    :param body_grace_s: seconds of waiting before that rate is asked for.
+    :param answer_idle_s: seconds without a byte of an answer that began,
+        or in which a client takes none.
+    """
 
     connections: checking.PositiveInt = 2000
+    operator_connections: checking.PositiveInt = 100
+    upstream_connections: checking.PositiveInt = 20
     header_bytes: checking.PositiveInt = 16384
     replay_bytes: checking.PositiveInt = 65536
+    requests: checking.PositiveInt = 1000
+    head_s: checking.Positive = 10.0
     caller_idle_s: checking.Positive = 75.0
+    body_idle_s: checking.Positive = 30.0
+    body_bytes_per_s: checking.Positive = 256.0
+    body_grace_s: checking.Positive = 10.0
+    answer_idle_s: checking.Positive = 30.0
     stop_s: checking.Positive = 30.0
 
 
@@ -70,6 +95,26 @@
     suspicion_s: checking.Positive = 3.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreBudget:
+    """What one daemon may ask of the platform's store.
+
+    :param calls_per_s: calls in the background of any daemon.
+    :param burst: such calls that may be saved up.
+    :param relay_calls_per_s: calls to follow the configuration, made by
+        the few daemons that watch the store for their failure domain.
+    :param operator_calls_per_s: calls on behalf of operators.
+    :param start_spread_s: the first call is put off by a random time up
+        to this, so that a start of the whole fleet is spread out.
+    """
+
+    calls_per_s: checking.Positive = 0.5
+    burst: checking.PositiveInt = 20
+    relay_calls_per_s: checking.Positive = 10.0
+    operator_calls_per_s: checking.Positive = 100.0
+    start_spread_s: NotNegative = 0.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Settings:
     """A daemon's settings, checked whole and passed whole.
@@ -82,6 +127,7 @@
     :param peers: peers to try when the store is away.
     :param advertise: where other daemons reach this one, if not at
         listen.peer.
+    :param store_budget: bounds on calls to the platform's store.
     :param policy: the routing policy's name.
     """
 
@@ -98,6 +144,7 @@
     seed: int | None = None
     limits: Limits = Limits()
     membership: Membership = Membership()
+    store_budget: StoreBudget = StoreBudget()
 
 
 def _is_ip(host: str) -> bool:
