--- a/packages/bench/burdockdeal_bench/slopes/configurations.py
+++ b/packages/bench/burdockdeal_bench/slopes/configurations.py
@@ -5,7 +5,7 @@
 
 from burdockdeal.configuration import messages
 from burdockdeal.configuration import resources
-from burdockdeal.configuration import service
+from burdockdeal.configuration import standing as standings
 from burdockdeal.core import codec
 from burdockdeal.serving import classify
 from burdockdeal_bench.slopes import meter
@@ -52,8 +52,8 @@
     return [_make_change(number, number) for number in range(1, count + 1)]
 
 
-def _take_all(changes: list[messages.Change]) -> service.Standing:
-    standing = service.Standing()
+def _take_all(changes: list[messages.Change]) -> standings.Standing:
+    standing = standings.Standing()
     standing.take(changes)
     return standing
 
--- a/packages/burdockdeal/burdockdeal/daemon/gauges.py
+++ b/packages/burdockdeal/burdockdeal/daemon/gauges.py
@@ -1,17 +1,15 @@
 """Gauges of the daemon's own state."""
 
 from burdockdeal.admission import gate
-from burdockdeal.configuration import service as configuration
+from burdockdeal.configuration import standing as configuration
 from burdockdeal.daemon import metrics
 from burdockdeal.membership import roster
-from burdockdeal.platform import store
 
 
 def make_gauges(
     slots: gate.Gate,
     known: roster.Roster,
     standing: configuration.Standing,
-    platform: store.Store,
 ) -> tuple[metrics.Gauge, ...]:
     """Make the gauges of the daemon's own state."""
     return (
@@ -35,9 +33,4 @@
             "The revision of the configuration in force here.",
             lambda: standing.revision,
         ),
-        metrics.Gauge(
-            "burdockdeal_store_calls_total",
-            "Calls to the platform's store since the start.",
-            lambda: platform.calls,
-        ),
     )
--- a/packages/burdockdeal/burdockdeal/daemon/measuring.py
+++ b/packages/burdockdeal/burdockdeal/daemon/measuring.py
@@ -6,7 +6,7 @@
 
 import aiohttp
 
-from burdockdeal.configuration import service as configuration
+from burdockdeal.configuration import standing as configuration
 from burdockdeal.daemon import metrics
 from burdockdeal.measurement import prober
 from burdockdeal.measurement import receiver
