--- a/packages/burdockdeal/burdockdeal/configuration/state.py
+++ b/packages/burdockdeal/burdockdeal/configuration/state.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 import dataclasses
+import operator
 import types
 
 from burdockdeal.configuration import resources as kinds
@@ -29,8 +30,9 @@
 
     def of_kind(self, kind: str) -> tuple[kinds.Resource, ...]:
         """List the resources of a kind, by name."""
-        return tuple(
-            self.resources[key]
-            for key in sorted(self.resources)
+        found = [
+            resource
+            for key, resource in self.resources.items()
             if key.kind == kind
-        )
+        ]
+        return tuple(sorted(found, key=operator.attrgetter("name")))
