--- /dev/null
+++ b/packages/burdockdeal/burdockdeal/configuration/tests/test_standing.py
@@ -0,0 +1,110 @@
+"""The configuration in force, snapshots and folding."""
+
+import asyncio
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+import msgspec
+import pytest
+
+from burdockdeal.configuration import decisions
+from burdockdeal.configuration import messages
+from burdockdeal.configuration import snapshots
+from burdockdeal.configuration import standing
+from burdockdeal.configuration import state
+
+
+def make_change(
+    revision: int, *, name: str = "a", kind: str = "Service", spec: str = "{}"
+) -> messages.Change:
+    return messages.Change(
+        revision=revision,
+        change_id=f"c{revision}",
+        operator="ada",
+        at_ms=revision,
+        action=messages.Action.PUT,
+        kind=kind,
+        name=name,
+        previous_generation=0,
+        spec=msgspec.Raw(spec.encode()),
+    )
+
+
+LOG = [make_change(n, name=f"s{n % 3}") for n in range(1, 9)]
+
+
+@settings(derandomize=True)
+@given(strategies.lists(strategies.lists(strategies.sampled_from(LOG))))
+def test_any_order_is_a_beginning_of_the_log(batches: list) -> None:
+    in_force = standing.Standing()
+    before = 0
+    for batch in batches:
+        in_force.take(batch)
+        assert in_force.revision >= before
+        before = in_force.revision
+    expected = decisions.apply_all(state.Configuration(), LOG[:before])
+    assert in_force.configuration == expected
+    assert list(in_force.changes) == LOG[:before]
+
+
+def test_what_cannot_be_read_is_not_in_force() -> None:
+    in_force = standing.Standing()
+    in_force.take([make_change(1), make_change(2, kind="Novelty")])
+    assert in_force.revision == 0
+    in_force.take([make_change(1)])
+    assert in_force.revision == 1
+
+
+def test_an_older_snapshot_reverts_nothing() -> None:
+    in_force = standing.Standing()
+    in_force.take(LOG)
+    assert not in_force.take_snapshot(state.Configuration(3))
+    assert in_force.revision == 8
+
+
+def test_the_window_is_bounded() -> None:
+    in_force = standing.Standing()
+    big = '{"queue_limit": 7' + " " * 60_000 + "}"
+    in_force.take([make_change(n, spec=big) for n in range(1, 200)])
+    assert len(in_force.changes) < 70
+    assert in_force.page(0).needs_snapshot
+    page = in_force.page(195)
+    assert [change.revision for change in page.changes] == [196, 197, 198, 199]
+    assert len(in_force.page(150).changes) == 4
+    assert in_force.page(199).changes == ()
+    assert not in_force.page(500).needs_snapshot
+
+
+@pytest.mark.parametrize("part_bytes", [1, 500, 10_000])
+def test_a_snapshot_comes_back_whole(part_bytes: int) -> None:
+    whole = decisions.apply_all(state.Configuration(), LOG)
+    parts = snapshots.split(whole, part_bytes=part_bytes)
+    assert snapshots.join(list(reversed(parts))) == whole
+    if len(parts) > 1:
+        with pytest.raises(snapshots.IncompleteError):
+            snapshots.join(parts[1:])
+
+
+def test_an_empty_snapshot_is_one_part() -> None:
+    empty = state.Configuration(5)
+    assert snapshots.join(snapshots.split(empty)) == empty
+
+
+def test_left_over_parts() -> None:
+    manifest = messages.Manifest(7, snapshots.name_folder(7, "x"), 1)
+    cases = [(6, "y", True), (7, "y", True), (7, "x", False), (8, "y", False)]
+    for revision, snapshot_id, left_over in cases:
+        folder = snapshots.name_folder(revision, snapshot_id)
+        key = snapshots.part_key(folder, 0)
+        assert snapshots.is_left_over(key, manifest) is left_over
+
+
+async def test_waiting_ends_with_the_revision_or_the_time() -> None:
+    in_force = standing.Standing()
+    waiting = asyncio.create_task(in_force.wait(0, 60.0))
+    await asyncio.sleep(0)
+    in_force.take(LOG[:1])
+    await asyncio.wait_for(waiting, 5)
+    await in_force.wait(0, 60.0)
+    await in_force.wait(1, 0.01)
