Let operators' calls wait for their budget; test cut, compaction, flood

Change: the operators' lane waits its turn for up to 2 s; a daemon that is alone watches the store only after 1 s. Tests with processes: domains cut and healed with the store away, compaction and a newcomer from the store and from a peer, only relays call the store, a flood of refusals.

--- a/packages/burdockdeal/burdockdeal/configuration/wiring.py
+++ b/packages/burdockdeal/burdockdeal/configuration/wiring.py
@@ -25,6 +25,14 @@
 
 _BURST_S = 3.0
 
+#: A call on behalf of an operator waits so long for the budget, in
+#: seconds, before it is refused.
+_OPERATOR_PATIENCE_S = 2.0
+
+#: A daemon that knows no other watches the store only after this, in
+#: seconds.
+_ALONE_S = 1.0
+
 #: Answers a peer's control message.
 Handler = abc.Callable[[web.BaseRequest], abc.Awaitable[web.StreamResponse]]
 
@@ -148,6 +156,21 @@
     )
 
 
+def make_is_relay(means: Means) -> abc.Callable[[], bool]:
+    """Make the function that tells whether to watch the store.
+
+    A daemon that knows no other yet is most likely about to, and would
+    only add to the calls of a fleet that starts.
+    """
+    alone_until = means.clock() + _ALONE_S
+
+    def is_relay() -> bool:
+        known = means.roster.size > 1 or means.clock() >= alone_until
+        return known and means.is_relay()
+
+    return is_relay
+
+
 def build(means: Means, in_force: standing.Standing) -> Slice:
     """Build the slice.
 
@@ -155,7 +178,11 @@
     """
     settings = means.settings
     budget = settings.store_budget
-    asked = means.platform.make_lane(_rate(budget.operator_calls_per_s))
+    asked = means.platform.make_lane(
+        _rate(budget.operator_calls_per_s),
+        at_once=True,
+        patience_s=_OPERATOR_PATIENCE_S,
+    )
     follows = archive.Archive(
         means.platform.make_lane(_rate(budget.relay_calls_per_s)),
         in_force,
@@ -176,7 +203,7 @@
         follows,
         in_force,
         means.chance,
-        is_relay=means.is_relay,
+        is_relay=make_is_relay(means),
         pass_on=spreader.push_domain,
     )
     append = writer.make_append(
--- a/packages/burdockdeal/burdockdeal/platform/decisions.py
+++ b/packages/burdockdeal/burdockdeal/platform/decisions.py
@@ -6,18 +6,29 @@
 from burdockdeal.platform import state
 
 
-def spend(
-    bucket: state.Bucket, rate: state.Rate, now: float, cost: float = 1.0
-) -> tuple[state.Bucket, bool]:
-    """Take tokens for a call.
-
-    :returns: the bucket as of now, and whether the call may be made.
+def reserve(
+    bucket: state.Bucket,
+    rate: state.Rate,
+    now: float,
+    *,
+    patience_s: float = 0.0,
+) -> tuple[state.Bucket, float | None]:
+    """Reserve a call.
+
+    :param patience_s: how long it may wait for its turn, in seconds.
+    :returns: the bucket as of now, and how long to wait before the call,
+        in seconds; None if it is refused.
     """
     elapsed = max(0.0, now - bucket.filled_at)
     tokens = min(rate.burst, bucket.tokens + elapsed * rate.calls_per_s)
-    allowed = tokens >= cost
-    left = tokens - cost if allowed else tokens
-    return state.Bucket(left, max(now, bucket.filled_at)), allowed
+    at = max(now, bucket.filled_at)
+    wait_s = 0.0
+    if tokens < 1.0:
+        wait_s = (1.0 - tokens) / rate.calls_per_s
+    if wait_s > patience_s:
+        return state.Bucket(tokens, at), None
+    # Below nothing, the tokens are calls that wait for their turn.
+    return state.Bucket(tokens - 1.0, at), wait_s
 
 
 def back_off(
--- a/packages/burdockdeal/burdockdeal/platform/store.py
+++ b/packages/burdockdeal/burdockdeal/platform/store.py
@@ -107,6 +107,7 @@
         self._opens_at = opens_at
         self._bucket = state.Bucket(rate.burst, clock())
         self._wire = _Wire(clock)
+        self._patience_s = 0.0
 
     async def __aenter__(self) -> "Store":
         self._wire.session = aiohttp.ClientSession(
@@ -120,15 +121,27 @@
         assert self._wire.session is not None
         await self._wire.session.close()
 
-    def make_lane(self, rate: state.Rate) -> "Store":
-        """Make a lane with a budget of its own on the same connection."""
+    def make_lane(
+        self,
+        rate: state.Rate,
+        *,
+        at_once: bool = False,
+        patience_s: float = 0.0,
+    ) -> "Store":
+        """Make a lane with a budget of its own on the same connection.
+
+        :param at_once: whether calls may leave before this lane's may.
+        :param patience_s: how long a call waits for the budget before it
+            is refused.
+        """
         lane = Store(
             self._address,
             rate=rate,
-            opens_at=self._opens_at,
+            opens_at=0.0 if at_once else self._opens_at,
             clock=self._wire.clock,
         )
         lane._wire = self._wire
+        lane._patience_s = patience_s
         return lane
 
     @property
@@ -146,16 +159,23 @@
         """How the store has fared lately."""
         return self._wire.outage
 
-    def _admit(self, kind: str) -> None:
+    async def _admit(self, kind: str) -> None:
         now = self._wire.clock()
-        self._bucket, allowed = decisions.spend(self._bucket, self._rate, now)
-        if allowed and now >= self._opens_at:
-            self._wire.calls = decisions.count(self._wire.calls, kind)
-            return
-        self._wire.calls = decisions.count(
-            self._wire.calls, "refused_by_budget"
-        )
-        raise errors.StoreBudgetError("the budget of store calls is used up")
+        wait_s: float | None = None
+        if now >= self._opens_at:
+            self._bucket, wait_s = decisions.reserve(
+                self._bucket, self._rate, now, patience_s=self._patience_s
+            )
+        if wait_s is None:
+            self._wire.calls = decisions.count(
+                self._wire.calls, "refused_by_budget"
+            )
+            raise errors.StoreBudgetError(
+                "the budget of store calls is used up"
+            )
+        if wait_s:
+            await asyncio.sleep(wait_s)
+        self._wire.calls = decisions.count(self._wire.calls, kind)
 
     def _note(self, answered: bool) -> None:
         wire = self._wire
@@ -175,7 +195,7 @@
         timeout_s: float = _TIMEOUT_S,
     ) -> _Answer:
         assert self._wire.session is not None
-        self._admit(kind)
+        await self._admit(kind)
         attempt = _Attempt()
         try:
             async with self._wire.session.request(
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -10,9 +10,12 @@
 from burdockdeal.audit import messages as audit
 from burdockdeal.configuration import messages
 from burdockdeal.configuration import resources
+from burdockdeal.configuration import snapshots
 from burdockdeal.core import codec
 from burdockdeal.daemon import messages as daemon
+from burdockdeal.settings import model
 from burdockdeal_standins import fleet as standins
+from burdockdeal_standins import relay
 from burdockdeal_standins import store
 
 IN_FORCE_S = 5.0
@@ -346,3 +349,131 @@
     assert (await get(fleet, "d1", "a")).status == 404
     again = await ask(fleet, "d1", "DELETE", path, If_Match=second.etag)
     assert again.status == 404
+
+
+async def add_domain(fleet: standins.Fleet, number: int, domain: str) -> None:
+    """Start a daemon in a failure domain that can be cut off."""
+    host = f"127.0.{number}.1"
+    listen = model.Listen(
+        *(model.Address(host, standins.free_port(host)) for _ in range(4))
+    )
+    name = f"d{number}"
+    link = await fleet.add_domain_relay(
+        f"127.0.{number}.9", {name: listen.peer}
+    )
+    LINKS[name] = link
+    await fleet.add(
+        standins.Place(name, domain),
+        listen=listen,
+        advertise=link.addresses[name],
+    )
+
+
+LINKS: dict[str, standins.Relay] = {}
+
+
+async def cut(names: list[str], *, is_cut: bool) -> None:
+    """Cut daemons off from all that are not in their domain, or heal."""
+    for name in names:
+        link = LINKS[name]
+        await link.behave(relay.Behaviour(cut=is_cut, near=link.near))
+
+
+async def test_a_domain_cut_and_healed(fleet: standins.Fleet) -> None:
+    for number, domain in enumerate(["shotton", "queensferry", "sealand"], 1):
+        await add_domain(fleet, number, domain)
+    await fleet.wait_ready(0)
+    assert (await put(fleet, "d1", "a", If_None_Match="*")).status == 200
+    await wait_in_force(fleet, "d1", "a")
+    # Links pass none on, so that the domains are cut from each other; the
+    # store is cut as well, or else it would carry the change over.
+    await cut(["d1", "d2", "d3"], is_cut=True)
+    first = (await get(fleet, "d1", "a")).etag
+    changed = await put(fleet, "d1", "a", 2, If_Match=first)
+    assert changed.status == 200
+    await fleet.set_store_faults(store.Faults(outage=True))
+    for _ in range(10):
+        assert not await is_in_force(fleet, "d1", "a")
+        await asyncio.sleep(0.5)
+    generation = changed.read(messages.Document).generation
+    await cut(["d1", "d2", "d3"], is_cut=False)
+    await wait_in_force(fleet, "d1", "a")
+    for name in ("d2", "d3"):
+        document = (await get(fleet, name, "a")).read(messages.Document)
+        assert document.generation == generation
+
+
+async def test_the_log_is_compacted_and_a_newcomer_follows(
+    fleet: standins.Fleet,
+) -> None:
+    await fleet.add(standins.Place("d1", "shotton"))
+    last = snapshots.PERIOD_CHANGES + 50
+    etag = '"0"'
+    for number in range(1, last + 1):
+        answer = await put(fleet, "d1", "a", number, If_Match=etag)
+        assert answer.status == 200, answer.raw
+        etag = answer.etag
+    await fleet.wait_until(
+        lambda: has_snapshot(fleet), "a snapshot", within_s=40
+    )
+    # From the store, with no peer to ask.
+    node = fleet.nodes.pop("d1")
+    node.daemon.send_signal(signal.SIGTERM)
+    await node.daemon.wait()
+    await fleet.add(standins.Place("d2", "shotton"))
+    await fleet.wait_until(lambda: holds(fleet, "d2", last), "d2 holds all")
+    # From a peer that began with a snapshot, with no store to ask.
+    await fleet.set_store_faults(store.Faults(outage=True))
+    known = fleet.nodes["d2"].settings.listen.peer
+    await fleet.add(standins.Place("d3", "sealand"), peers=(known,))
+    await fleet.wait_until(lambda: holds(fleet, "d3", last), "d3 holds all")
+    document = (await get(fleet, "d3", "a")).read(messages.Document)
+    assert msgspec.json.decode(document.spec)["queue_limit"] == last
+
+
+async def has_snapshot(fleet: standins.Fleet) -> bool:
+    listing = await fleet.store_entries(messages.MANIFEST_KEY)
+    return bool(listing.entries)
+
+
+async def test_only_relays_call_the_store(fleet: standins.Fleet) -> None:
+    names = [f"d{number}" for number in range(1, 7)]
+    await fleet.add_all(standins.Place(name, "shotton") for name in names)
+    assert (await put(fleet, "d1", "a", If_None_Match="*")).status == 200
+    await fleet.wait_ready(1)
+    await asyncio.sleep(3)
+    before = {name: await count_calls(fleet, name) for name in names}
+    await asyncio.sleep(6)
+    calls = {
+        name: await count_calls(fleet, name) - before[name] for name in names
+    }
+    assert all(calls[name] == 0 for name in names[2:]), calls
+    assert all(calls[name] > 0 for name in names[:2]), calls
+
+
+async def count_calls(fleet: standins.Fleet, name: str) -> int:
+    return (await read_status(fleet, name)).store_calls
+
+
+async def test_a_flood_of_refusals_is_batched(small: standins.Fleet) -> None:
+    before = await small.store_counts()
+    path = "/v1/resources/Gadget/a"
+    for _ in range(300):
+        assert (await ask(small, "d1", "PUT", path, {})).status == 422
+    counts = await small.store_counts()
+    assert counts.writes - before.writes < 10
+    found: list[audit.Record] = []
+    query = "?resource=Gadget/a&limit=70"
+    while True:
+        trail = await read_trail(small, "d1", query)
+        assert trail.complete
+        found = [*trail.records, *found]
+        if not trail.older:
+            break
+        query = f"?resource=Gadget/a&limit=70&cursor={trail.older}"
+    assert len(found) == 300
+    assert len({record.change_id for record in found}) == 300
+    assert {record.outcome for record in found} == {"REFUSED"}
+    bad = await ask(small, "d1", "GET", "/v1/audit?limit=0&cursor=x")
+    assert bad.status == 422
+    assert len(bad.read(messages.Problem).faults) == 2
