--- a/packages/burdockdeal/burdockdeal/configuration/archive.py
+++ b/packages/burdockdeal/burdockdeal/configuration/archive.py
@@ -94,7 +94,7 @@
                 continue
             taken = self._standing.take(changes)
             at_end = log.slot_of(self._standing.revision + 1, self._ring) == 0
-            if not taken or (len(taken) < len(changes) and not at_end):
+            if not taken or (len(taken) < limit and not at_end):
                 return
             limit = min(limit * _PAGE_GROWTH, _MOST_PER_PAGE)
 
--- a/packages/burdockdeal/burdockdeal/configuration/spread.py
+++ b/packages/burdockdeal/burdockdeal/configuration/spread.py
@@ -103,9 +103,10 @@
     def _push(
         self, everywhere: bool, changes: tuple[messages.Change, ...]
     ) -> None:
-        if changes:
-            self._waiting.setdefault(everywhere, []).extend(changes)
-            self._due.set()
+        # Without changes, as after a snapshot, the others learn that
+        # there is something newer and fetch it.
+        self._waiting.setdefault(everywhere, []).extend(changes)
+        self._due.set()
 
     @mode.Service.task
     async def _push_forever(self) -> None:
