--- a/packages/burdockdeal/burdockdeal/configuration/state.py
+++ b/packages/burdockdeal/burdockdeal/configuration/state.py
@@ -1,6 +1,5 @@
 """The state of the configuration."""
 
-from collections import abc
 import dataclasses
 import types
 
@@ -23,7 +22,7 @@
     """All resources as of one revision of the change log."""
 
     revision: int = 0
-    resources: abc.Mapping[Key, kinds.Resource] = dataclasses.field(
+    resources: types.MappingProxyType[Key, kinds.Resource] = dataclasses.field(
         default_factory=lambda: types.MappingProxyType({})
     )
 
--- a/packages/burdockdeal/burdockdeal/configuration/wiring.py
+++ b/packages/burdockdeal/burdockdeal/configuration/wiring.py
@@ -162,7 +162,8 @@
     A daemon that knows no other yet is most likely about to, and would
     only add to the calls of a fleet that starts.
     """
-    alone_until = means.clock() + _ALONE_S
+    opens_at = max(means.clock(), means.platform.opens_at)
+    alone_until = opens_at + _ALONE_S
 
     def is_relay() -> bool:
         known = means.roster.size > 1 or means.clock() >= alone_until
--- a/packages/burdockdeal/burdockdeal/daemon/metrics.py
+++ b/packages/burdockdeal/burdockdeal/daemon/metrics.py
@@ -1,5 +1,6 @@
 """The daemon's metrics."""
 
+import collections
 from collections import abc
 import dataclasses
 
@@ -8,6 +9,9 @@
 from aioprometheus import renderer
 
 from burdockdeal.core import verdict
+from burdockdeal.overload import connections
+from burdockdeal.overload import guard as guards
+from burdockdeal.retry import budget as budgets
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -19,6 +23,79 @@
     read: abc.Callable[[], float]
 
 
+def make_retry_gauges(budget: budgets.Budget) -> tuple[Gauge, ...]:
+    """Make the numbers that tell what an entry has sent."""
+    return (
+        Gauge(
+            "burdockdeal_sends_total",
+            "Sends of calls to instances, the repeated ones among them.",
+            lambda: budget.tally.sends,
+        ),
+        Gauge(
+            "burdockdeal_first_sends_total",
+            "First sends of calls that stand below no repeated call.",
+            lambda: budget.tally.first_sends,
+        ),
+        Gauge(
+            "burdockdeal_hedges_total",
+            "Sends beside one that was still open.",
+            lambda: budget.tally.hedges,
+        ),
+        Gauge(
+            "burdockdeal_retries_denied_total",
+            "Sends that only the budget forbade.",
+            lambda: budget.tally.denied,
+        ),
+    )
+
+
+def make_overload_gauges(
+    bounds: connections.Bounds, guard: guards.Guard
+) -> tuple[Gauge, ...]:
+    """Make the numbers that tell how near a daemon is to its bounds."""
+
+    def add_up(name: str) -> abc.Callable[[], float]:
+        return lambda: sum(getattr(each, name) for each in bounds.listeners)
+
+    return (
+        Gauge(
+            "burdockdeal_caller_connections",
+            "Connections of callers.",
+            lambda: len(bounds.caller),
+        ),
+        Gauge(
+            "burdockdeal_connections_refused_total",
+            "Connections refused since all others had a request.",
+            add_up("refused"),
+        ),
+        Gauge(
+            "burdockdeal_connections_evicted_total",
+            "Idle connections ended to make room for new ones.",
+            add_up("evicted"),
+        ),
+        Gauge(
+            "burdockdeal_slow_heads_total",
+            "Connections ended since no request came in time.",
+            add_up("slow"),
+        ),
+        Gauge(
+            "burdockdeal_requests_in_progress",
+            "Callers' requests that are not yet answered.",
+            lambda: guard.in_progress,
+        ),
+        Gauge(
+            "burdockdeal_shed_total",
+            "Requests refused at the entry before they were sent on.",
+            lambda: guard.shed,
+        ),
+        Gauge(
+            "burdockdeal_loop_lag_seconds",
+            "How late the loop ran its last tick.",
+            lambda: guard.strain.lag_s,
+        ),
+    )
+
+
 class Metrics:
     """Holds the registry of one daemon.
 
@@ -32,6 +109,9 @@
             "Requests that ended, by rank and verdict.",
             registry=self._registry,
         )
+        self._ended: collections.Counter[tuple[str, verdict.Verdict]] = (
+            collections.Counter()
+        )
         self._gauges = tuple(
             (
                 gauge,
@@ -43,11 +123,18 @@
         )
 
     def count(self, rank: str, outcome: verdict.Verdict) -> None:
-        """Count a request that ended."""
-        self._requests.inc({"rank": rank, "verdict": outcome.value})
+        """Count a request that ended.
+
+        The library's counter costs a sort and a copy of its labels each
+        time; it is brought up to date when metrics are asked for.
+        """
+        self._ended[rank, outcome] += 1
 
     async def handle(self, request: web.Request) -> web.Response:
         """Answer a scrape."""
+        for (rank, outcome), number in self._ended.items():
+            labels = {"rank": rank, "verdict": outcome.value}
+            self._requests.set(labels, number)
         for gauge, metric in self._gauges:
             metric.set({}, gauge.read())
         content, extra = renderer.render(
--- /dev/null
+++ b/packages/burdockdeal/burdockdeal/measurement/meter.py
@@ -0,0 +1,86 @@
+"""The owner's own measure of how long its upstream takes."""
+
+from collections import abc
+import contextlib
+import itertools
+import math
+import statistics
+
+_SERVER_ERROR = 500
+_SMOOTHING = 0.2
+
+#: Seconds without an answer after which the next one counts in full.
+_MEMORY_S = 1.0
+
+
+#: Take in the head of an answer, with its HTTP status.
+Answered = abc.Callable[[int], None]
+
+
+class Meter:
+    """Measures the time of calls at the upstream, waits left out.
+
+    :param clock: returns monotonic time in seconds.
+    """
+
+    def __init__(self, clock: abc.Callable[[], float]) -> None:
+        self._clock = clock
+        self._numbers = itertools.count()
+        self._unanswered: dict[int, float] = {}
+        self._usual_s = 0.0
+        self._answered_at = 0.0
+        self._failed_share = 0.0
+
+    @contextlib.contextmanager
+    def watch(self, *, timed: bool) -> abc.Iterator[Answered]:
+        """Watch a call from its slot to the head of its answer.
+
+        :param timed: whether the time tells something of the upstream;
+            not if the caller's own body is awaited.
+        :returns: the function to call with the status when the head has
+            arrived.
+        """
+        number = next(self._numbers)
+        if timed:
+            self._unanswered[number] = self._clock()
+
+        def answered(status: int) -> None:
+            started = self._unanswered.pop(number, None)
+            failed = status >= _SERVER_ERROR
+            share = self._weigh()
+            self._failed_share += share * (failed - self._failed_share)
+            if started is not None and not failed:
+                self._take(started, share)
+            self._answered_at = self._clock()
+
+        try:
+            yield answered
+        finally:
+            self._unanswered.pop(number, None)
+
+    def _weigh(self) -> float:
+        quiet_s = self._clock() - self._answered_at
+        return max(_SMOOTHING, 1 - math.exp(-quiet_s / _MEMORY_S))
+
+    def _take(self, started: float, share: float) -> None:
+        spent_s = self._clock() - started
+        before = self._usual_s or spent_s
+        self._usual_s = before + share * (spent_s - before)
+
+    @property
+    def failed_share(self) -> float:
+        """The share of recent answers that were server errors."""
+        return round(self._failed_share, 3)
+
+    def service_ms(self) -> float:
+        """Tell the time of a call at the upstream, in milliseconds.
+
+        Two or more that are unanswered count with their age, so that a
+        sudden slowdown shows before the first slow answer; one alone may
+        be a long one.
+        """
+        if len(self._unanswered) < 2:
+            return round(self._usual_s * 1000, 3)
+        middle = statistics.median_high(self._unanswered.values())
+        age_s = self._clock() - middle
+        return round(max(self._usual_s, age_s) * 1000, 3)
--- a/packages/burdockdeal/burdockdeal/platform/store.py
+++ b/packages/burdockdeal/burdockdeal/platform/store.py
@@ -144,6 +144,11 @@
         lane._patience_s = patience_s
         return lane
 
+    @property
+    def opens_at(self) -> float:
+        """When the first call of this lane may leave."""
+        return self._opens_at
+
     @property
     def calls(self) -> int:
         """Calls that all lanes have sent."""
