Outlive what can't be read in the store

Change: both count as the store's fault and are tried again later; a watch that brings nothing new pauses 3 s.

Measured: the three new tests pass; the last one fails without the pause (trial, reverted).

--- a/packages/burdockdeal/burdockdeal/audit/ledger.py
+++ b/packages/burdockdeal/burdockdeal/audit/ledger.py
@@ -18,6 +18,7 @@
 from burdockdeal.core import codec
 from burdockdeal.core import errors
 from burdockdeal.core import journal
+from burdockdeal.platform import messages as platform
 from burdockdeal.platform import store
 
 _TRIES = 5
@@ -28,7 +29,7 @@
 class Ledger(mode.Service):
     """Gathers records, writes them to the store and reads them back.
 
-    :param platform: the lane that records are written in.
+    :param written: the lane that records are written in.
     :param asked: the lane for what an operator asks to read.
     :param log: the change log in the store.
     :param in_force: the latest changes, for when the store is away.
@@ -37,7 +38,7 @@
 
     def __init__(
         self,
-        platform: store.Store,
+        written: store.Store,
         asked: store.Store,
         log: archive.Archive,
         in_force: standing.Standing,
@@ -45,7 +46,7 @@
         clock: abc.Callable[[], float],
     ) -> None:
         super().__init__()
-        self._store = platform
+        self._store = written
         self._asked = asked
         self._log = log
         self._standing = in_force
@@ -141,14 +142,14 @@
         entry = await (lane or self._store).get(messages.HEAD_KEY)
         if entry is None:
             return 0, 0
-        return codec.decode(entry.value, messages.Head).sequence, entry.version
+        return _decode(entry, messages.Head).sequence, entry.version
 
     async def _read(self, sequence: int) -> tuple[messages.Segment, int]:
         """Read the segment to write to, the given one or a later one."""
         entry = await self._store.get(decisions.segment_key(sequence))
         if entry is None:
             return messages.Segment(sequence), 0
-        segment = codec.decode(entry.value, messages.Segment)
+        segment = _decode(entry, messages.Segment)
         if segment.sequence > sequence:
             self._sequence, _ = await self._read_head()
             raise errors.StoreConflictError(entry.key, entry.version)
@@ -160,7 +161,7 @@
         """Read a segment; empty if it has been written over."""
         entry = await self._asked.get(decisions.segment_key(sequence))
         if entry is not None:
-            segment = codec.decode(entry.value, messages.Segment)
+            segment = _decode(entry, messages.Segment)
             if segment.sequence == sequence:
                 return segment
         return messages.Segment(sequence)
@@ -227,6 +228,14 @@
         return found, sequence >= oldest
 
 
+def _decode(entry: platform.Entry, kind: type[codec.T]) -> codec.T:
+    try:
+        return codec.decode(entry.value, kind)
+    except codec.MalformedError as error:
+        detail = f"{entry.key}: {error}"
+        raise errors.StoreUncertainError(detail) from error
+
+
 def _find(change: configuration.Change) -> state.Found:
     return state.Found(
         decisions.describe(change), state.Cursor(revision=change.revision)
--- a/packages/burdockdeal/burdockdeal/audit/tests/test_audit.py
+++ b/packages/burdockdeal/burdockdeal/audit/tests/test_audit.py
@@ -133,6 +133,16 @@
     assert [record.change_id for record in trail.records] == ["c1"]
 
 
+def test_what_cannot_be_read_ends_no_daemon() -> None:
+    store = memory_store.MemoryStore()
+    records = make_ledger(store)
+    records.note(make_record(1))
+    asyncio.run(store.put(decisions.segment_key(0), "{", version=0))
+    with pytest.raises(errors.PlatformError):
+        asyncio.run(records.flush())
+    assert records.waiting == 1
+
+
 def found_at(at_ms: int, accepted: bool) -> state.Found:
     cursor = (
         state.Cursor(revision=at_ms)
--- a/packages/burdockdeal/burdockdeal/configuration/archive.py
+++ b/packages/burdockdeal/burdockdeal/configuration/archive.py
@@ -168,7 +168,7 @@
             try:
                 parts = await self._read_parts(manifest)
                 return self._standing.take_snapshot(snapshots.join(parts))
-            except (SnapshotGoneError, snapshots.IncompleteError) as error:
+            except (SnapshotGoneError, codec.MalformedError) as error:
                 journal.warn("snapshot_unreadable", error=error)
         raise SnapshotGoneError("the snapshot could not be read")
 
--- a/packages/burdockdeal/burdockdeal/configuration/service.py
+++ b/packages/burdockdeal/burdockdeal/configuration/service.py
@@ -94,6 +94,9 @@
         ):
             # Something between was missed.
             await self._log.catch_up()
+            if self._standing.revision == before:
+                # It can't be read, and the watch would end at once again.
+                await self.sleep(_MOST_PAUSE_S)
         self._pass_on_after(before)
         return max(
             (
--- a/packages/burdockdeal/burdockdeal/configuration/tests/test_writer.py
+++ b/packages/burdockdeal/burdockdeal/configuration/tests/test_writer.py
@@ -299,5 +299,19 @@
     assert sum("snapshot" in key for key in store.entries) == 1
 
 
+def test_a_snapshot_that_cannot_be_read_ends_no_daemon() -> None:
+    store = memory_store.MemoryStore()
+    site = make_site(store, "s")
+    settle(site, make_request("c"))
+    asyncio.run(site.archive.compact())
+    part = next(key for key in store.entries if "snapshot" in key)
+    version = store.entries[part].version
+    asyncio.run(store.put(part, "{", version=version))
+    newcomer = make_site(store, "n")
+    with pytest.raises(errors.PlatformError):
+        asyncio.run(newcomer.archive.catch_up())
+    assert newcomer.standing.revision == 0
+
+
 def test_the_ring_is_ordered_by_slots() -> None:
     assert log.log_key(log.RING + 1) == log.log_key(1)
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -8,6 +8,7 @@
 import pytest
 
 from burdockdeal.audit import messages as audit
+from burdockdeal.configuration import log
 from burdockdeal.configuration import messages
 from burdockdeal.configuration import resources
 from burdockdeal.configuration import snapshots
@@ -477,3 +478,33 @@
     bad = await ask(small, "d1", "GET", "/v1/audit?limit=0&cursor=x")
     assert bad.status == 422
     assert len(bad.read(messages.Problem).faults) == 2
+
+
+async def test_a_change_that_cannot_be_read_is_not_asked_for_in_a_loop(
+    small: standins.Fleet,
+) -> None:
+    revision = (await read_status(small, "d1")).revision
+    change = messages.Change(
+        revision=revision + 1,
+        change_id="of-a-newer-release",
+        operator="tests",
+        at_ms=0,
+        action=messages.Action.PUT,
+        kind="Novelty",
+        name="a",
+        previous_generation=0,
+        spec=msgspec.Raw(b"{}"),
+    )
+    url = f"http://127.0.0.1:{small.store_port}/v1/kv/"
+    async with small.session.put(
+        url + log.log_key(revision + 1) + "?version=0",
+        data=codec.encode(change),
+    ) as answer:
+        assert answer.status == 200
+    before = await small.store_counts()
+    await asyncio.sleep(4)
+    after = await small.store_counts()
+    assert after.watches - before.watches < 15
+    for name in small.nodes:
+        assert (await read_status(small, name)).revision == revision
+        assert "change_unreadable" in small.log(name)
