--- a/packages/burdockdeal/burdockdeal/configuration/archive.py
+++ b/packages/burdockdeal/burdockdeal/configuration/archive.py
@@ -94,7 +94,7 @@
                 continue
             taken = self._standing.take(changes)
             at_end = log.slot_of(self._standing.revision + 1, self._ring) == 0
-            if not taken or (len(taken) < len(changes) and not at_end):
+            if not taken or (len(taken) < limit and not at_end):
                 return
             limit = min(limit * _PAGE_GROWTH, _MOST_PER_PAGE)
 
@@ -168,7 +168,7 @@
             try:
                 parts = await self._read_parts(manifest)
                 return self._standing.take_snapshot(snapshots.join(parts))
-            except (SnapshotGoneError, snapshots.IncompleteError) as error:
+            except (SnapshotGoneError, codec.MalformedError) as error:
                 journal.warn("snapshot_unreadable", error=error)
         raise SnapshotGoneError("the snapshot could not be read")
 
