--- a/packages/burdockdeal/burdockdeal/configuration/decisions.py
+++ b/packages/burdockdeal/burdockdeal/configuration/decisions.py
@@ -70,7 +70,7 @@
     following = log.choose_next(changes, configuration.revision)
     if not following:
         return configuration
-    standing = dict(configuration.resources)
+    standing = configuration.resources.copy()
     for change in following:
         key = state.Key(change.kind, change.name)
         if change.action is messages.Action.DELETE:
--- a/packages/burdockdeal/burdockdeal/configuration/state.py
+++ b/packages/burdockdeal/burdockdeal/configuration/state.py
@@ -1,7 +1,7 @@
 """The state of the configuration."""
 
-from collections import abc
 import dataclasses
+import operator
 import types
 
 from burdockdeal.configuration import resources as kinds
@@ -23,14 +23,15 @@
     """All resources as of one revision of the change log."""
 
     revision: int = 0
-    resources: abc.Mapping[Key, kinds.Resource] = dataclasses.field(
+    resources: types.MappingProxyType[Key, kinds.Resource] = dataclasses.field(
         default_factory=lambda: types.MappingProxyType({})
     )
 
     def of_kind(self, kind: str) -> tuple[kinds.Resource, ...]:
         """List the resources of a kind, by name."""
-        return tuple(
-            self.resources[key]
-            for key in sorted(self.resources)
+        found = [
+            resource
+            for key, resource in self.resources.items()
             if key.kind == kind
-        )
+        ]
+        return tuple(sorted(found, key=operator.attrgetter("name")))
--- a/packages/burdockdeal/burdockdeal/daemon/assembly.py
+++ b/packages/burdockdeal/burdockdeal/daemon/assembly.py
@@ -38,7 +38,7 @@
 from burdockdeal.overload import connections
 from burdockdeal.overload import guard as guards
 from burdockdeal.platform import store
-from burdockdeal.retry import attempts
+from burdockdeal.retry import absence
 from burdockdeal.retry import budget as budgets
 from burdockdeal.routing import board
 from burdockdeal.routing import selection
@@ -172,7 +172,7 @@
         return () if self.snapshot else ("configuration",)
 
 
-def _make_choose(parts: Parts) -> attempts.Choose:
+def _make_choose(parts: Parts) -> absence.Choose:
     return selection.make_choose(
         parts.settings.policy,
         parts.chance,
--- a/packages/burdockdeal/burdockdeal/serving/entry.py
+++ b/packages/burdockdeal/burdockdeal/serving/entry.py
@@ -14,6 +14,7 @@
 from burdockdeal.core import verdict
 from burdockdeal.membership import messages as membership
 from burdockdeal.overload import guard as guards
+from burdockdeal.retry import absence
 from burdockdeal.retry import attempts
 from burdockdeal.retry import budget as budgets
 from burdockdeal.retry import decisions as retry
@@ -32,7 +33,7 @@
 def make_entry(
     *,
     snapshot: abc.Callable[[], classify.Snapshot | None],
-    choose: attempts.Choose,
+    choose: absence.Choose,
     pins: pinning.Pins,
     open_answer: messages.OpenAnswer,
     budget: budgets.Budget,
@@ -77,11 +78,11 @@
             )
         )
 
+    begin = attempts.make_begin(
+        choose=choose, open_to=open_to, budget=budget, clock=clock
+    )
     dispatch = pinning.make_dispatch(
-        attempts.make_dispatch(
-            choose=choose, open_to=open_to, budget=budget, clock=clock
-        ),
-        open_to,
+        begin,
         pins,
     )
 
--- a/packages/burdockdeal/burdockdeal/settings/model.py
+++ b/packages/burdockdeal/burdockdeal/settings/model.py
@@ -10,6 +10,9 @@
 from burdockdeal.core import errors
 
 NotNegative = typing.Annotated[float, msgspec.Meta(ge=0)]
+Policy = typing.Literal[
+    "random", "round_robin", "least_reported", "two_choices", "hot_cold"
+]
 Secret = typing.Annotated[str, msgspec.Meta(min_length=16)]
 
 
@@ -115,7 +118,7 @@
     calls_per_s: checking.Positive = 0.5
     burst: checking.PositiveInt = 20
     relay_calls_per_s: checking.Positive = 10.0
-    operator_calls_per_s: checking.Positive = 100.0
+    operator_calls_per_s: checking.Positive = 200.0
     start_spread_s: NotNegative = 0.0
 
 
@@ -144,7 +147,7 @@
     region: checking.Name = "local"
     peers: tuple[Address, ...] = ()
     advertise: Address | None = None
-    policy: str = "hot_cold"
+    policy: Policy = "hot_cold"
     seed: int | None = None
     limits: Limits = Limits()
     membership: Membership = Membership()
