--- a/packages/burdockdeal/burdockdeal/serving/entry.py
+++ b/packages/burdockdeal/burdockdeal/serving/entry.py
@@ -6,6 +6,7 @@
 
 from aiohttp import web
 
+from burdockdeal.bookings import pinning
 from burdockdeal.core import call
 from burdockdeal.core import errors
 from burdockdeal.core import headers
@@ -13,6 +14,7 @@
 from burdockdeal.core import verdict
 from burdockdeal.membership import messages as membership
 from burdockdeal.overload import guard as guards
+from burdockdeal.retry import absence
 from burdockdeal.retry import attempts
 from burdockdeal.retry import budget as budgets
 from burdockdeal.retry import decisions as retry
@@ -31,7 +33,8 @@
 def make_entry(
     *,
     snapshot: abc.Callable[[], classify.Snapshot | None],
-    choose: attempts.Choose,
+    choose: absence.Choose,
+    pins: pinning.Pins,
     open_answer: messages.OpenAnswer,
     budget: budgets.Budget,
     guard: guards.Guard,
@@ -54,7 +57,7 @@
             timed=not send.outbound.body.streamed,
         ) as seen:
             async with open_answer(send) as answer:
-                seen.answered(answer.response.status)
+                seen.answered(answer.status)
                 yield answer
 
     def open_to(
@@ -71,12 +74,17 @@
                 peer=member.peer,
                 incarnation=member.upstream_incarnation,
                 attempt=attempt,
+                daemon_incarnation=member.incarnation,
             )
         )
 
-    dispatch = attempts.make_dispatch(
+    begin = attempts.make_begin(
         choose=choose, open_to=open_to, budget=budget, clock=clock
     )
+    dispatch = pinning.make_dispatch(
+        begin,
+        pins,
+    )
 
     async def answer_call(
         request: web.BaseRequest, work: call.Call
@@ -92,9 +100,7 @@
             headers.REQUEST_ID: work.request_id,
         }
         async with dispatch(work, outbound) as answer:
-            return await transfer.pass_on(
-                request, answer.response, added, limits
-            )
+            return await transfer.pass_on(request, answer, added, limits)
 
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
         request_id = new_id()
