Split the assembly; give way to a successor; mend a refused socket

Change: shared parts, the path, the operators' application and the assembly are modules of their own; a superseded daemon stops gracefully; uvloop's refusal, raised before anything is sent, is NOT_RUN, UNREACHABLE, so that the call goes elsewhere. Why the transport lives on was not found. Measured: tests of transfer, stop and membership pass, one with two processes of one name (the old one ends with 0 and one view remains).

--- a/packages/burdockdeal/burdockdeal/daemon/main.py
+++ b/packages/burdockdeal/burdockdeal/daemon/main.py
@@ -43,6 +43,10 @@
                 # on without a part of itself would mislead it.
                 journal.warn("daemon_crashed", reason=crash)
                 return EXIT_CRASHED
+            if parts.roster.superseded:
+                # Another process runs under this name: give way to it,
+                # and cut nothing.
+                parts.stopping.give_way()
             parts.stopping.tick()
             await asyncio.sleep(_TICK_S)
     journal.record("daemon_stopped", daemon=settings.daemon)
--- /dev/null
+++ b/packages/burdockdeal/burdockdeal/daemon/operators.py
@@ -0,0 +1,63 @@
+"""The operators' application of a daemon."""
+
+
+
+from aiohttp import web
+
+from burdockdeal.configuration import api as configuration_api
+from burdockdeal.configuration import wiring as configuration_wiring
+from burdockdeal.core import codec
+from burdockdeal.daemon import messages
+from burdockdeal.daemon import metrics
+from burdockdeal.daemon import parts
+from burdockdeal.platform import store
+
+_OPEN_PATHS = frozenset({"/healthz", "/readyz", "/metrics"})
+
+
+def build_app(
+    shared: parts.Parts,
+    platform: store.Store,
+    config_slice: configuration_wiring.Slice,
+    told: metrics.Metrics,
+) -> web.Application:
+    """Build the operators' application: health, status and resources."""
+
+    def reply(message: object, status: int = 200) -> web.Response:
+        return web.Response(
+            body=codec.encode(message),
+            status=status,
+            content_type="application/json",
+        )
+
+    async def healthz(request: web.Request) -> web.Response:
+        return web.Response(text="ok\n")
+
+    async def readyz(request: web.Request) -> web.Response:
+        missing = shared.missing()
+        status = 503 if missing else 200
+        return reply(messages.Ready(not missing, missing), status)
+
+    async def status(request: web.Request) -> web.Response:
+        return reply(
+            messages.Fleet(
+                daemon=shared.settings.daemon,
+                revision=shared.standing.revision,
+                store_calls=platform.calls,
+                domains=await config_slice.spreader.ask_domains(),
+                members=shared.roster.members,
+            )
+        )
+
+    operators = shared.settings.operators
+    guard = configuration_api.make_guard(operators, _OPEN_PATHS)
+    app = web.Application(
+        middlewares=[guard],
+        client_max_size=configuration_api.RESOURCE_LIMIT_BYTES,
+    )
+    app.router.add_get("/healthz", healthz)
+    app.router.add_get("/readyz", readyz)
+    app.router.add_get("/metrics", told.handle)
+    app.router.add_get("/v1/status", status)
+    config_slice.add_routes(app)
+    return app
--- /dev/null
+++ b/packages/burdockdeal/burdockdeal/daemon/parts.py
@@ -0,0 +1,139 @@
+"""The parts of one daemon that its slices share."""
+
+import random
+import time
+
+import mode
+
+from burdockdeal.admission import gate
+from burdockdeal.admission import state as admission
+from burdockdeal.announce import api as announce_api
+from burdockdeal.announce import decisions as announce
+from burdockdeal.configuration import resources
+from burdockdeal.configuration import standing as configuration
+from burdockdeal.measurement import meter
+from burdockdeal.membership import messages as membership
+from burdockdeal.membership import roster
+from burdockdeal.overload import connections
+from burdockdeal.overload import guard as guards
+from burdockdeal.retry import budget as budgets
+from burdockdeal.routing import board
+from burdockdeal.routing import state as routing
+from burdockdeal.serving import classify
+from burdockdeal.settings import model
+from burdockdeal.shutdown import stopping
+
+_DEFAULT_SERVICE = resources.Service()
+
+
+def wall_ms() -> int:
+    """Read the wall clock in milliseconds, for people and incarnations."""
+    return time.time_ns() // 1_000_000
+
+
+class Parts:
+    """The parts of one daemon, made once and passed whole.
+
+    :param settings: the daemon's settings.
+    """
+
+    def __init__(self, settings: model.Settings) -> None:
+        self.settings = settings
+        self.clock = time.monotonic
+        self.chance = random.Random(settings.seed)
+        self.roster = roster.Roster(
+            membership.Member(
+                daemon=settings.daemon,
+                failure_domain=settings.failure_domain,
+                region=settings.region,
+                peer=settings.advertise or settings.listen.peer,
+                incarnation=wall_ms(),
+            )
+        )
+        self.side = announce_api.Side(self.clock)
+        self.standing = configuration.Standing()
+        self.gate = gate.Gate(self.clock, self._room)
+        self.meter = meter.Meter(self.clock)
+        self.board = board.Board(
+            settings.daemon, settings.failure_domain, self.clock, self.load
+        )
+        self.budget = budgets.Budget()
+        self.bounds = connections.bound_listeners(settings.limits, self.clock)
+        self.snapshot: classify.Snapshot | None = None
+        self.stopping: stopping.Stopping
+        self.services: tuple[mode.Service, ...] = ()
+        self.side.on_change(self._declare_upstream)
+        self.standing.on_change(self._take_configuration)
+        self.roster.on_change(self._take_member)
+
+    def _slots(self) -> int:
+        upstream = self.side.upstream
+        if upstream.announce is None:
+            return 0
+        share = announce.ramp(upstream, self.clock())
+        return max(1, round(upstream.announce.slots * share))
+
+    def _room(self) -> admission.Room:
+        service = self.roster.own.service
+        services = self.snapshot.services if self.snapshot else {}
+        spec = services.get(service, _DEFAULT_SERVICE)
+        slots = self._slots()
+        return admission.Room(
+            slots=slots,
+            uploads=max(1, int(slots * spec.upload_share)),
+            queue_limit=spec.queue_limit,
+        )
+
+    def _declare_upstream(self) -> None:
+        upstream = self.side.upstream
+        announced = upstream.announce
+        self.roster.declare(
+            service=announced.service if announced else "",
+            phase=upstream.phase,
+            upstream_incarnation=upstream.incarnation,
+            slots=announced.slots if announced else 0,
+        )
+
+    def _take_member(
+        self, known: membership.Member | None, stands: membership.Member
+    ) -> None:
+        if known is not None:
+            self.board.forget(known, stands)
+
+    def _take_configuration(self) -> None:
+        self.snapshot = classify.build_snapshot(self.standing.configuration)
+
+    def find_crashed(self) -> str | None:
+        """Name a service that crashed and why, None if all run."""
+        for service in self.services:
+            if service.crashed:
+                return f"{service.label}: {service.crash_reason!r}"
+        return None
+
+    def build_guard(self) -> guards.Guard:
+        """Build the guard of this daemon's entry."""
+        return guards.Guard(
+            lambda: self.snapshot.ranks if self.snapshot else {},
+            self.settings.limits.requests,
+            self.clock,
+            self.chance,
+        )
+
+    def is_relay(self) -> bool:
+        """Tell whether this daemon watches the store for its domain."""
+        domain = self.settings.failure_domain
+        return self.settings.daemon in self.roster.relays(domain)
+
+    def load(self) -> routing.Report:
+        """Tell the load beside this daemon, as put on each answer."""
+        return routing.Report(
+            in_flight=self.gate.running,
+            waiting=self.gate.waiting,
+            slots=self._slots(),
+            service_ms=self.meter.service_ms(),
+            failed_share=self.meter.failed_share,
+        )
+
+    def missing(self) -> tuple[str, ...]:
+        """Tell what the daemon waits for before it can serve."""
+        return () if self.snapshot else ("configuration",)
--- /dev/null
+++ b/packages/burdockdeal/burdockdeal/daemon/path.py
@@ -0,0 +1,142 @@
+"""The path of requests through one daemon, put together."""
+
+from collections import abc
+import contextlib
+import dataclasses
+import secrets
+
+import aiohttp
+from aiohttp import web
+
+from burdockdeal.bookings import assembly as bookings
+from burdockdeal.core import errors
+from burdockdeal.core import headers
+from burdockdeal.core import verdict
+from burdockdeal.daemon import metrics
+from burdockdeal.daemon import parts
+from burdockdeal.overload import guard as guards
+from burdockdeal.retry import absence
+from burdockdeal.routing import selection
+from burdockdeal.serving import entry
+from burdockdeal.serving import front
+from burdockdeal.serving import messages
+from burdockdeal.serving import owner
+from burdockdeal.serving import peers
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Path:
+    """The handlers of one daemon's requests.
+
+    :param handle_entry: answers callers.
+    :param handle_call: answers the calls that other daemons send.
+    """
+
+    handle_entry: front.Handler
+    handle_call: front.Handler
+
+
+def make_choose(shared: parts.Parts) -> absence.Choose:
+    """Make the function that chooses an instance for a call."""
+    return selection.make_choose(
+        shared.settings.policy,
+        shared.chance,
+        shared.board,
+        serving=shared.roster.list_serving,
+        services=lambda: shared.snapshot.services if shared.snapshot else {},
+        ranks=lambda: shared.snapshot.ranks if shared.snapshot else {},
+    )
+
+
+def _make_open_answer(
+    daemon: str, local: messages.OpenAnswer, remote: messages.OpenAnswer
+) -> messages.OpenAnswer:
+    def open_answer(
+        send: messages.Send,
+    ) -> contextlib.AbstractAsyncContextManager[messages.Answer]:
+        return (local if send.daemon == daemon else remote)(send)
+
+    return open_answer
+
+
+def build_path(
+    shared: parts.Parts,
+    session: aiohttp.ClientSession,
+    booked: bookings.Bookings,
+    guard: guards.Guard,
+    told: metrics.Metrics,
+) -> Path:
+    """Put the path of requests together.
+
+    :param session: connections to upstreams and to other daemons.
+    """
+    settings = shared.settings
+    choose = make_choose(shared)
+    local = booked.keep_runs(
+        owner.make_owner(
+            shared.side,
+            shared.gate,
+            session,
+            lambda: shared.snapshot,
+            shared.clock,
+            booked.ledger,
+            booked.prepare,
+            shared.meter,
+        )
+    )
+    remote = booked.guard_sends(
+        peers.make_peer_opener(
+            session,
+            settings.peer_token,
+            shared.clock,
+            shared.board.note_report,
+            booked.clocks.note,
+        )
+    )
+    handle_call = owner.make_peer_handler(
+        local,
+        shared.load,
+        shared.clock,
+        settings.listen.peer,
+        shared.roster.own.incarnation,
+        settings.limits,
+    )
+    handle_entry = entry.make_entry(
+        snapshot=lambda: shared.snapshot,
+        choose=choose,
+        pins=booked.pins,
+        open_answer=_make_open_answer(settings.daemon, local, remote),
+        budget=shared.budget,
+        guard=guard,
+        tallies=shared.board,
+        new_id=lambda: secrets.token_hex(8),
+        clock=shared.clock,
+        count=told.count,
+        limits=settings.limits,
+    )
+    return Path(booked.answer_keys(handle_entry, choose), handle_call)
+
+
+def make_peer_dispatch(
+    peer_token: str,
+    handle_call: front.Handler,
+    controls: abc.Mapping[str, front.Handler],
+) -> front.Handler:
+    """Make the handler of all that other daemons send.
+
+    :param controls: the handlers of control messages, by path.
+    """
+    token = peer_token.encode()
+
+    async def dispatch(request: web.BaseRequest) -> web.StreamResponse:
+        given = request.headers.get(headers.PEER_TOKEN, "").encode()
+        if not secrets.compare_digest(given, token):
+            raise errors.NotRunError(verdict.Reason.UNAUTHENTICATED)
+        if headers.ENVELOPE in request.headers:
+            return await handle_call(request)
+        control = controls.get(request.path)
+        if control is None:
+            raise errors.NotRunError(verdict.Reason.NO_RULE)
+        return await control(request)
+
+    return dispatch
--- a/packages/burdockdeal/burdockdeal/membership/service.py
+++ b/packages/burdockdeal/burdockdeal/membership/service.py
@@ -33,6 +33,10 @@
 _JOIN_TIMEOUT_S = 5.0
 
 
+#: Answers a message of another daemon.
+Handler = abc.Callable[[web.BaseRequest], abc.Awaitable[web.Response]]
+
+
 class Membership(mode.Service):
     """Finds the other daemons, probes them and spreads what is news.
 
@@ -70,6 +74,15 @@
         self._compared_at = clock()
         standing.on_change(self._note_change)
 
+    @property
+    def peer_handlers(self) -> dict[str, Handler]:
+        """The handlers of other daemons' messages, by path."""
+        return {
+            "/v1/peer/ping": self.handle_ping,
+            "/v1/peer/ping-request": self.handle_ping_request,
+            "/v1/peer/page": self.handle_page,
+        }
+
     @mode.Service.task
     async def _probe_forever(self) -> None:
         period_s = self._pace.period_s
--- /dev/null
+++ b/packages/burdockdeal/burdockdeal/serving/tests/test_transfer.py
@@ -0,0 +1,54 @@
+"""What a send that goes wrong before it starts is taken for."""
+
+import asyncio
+
+import multidict
+import pytest
+
+from burdockdeal.core import errors
+from burdockdeal.core import verdict
+from burdockdeal.serving import bodies
+from burdockdeal.serving import messages
+from burdockdeal.serving import transfer
+from burdockdeal.settings import model
+
+_TAKEN = "File descriptor 35 is used by transport <TCPTransport closed=True>"
+
+
+class FailingSession:
+    """A client session whose every request fails in the same way."""
+
+    def __init__(self, error: Exception) -> None:
+        self._error = error
+
+    async def request(self, *args: object, **kwargs: object) -> None:
+        await asyncio.sleep(0)
+        raise self._error
+
+
+async def send(error: Exception) -> None:
+    outbound = messages.Outbound(
+        "POST", "/", multidict.CIMultiDict(), bodies.Body(None, b"", model.Limits())
+    )
+    async with transfer.open_response(
+        FailingSession(error),
+        "http://127.0.0.1:1",
+        outbound,
+        {},
+        remaining_s=1.0,
+        expect=False,
+    ):
+        pass
+
+
+async def test_a_socket_that_uvloop_refuses_was_never_used() -> None:
+    with pytest.raises(errors.NotRunError) as caught:
+        await send(RuntimeError(_TAKEN))
+    assert caught.value.reason is verdict.Reason.UNREACHABLE
+
+
+async def test_any_other_fault_is_not_hidden() -> None:
+    with pytest.raises(RuntimeError):
+        await send(RuntimeError("something else"))
+    with pytest.raises(errors.LostAnswerError):
+        await send(OSError("broken pipe"))
--- a/packages/burdockdeal/burdockdeal/serving/transfer.py
+++ b/packages/burdockdeal/burdockdeal/serving/transfer.py
@@ -18,6 +18,7 @@
 from burdockdeal.settings import model
 
 _CONNECT_TIMEOUT_S = 1.0
+_SOCKET_TAKEN = "is used by transport"
 _IDLE_CONNECTION_S = 60.0
 _BODILESS = frozenset(
     {http.HTTPStatus.NO_CONTENT, http.HTTPStatus.NOT_MODIFIED}
@@ -137,6 +138,14 @@
         raise errors.NotRunError(
             verdict.Reason.UNREACHABLE, str(error)
         ) from error
+    except RuntimeError as error:
+        # uvloop refuses to connect a socket whose number still belongs to
+        # a transport that is being collected; nothing was sent.
+        if _SOCKET_TAKEN not in str(error):
+            raise
+        raise errors.NotRunError(
+            verdict.Reason.UNREACHABLE, str(error)
+        ) from error
     except TimeoutError as error:
         raise errors.LostAnswerError(verdict.Reason.TIMED_OUT) from error
     except (aiohttp.ClientError, OSError) as error:
--- a/packages/burdockdeal/burdockdeal/shutdown/decisions.py
+++ b/packages/burdockdeal/burdockdeal/shutdown/decisions.py
@@ -7,7 +7,7 @@
 from burdockdeal.shutdown import state
 
 Phase = state.Phase
-Event = messages.Asked | messages.Tick
+Event = messages.Asked | messages.Superseded | messages.Tick
 
 
 def _begin(
@@ -44,6 +44,7 @@
 
 _TABLE: dict[tuple[Phase, type], abc.Callable[..., state.Stop]] = {
     (Phase.RUNNING, messages.Asked): _begin,
+    (Phase.RUNNING, messages.Superseded): _begin,
     (Phase.LEAVING, messages.Asked): _cut,
     (Phase.LEAVING, messages.Tick): _linger,
     (Phase.FINISHING, messages.Asked): _cut,
--- a/packages/burdockdeal/burdockdeal/shutdown/messages.py
+++ b/packages/burdockdeal/burdockdeal/shutdown/messages.py
@@ -16,3 +16,8 @@
     """
 
     busy: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Superseded:
+    """Another process runs under this daemon's name."""
--- a/packages/burdockdeal/burdockdeal/shutdown/stopping.py
+++ b/packages/burdockdeal/burdockdeal/shutdown/stopping.py
@@ -44,6 +44,10 @@
         """Ask for the stop; asked again, it ends at once."""
         self._take(messages.Asked())
 
+    def give_way(self) -> None:
+        """Stop, since another process runs under this daemon's name."""
+        self._take(messages.Superseded())
+
     def tick(self) -> None:
         """Take the time into account."""
         self._take(messages.Tick(self._busy()))
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -71,6 +71,19 @@
         await wait_for_health(small, seen_by, "d3", {"ALIVE"})
 
 
+async def test_a_daemon_gives_way_to_one_of_its_name(
+    small: standins.Fleet,
+) -> None:
+    old = small.nodes["d3"]
+    successor = await small.add(old.place)
+    assert await old.daemon.wait() == 0
+    await small.wait_ready()
+    for seen_by in ("d1", "d2"):
+        await wait_for_health(small, seen_by, "d3", {"ALIVE"})
+    health = await read_health(small, successor)
+    assert health == {"d1": "ALIVE", "d2": "ALIVE", "d3": "ALIVE"}
+
+
 async def test_a_cut_heals_to_one_view(fleet: standins.Fleet) -> None:
     names = ("a1", "a2", "b1", "b2")
     links = []
