--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,7 @@
 	$(BIN)/flake8 $(SOURCES)
 
 format: $(STAMP)
+	$(BIN)/ruff format $(SOURCES)
 	$(BIN)/ruff check --fix $(SOURCES)
 	$(BIN)/ruff format $(SOURCES)
 
--- a/packages/bench/burdockdeal_bench/hops.py
+++ b/packages/bench/burdockdeal_bench/hops.py
@@ -12,6 +12,7 @@
 from burdockdeal.settings import model
 from burdockdeal_bench import report
 from burdockdeal_standins import fleet as standins
+from burdockdeal_standins import ports
 
 _WARM_UP_CALLS = 300
 _BLOCK_CALLS = 50
@@ -118,7 +119,7 @@
 async def _add_passthrough(
     fleet: standins.Fleet, target: str
 ) -> tuple[str, int]:
-    port = standins.free_port()
+    port = ports.free_port()
     process = await fleet.start(
         "burdockdeal_standins.passthrough",
         f"passthrough-{port}",
@@ -126,12 +127,12 @@
         target=target,
     )
     await fleet.wait_for_port(port, process)
-    return f"{standins.HOST}:{port}", process.pid
+    return f"{ports.HOST}:{port}", process.pid
 
 
 async def _lay_paths(fleet: standins.Fleet) -> tuple[Path, ...]:
     owner, entry = fleet.nodes["owner"], fleet.nodes["entry"]
-    upstream = f"{standins.HOST}:{owner.upstream_port}"
+    upstream = f"{ports.HOST}:{owner.upstream_port}"
     near, near_pid = await _add_passthrough(fleet, upstream)
     far, far_pid = await _add_passthrough(fleet, near)
     pids = (owner.daemon.pid, entry.daemon.pid)
--- a/packages/bench/burdockdeal_bench/stage.py
+++ b/packages/bench/burdockdeal_bench/stage.py
@@ -11,6 +11,8 @@
 from burdockdeal_bench import deployment as deployments
 from burdockdeal_bench import scenario as scenarios
 from burdockdeal_standins import fleet as standins
+from burdockdeal_standins import links
+from burdockdeal_standins import ports
 from burdockdeal_standins import relay
 from burdockdeal_standins import store
 from burdockdeal_standins import upstream
@@ -36,7 +38,7 @@
         self.deployment = deployment
         self.policy = policy
         self.seed = seed
-        self.links: dict[str, standins.Relay] = {}
+        self.links: dict[str, links.Relay] = {}
         self.behaviours = {
             place.name: upstream.Behaviour(service_ms=place.service_ms)
             for place in deployment.places
@@ -55,7 +57,7 @@
         """The caller interface of each daemon."""
         return tuple(node.caller_url for node in self.fleet.nodes.values())
 
-    def link(self, place: str) -> standins.Relay:
+    def link(self, place: str) -> links.Relay:
         """Return the link of a place's failure domain."""
         return self.links[self.deployment.find_place(place).failure_domain]
 
@@ -87,7 +89,7 @@
                 *(
                     model.Address(
                         self._host(place),
-                        standins.free_port(self._host(place)),
+                        ports.free_port(self._host(place)),
                     )
                     for _ in range(4)
                 )
--- a/packages/burdockdeal/burdockdeal/daemon/operators.py
+++ b/packages/burdockdeal/burdockdeal/daemon/operators.py
@@ -1,7 +1,5 @@
 """The operators' application of a daemon."""
 
-
-
 from aiohttp import web
 
 from burdockdeal.configuration import api as configuration_api
--- a/packages/burdockdeal/burdockdeal/retry/decisions.py
+++ b/packages/burdockdeal/burdockdeal/retry/decisions.py
@@ -24,8 +24,8 @@
 #: Tokens that an account holds at most.
 MOST_TOKENS = 10.0
 
-#: Tokens that hedges leave in the account for calls that failed.
-HEDGE_RESERVE = 3.0
+#: Tokens that must be in the account for a hedge, which costs one.
+HEDGE_RESERVE = 1.0
 
 #: Seconds for which a service is taken for full once a call was refused
 #: by two of its instances.
