--- a/packages/burdockdeal/burdockdeal/retry/decisions.py
+++ b/packages/burdockdeal/burdockdeal/retry/decisions.py
@@ -25,7 +25,7 @@
 MOST_TOKENS = 10.0
 
 #: Tokens that must be in the account for a hedge, which costs one.
-HEDGE_RESERVE = 1.0
+HEDGE_TOKENS = 1.0
 
 #: Seconds for which a service is taken for full once a call was refused
 #: by two of its instances.
@@ -210,7 +210,7 @@
         and replayable
         and progress.resends > 0
         and account.usual_s > 0
-        and account.tokens >= HEDGE_RESERVE
+        and account.tokens >= HEDGE_TOKENS
         and not is_full(account, now)
     )
     if not allowed:
