--- a/conftest.py
+++ b/conftest.py
@@ -8,6 +8,9 @@
 
 from burdockdeal.configuration import resources
 from burdockdeal_standins import fleet as standins
+from burdockdeal_standins import ports
+from burdockdeal_standins import scripted
+from burdockdeal_standins import stage as stages
 
 #: Tests that fail for a fault that is not mended yet, one entry each; an
 #: entry begins with "test: " and the test's id.
@@ -93,3 +96,36 @@
         ),
     )
     await fleet.wait_ready(revision)
+
+
+@pytest_asyncio.fixture
+async def stage(
+    fleet: standins.Fleet,
+) -> abc.AsyncIterator[stages.Stage]:
+    """Two daemons, a scripted upstream beside the second."""
+    await fleet.add_all(
+        [
+            standins.Place("d1", "shotton"),
+            standins.Place("d2", "queensferry"),
+        ]
+    )
+    node = fleet.nodes["d2"]
+    async with scripted.run_scripted(
+        "bookings",
+        str(node.settings.listen.upstream),
+        ports.free_port(),
+    ) as upstream:
+        await declare_basics(fleet, fleet.nodes["d1"])
+        await fleet.wait_until(
+            lambda: _sees_upstream(fleet), "d1 sees the upstream"
+        )
+        yield stages.Stage(fleet, upstream)
+
+
+async def _sees_upstream(fleet: standins.Fleet) -> bool:
+    async with fleet.session.get(
+        f"{fleet.nodes['d1'].operator_url}/v1/status",
+        headers=fleet.operator_headers,
+    ) as response:
+        members = (await response.json())["members"]
+    return any(member["phase"] == "SERVING" for member in members)
--- a/packages/burdockdeal/burdockdeal/platform/store.py
+++ b/packages/burdockdeal/burdockdeal/platform/store.py
@@ -61,11 +61,11 @@
         self.outage = state.Outage()
 
 
-@dataclasses.dataclass(slots=True)
 class _Attempt:
     """One HTTP request, as the session's trace sees it."""
 
-    reused: bool = False
+    def __init__(self) -> None:
+        self.reused = False
 
 
 def _trace_reuse() -> aiohttp.TraceConfig:
--- a/packages/standins/burdockdeal_standins/fleet.py
+++ b/packages/standins/burdockdeal_standins/fleet.py
@@ -14,6 +14,7 @@
 from burdockdeal.platform import messages as platform
 from burdockdeal.settings import model
 from burdockdeal_standins import links
+from burdockdeal_standins import logs
 from burdockdeal_standins import ports
 from burdockdeal_standins import store
 from burdockdeal_standins import upstream
@@ -21,7 +22,6 @@
 OPERATOR_TOKEN = "operator-token-of-tests"
 PEER_TOKEN = "peer-token-of-the-tests"
 START_S = 20.0
-_LOG_TAIL_CHARS = 2000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -278,10 +278,7 @@
     async def behave(self, node: Node, behaviour: upstream.Behaviour) -> None:
         """Set how a node's upstream behaves."""
         url = f"http://{ports.HOST}:{node.upstream_port}/admin/behaviour"
-        async with self.session.put(
-            url, data=codec.encode(behaviour)
-        ) as response:
-            assert response.status == 200
+        await self._put(url, behaviour)
 
     async def record(self, node: Node) -> upstream.Record:
         """Read what a node's upstream ran."""
@@ -289,13 +286,14 @@
         async with self.session.get(url) as response:
             return codec.decode(await response.read(), upstream.Record)
 
+    async def _put(self, url: str, order: object) -> None:
+        async with self.session.put(url, data=codec.encode(order)) as answer:
+            assert answer.status == 200
+
     async def set_store_faults(self, faults: store.Faults) -> None:
         """Set what goes wrong at the store."""
         url = f"http://{ports.HOST}:{self.store_port}/admin/faults"
-        async with self.session.put(
-            url, data=codec.encode(faults)
-        ) as response:
-            assert response.status == 200
+        await self._put(url, faults)
 
     async def store_counts(self) -> store.Counts:
         """Read the store's count of calls."""
@@ -390,11 +388,7 @@
 
     def all_logs(self) -> str:
         """Read the ends of all processes' outputs."""
-        paths = sorted(self.folder.glob("*.log"))
-        return "\n".join(
-            f"--- {path.stem}\n{path.read_text()[-_LOG_TAIL_CHARS:]}"
-            for path in paths
-        )
+        return logs.read_ends(self.folder)
 
     def log(self, name: str) -> str:
         """Read a process's output."""
--- a/tests/test_bookings.py
+++ b/tests/test_bookings.py
@@ -15,9 +15,7 @@
 from burdockdeal.core import codec
 from burdockdeal.serving import messages
 from burdockdeal_standins import fleet as standins
-from burdockdeal_standins import ports
 from burdockdeal_standins import relay
-from burdockdeal_standins import scripted
 from burdockdeal_standins import store
 from burdockdeal_standins import upstream
 
@@ -387,24 +385,3 @@
     told = await book(small, "d2", "own-8")
     assert told.text == "bookings read 8 bytes\n"
     assert len(await runs(small)) == 1
-
-
-async def test_an_upstream_may_refuse(fleet: standins.Fleet) -> None:
-    node = await fleet.add(standins.Place("d1", "shotton"))
-    daemon = str(node.settings.listen.upstream)
-    port = ports.free_port()
-    async with scripted.run_scripted("bookings", daemon, port) as refusing:
-
-        async def talk(reader, writer) -> None:
-            head = await scripted.read_head(reader)
-            assert head.values("Burdockdeal-Incarnation") == ["1"]
-            writer.write(
-                b"HTTP/1.1 503 Busy\r\nBurdockdeal-Verdict: NOT_RUN\r\n"
-                b"Content-Length: 0\r\n\r\n"
-            )
-            await writer.drain()
-
-        refusing.talk = talk
-        await conftest.declare_basics(fleet, node)
-        told = await book(fleet, "d1")
-        assert (told.verdict, told.reason) == ("NOT_RUN", "UPSTREAM_REFUSED")
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -1,159 +1,41 @@
 """HTTP on the whole path, byte by byte: caller, entry, owner, upstream."""
 
 import asyncio
-from collections import abc
 import contextlib
-import json
 
 import conftest
 import pytest
-import pytest_asyncio
 
 from burdockdeal_standins import fleet as standins
 from burdockdeal_standins import ports
 from burdockdeal_standins import scripted
-
-OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
-GET = b"GET /jobs/1 HTTP/1.1\r\nHost: here\r\n\r\n"
-
-
-class Line:
-    """A caller that writes the bytes it is told to."""
-
-    def __init__(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        self.reader = reader
-        self.writer = writer
-
-    async def read_all(self) -> bytes:
-        return await asyncio.wait_for(self.reader.read(), 10)
-
-    async def read_head(self) -> scripted.Head:
-        return await asyncio.wait_for(scripted.read_head(self.reader), 10)
-
-    async def read_answer(self) -> tuple[scripted.Head, bytes]:
-        head = await self.read_head()
-        length = int(head.values("Content-Length")[0])
-        return head, await self.reader.readexactly(length)
-
-    async def read_refusal(self) -> tuple[str, str, str]:
-        """Read status, verdict and reason, which head and body share."""
-        head, body = await self.read_answer()
-        told = json.loads(body)
-        assert head.values("Burdockdeal-Verdict") == [told["verdict"]]
-        assert head.values("Burdockdeal-Reason") == [told["reason"]]
-        return head.first.split()[1], told["verdict"], told["reason"]
-
-
-class Stage:
-    """A fleet with one scripted upstream, reached by one or two hops."""
-
-    def __init__(
-        self, fleet: standins.Fleet, upstream: scripted.Scripted
-    ) -> None:
-        self.fleet = fleet
-        self.upstream = upstream
-        self.raw = b""
-
-    @contextlib.asynccontextmanager
-    async def call(
-        self, raw: bytes, node: str = "d1", port: str = "caller"
-    ) -> abc.AsyncIterator[Line]:
-        listen = self.fleet.nodes[node].settings.listen
-        address = getattr(listen, port)
-        reader, writer = await asyncio.open_connection(
-            address.host, address.port
-        )
-        writer.write(raw)
-        try:
-            yield Line(reader, writer)
-        finally:
-            writer.close()
-
-    def answer(self, raw: bytes) -> list[scripted.Head]:
-        """Answer every request without a body with the same bytes."""
-        self.raw = raw
-        heads: list[scripted.Head] = []
-
-        async def talk(reader, writer) -> None:
-            while True:
-                heads.append(await scripted.read_head(reader))
-                writer.write(self.raw)
-
-        self.upstream.talk = talk
-        return heads
-
-    def answer_once(self, raw: bytes) -> None:
-        """Answer one request of each connection, then close it."""
-
-        async def talk(reader, writer) -> None:
-            await scripted.read_head(reader)
-            writer.write(raw)
-            await writer.drain()
-
-        self.upstream.talk = talk
-
-    async def check_still_serves(self) -> None:
-        self.answer(OK)
-        async with self.call(GET) as line:
-            assert (await line.read_answer())[1] == b"ok"
-
-
-@pytest_asyncio.fixture
-async def stage(fleet: standins.Fleet) -> abc.AsyncIterator[Stage]:
-    await fleet.add_all(
-        [
-            standins.Place("d1", "shotton"),
-            standins.Place("d2", "queensferry"),
-        ]
-    )
-    node = fleet.nodes["d2"]
-    async with scripted.run_scripted(
-        "bookings",
-        str(node.settings.listen.upstream),
-        ports.free_port(),
-    ) as upstream:
-        await conftest.declare_basics(fleet, fleet.nodes["d1"])
-        await fleet.wait_until(
-            lambda: _sees_upstream(fleet), "d1 sees the upstream"
-        )
-        yield Stage(fleet, upstream)
+from burdockdeal_standins import stage as stages
 
 
-async def _sees_upstream(fleet: standins.Fleet) -> bool:
-    async with fleet.session.get(
-        f"{fleet.nodes['d1'].operator_url}/v1/status",
-        headers=fleet.operator_headers,
-    ) as response:
-        members = (await response.json())["members"]
-    return any(member["phase"] == "SERVING" for member in members)
-
-
-async def test_answers_without_a_body(stage: Stage) -> None:
+async def test_answers_without_a_body(stage: stages.Stage) -> None:
     raw = b"HTTP/1.1 200 OK\r\nContent-Length: 7\r\nX-A: 1\r\n\r\n"
     stage.answer(raw)
-    async with stage.call(GET.replace(b"GET", b"HEAD", 1)) as line:
+    async with stage.call(stages.GET.replace(b"GET", b"HEAD", 1)) as line:
         head = await line.read_head()
         assert head.values("Content-Length") == ["7"]
-        stage.answer(OK)
-        line.writer.write(GET)
+        stage.answer(stages.OK)
+        line.writer.write(stages.GET)
         # Nothing between the head of the first answer and the second.
         assert (await line.read_answer())[1] == b"ok"
     for status in (b"204 No Content", b"304 Not Modified"):
         stage.answer(b"HTTP/1.1 " + status + b"\r\nETag: x\r\n\r\n")
-        async with stage.call(GET + GET) as line:
+        async with stage.call(stages.GET + stages.GET) as line:
             for _ in range(2):
                 head = await line.read_head()
                 assert head.first.encode() == b"HTTP/1.1 " + status
                 assert head.values("ETag") == ["x"]
                 assert not head.values("Transfer-Encoding")
     stage.answer(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
-    async with stage.call(GET) as line:
+    async with stage.call(stages.GET) as line:
         assert (await line.read_answer())[1] == b""
 
 
-async def test_headers_end_to_end_and_not(stage: Stage) -> None:
+async def test_headers_end_to_end_and_not(stage: stages.Stage) -> None:
     heads = stage.answer(
         b"HTTP/1.1 200 OK\r\nSet-Cookie: a=1\r\nSet-Cookie: b=2\r\n"
         b"Connection: x-hop\r\nX-Hop: 1\r\nContent-Length: 2\r\n\r\nok"
@@ -175,7 +57,7 @@
     assert ids == answer.values("Burdockdeal-Request-Id") != ["mine"]
 
 
-async def test_chunks_both_ways(stage: Stage) -> None:
+async def test_chunks_both_ways(stage: stages.Stage) -> None:
     seen = []
 
     async def talk(reader, writer) -> None:
@@ -204,12 +86,14 @@
     assert seen[0][1] == b"3\r\nabc\r\n0\r\n\r\n"
 
 
-async def test_expect_continue_comes_from_the_path(stage: Stage) -> None:
+async def test_expect_continue_comes_from_the_path(
+    stage: stages.Stage,
+) -> None:
     async def talk(reader, writer) -> None:
         head = await scripted.read_head(reader)
         size = int(head.values("Content-Length")[0])
         await reader.readexactly(size)
-        writer.write(OK)
+        writer.write(stages.OK)
 
     stage.upstream.talk = talk
     for size in (10, 100_000):
@@ -222,13 +106,13 @@
             assert (await line.read_answer())[1] == b"ok"
 
 
-async def test_interim_answers_are_skipped(stage: Stage) -> None:
-    stage.answer(b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + OK)
-    async with stage.call(GET) as line:
+async def test_interim_answers_are_skipped(stage: stages.Stage) -> None:
+    stage.answer(b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + stages.OK)
+    async with stage.call(stages.GET) as line:
         assert (await line.read_answer())[1] == b"ok"
 
 
-async def test_an_answer_before_the_upload_ends(stage: Stage) -> None:
+async def test_an_answer_before_the_upload_ends(stage: stages.Stage) -> None:
     heads = []
 
     async def talk(reader, writer) -> None:
@@ -253,7 +137,7 @@
 
 @pytest.mark.parametrize("node", ["d1", "d2"])
 async def test_a_caller_that_goes_ends_the_upstreams_work(
-    stage: Stage, node: str
+    stage: stages.Stage, node: str
 ) -> None:
     began, ended = asyncio.Event(), asyncio.Event()
 
@@ -264,7 +148,7 @@
         ended.set()
 
     stage.upstream.talk = talk
-    async with stage.call(GET, node):
+    async with stage.call(stages.GET, node):
         await asyncio.wait_for(began.wait(), 10)
     # Well before the deadline would end it.
     await asyncio.wait_for(ended.wait(), 5)
@@ -272,15 +156,15 @@
 
 @pytest.mark.parametrize("node", ["d1", "d2"])
 async def test_a_caller_that_half_closes_gets_its_answer(
-    stage: Stage, node: str
+    stage: stages.Stage, node: str
 ) -> None:
     async def talk(reader, writer) -> None:
         await scripted.read_head(reader)
         await asyncio.sleep(0.7)
-        writer.write(OK)
+        writer.write(stages.OK)
 
     stage.upstream.talk = talk
-    async with stage.call(GET, node) as line:
+    async with stage.call(stages.GET, node) as line:
         line.writer.write_eof()
         told = await line.read_all()
     assert told.endswith(b"\r\n\r\nok")
@@ -299,7 +183,7 @@
 )
 @pytest.mark.parametrize("node", ["d1", "d2"])
 async def test_a_cut_answer_is_never_whole(
-    stage: Stage, node: str, raw: bytes
+    stage: stages.Stage, node: str, raw: bytes
 ) -> None:
     stage.answer_once(raw)
     post = (
@@ -320,7 +204,9 @@
     await stage.check_still_serves()
 
 
-async def test_an_idempotent_answer_is_never_stitched(stage: Stage) -> None:
+async def test_an_idempotent_answer_is_never_stitched(
+    stage: stages.Stage,
+) -> None:
     heads = []
 
     async def talk(reader, writer) -> None:
@@ -331,7 +217,7 @@
         await asyncio.sleep(0.1)
 
     stage.upstream.talk = talk
-    async with stage.call(GET) as line:
+    async with stage.call(stages.GET) as line:
         try:
             told = await line.read_all()
         except ConnectionError:
@@ -340,7 +226,7 @@
 
 
 async def test_a_request_is_never_sent_again_by_the_library(
-    stage: Stage,
+    stage: stages.Stage,
 ) -> None:
     """Fails when aiohttp's own resend is on (see build_session)."""
     heads = []
@@ -348,7 +234,7 @@
     async def talk(reader, writer) -> None:
         # The second request on a connection breaks it.
         heads.append(await scripted.read_head(reader))
-        writer.write(OK)
+        writer.write(stages.OK)
         heads.append(await scripted.read_head(reader))
 
     stage.upstream.talk = talk
@@ -396,7 +282,7 @@
     ],
 )
 async def test_bad_requests_have_their_verdict(
-    stage: Stage, raw: bytes, expected: tuple[str, str, str]
+    stage: stages.Stage, raw: bytes, expected: tuple[str, str, str]
 ) -> None:
     async with stage.call(raw) as line:
         assert await line.read_refusal() == expected
@@ -405,7 +291,7 @@
 
 @pytest.mark.parametrize("rest", [b"", b"x" * 10])
 async def test_a_body_that_falls_short_is_not_whole(
-    stage: Stage, rest: bytes
+    stage: stages.Stage, rest: bytes
 ) -> None:
     whole = []
 
@@ -413,7 +299,7 @@
         head = await scripted.read_head(reader)
         size = int(head.values("Content-Length")[0])
         whole.append(await reader.readexactly(size))
-        writer.write(OK)
+        writer.write(stages.OK)
 
     stage.upstream.talk = talk
     for size in (50, 100_000):
@@ -427,7 +313,7 @@
     await stage.check_still_serves()
 
 
-async def test_garbage_at_the_peer_port(stage: Stage) -> None:
+async def test_garbage_at_the_peer_port(stage: stages.Stage) -> None:
     token = f"Burdockdeal-Peer-Token: {standins.PEER_TOKEN}\r\n".encode()
     start = b"POST /v1/peer/ping HTTP/1.1\r\nHost: h\r\n"
     envelope = b"Burdockdeal-Envelope: {}\r\n"
@@ -445,7 +331,7 @@
     await stage.check_still_serves()
 
 
-async def test_answers_go_to_their_own_callers(stage: Stage) -> None:
+async def test_answers_go_to_their_own_callers(stage: stages.Stage) -> None:
     async def talk(reader, writer) -> None:
         while True:
             head = await scripted.read_head(reader)
@@ -472,37 +358,25 @@
         await asyncio.gather(*(ask(number) for number in range(9)))
 
 
-async def test_an_upload_is_not_held_in_memory(stage: Stage) -> None:
-    size, taken = 64_000_000, []
-
-    async def talk(reader, writer) -> None:
-        await scripted.read_head(reader)
-        while sum(taken) < size:
-            taken.append(len(await reader.read(1 << 20)))
-            if len(taken) == 1:
-                await asyncio.sleep(1)
-        writer.write(OK)
-
-    stage.upstream.talk = talk
-    daemons = [stage.fleet.nodes[name].daemon.pid for name in ("d1", "d2")]
-    before = [_resident_kb(pid) for pid in daemons]
-    async with stage.call(
-        b"POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n" % size
-    ) as line:
-        chunk, sent = bytes(1_000_000), 0
-        while sent < size:
-            line.writer.write(chunk)
-            await line.writer.drain()
-            sent += len(chunk)
-        assert (await line.read_answer())[1] == b"ok"
-    after = [_resident_kb(pid) for pid in daemons]
-    print("upload: resident kB before", before, "after", after)
-    assert all(a - b < 8_000 for a, b in zip(after, before, strict=True))
+async def test_an_upstream_may_refuse(fleet: standins.Fleet) -> None:
+    node = await fleet.add(standins.Place("d1", "shotton"))
+    daemon = str(node.settings.listen.upstream)
+    port = ports.free_port()
+    async with scripted.run_scripted("bookings", daemon, port) as refusing:
 
+        async def talk(reader, writer) -> None:
+            head = await scripted.read_head(reader)
+            assert head.values("Burdockdeal-Incarnation") == ["1"]
+            writer.write(
+                b"HTTP/1.1 503 Busy\r\nBurdockdeal-Verdict: NOT_RUN\r\n"
+                b"Content-Length: 0\r\n\r\n"
+            )
+            await writer.drain()
 
-def _resident_kb(pid: int) -> int:
-    with open(f"/proc/{pid}/status", encoding="ascii") as lines:
-        # The greatest that it ever was.
-        return next(
-            int(line.split()[1]) for line in lines if line.startswith("VmHWM")
-        )
+        refusing.talk = talk
+        await conftest.declare_basics(fleet, node)
+        url = node.caller_url + "/bookings"
+        async with fleet.session.post(url, data=b"two rims") as answer:
+            assert answer.headers["Burdockdeal-Verdict"] == "NOT_RUN"
+            reason = answer.headers["Burdockdeal-Reason"]
+            assert reason == "UPSTREAM_REFUSED"
