--- a/packages/bench/burdockdeal_bench/slopes/__main__.py
+++ b/packages/bench/burdockdeal_bench/slopes/__main__.py
@@ -5,6 +5,7 @@
 import fire
 
 from burdockdeal.core import codec
+from burdockdeal_bench.slopes import bookings
 from burdockdeal_bench.slopes import choices
 from burdockdeal_bench.slopes import configurations
 from burdockdeal_bench.slopes import fleets
@@ -16,6 +17,7 @@
     *members.SLOPES,
     *configurations.SLOPES,
     *choices.SLOPES,
+    *bookings.SLOPES,
     *fleets.SLOPES,
 )
 
--- /dev/null
+++ b/packages/bench/burdockdeal_bench/slopes/bookings.py
@@ -0,0 +1,116 @@
+"""Slopes of bookings: what an owner remembers of sends and of keys."""
+
+import asyncio
+from collections import abc
+import contextlib
+import itertools
+import time
+
+import multidict
+
+from burdockdeal.bookings import ledger
+from burdockdeal.bookings import runs
+from burdockdeal.bookings import state
+from burdockdeal.core import call
+from burdockdeal.serving import bodies
+from burdockdeal.serving import messages
+from burdockdeal.settings import model
+from burdockdeal_bench.slopes import meter
+from burdockdeal_bench.slopes import slope
+
+_SENDS = (5_000, 10_000, 20_000, 40_000)
+_KEYS = (500, 1_000, 2_000, 4_000)
+_ANSWER = b"." * 200
+_REMEMBER_S = 600.0
+
+
+def _fill_ledger(count: int) -> ledger.Ledger:
+    sends = ledger.Ledger(1, time.monotonic, limit=count)
+    deadline = time.monotonic() + _REMEMBER_S
+    for number in range(count):
+        sends.start(state.SendId(f"{number:016x}", 1), 1, deadline)
+    return sends
+
+
+class _Content:
+    """A small body that comes in one piece."""
+
+    def __init__(self) -> None:
+        self._left = _ANSWER
+
+    async def readany(self) -> bytes:
+        given, self._left = self._left, b""
+        return given
+
+    def at_eof(self) -> bool:
+        return not self._left
+
+
+@contextlib.asynccontextmanager
+async def _open_owner(
+    send: messages.Send,
+) -> abc.AsyncIterator[messages.Answer]:
+    kept = multidict.CIMultiDict({"Content-Length": str(len(_ANSWER))})
+    yield messages.Answer(200, "OK", kept, _Content())
+
+
+def _make_send(number: int) -> messages.Send:
+    return messages.Send(
+        request=call.Call(
+            request_id=f"{number:016x}",
+            service="bookings",
+            rank="booking",
+            deadline=time.monotonic() + _REMEMBER_S,
+            idempotency_key=f"key-{number:016x}",
+        ),
+        outbound=messages.Outbound(
+            "POST",
+            "/bookings",
+            multidict.CIMultiDict(),
+            bodies.Body(None, b"two rims", model.Limits()),
+        ),
+        daemon="d1",
+        peer=model.Address("127.0.0.1", 1),
+        incarnation=1,
+        attempt=1,
+    )
+
+
+async def _book(count: int) -> runs.Runs:
+    numbers = itertools.count(1)
+    kept = runs.Runs(
+        _open_owner,
+        time.monotonic,
+        lambda: f"{next(numbers):016x}",
+        limit=count,
+        retention_s=_REMEMBER_S,
+    )
+    for number in range(count):
+        async with kept.open_answer(_make_send(number)) as answer:
+            await answer.content.readany()
+    return kept
+
+
+SLOPES = (
+    slope.Slope(
+        "ledger-memory",
+        "bytes",
+        "send",
+        _SENDS,
+        lambda count: meter.measure_bytes(lambda: _fill_ledger(count)),
+    ),
+    slope.Slope(
+        "ledger-start",
+        "us",
+        "send",
+        _SENDS,
+        lambda count: meter.measure_us(lambda: _fill_ledger(count)),
+    ),
+    slope.Slope(
+        "key-memory",
+        "bytes",
+        "key with an answer of 200 bytes",
+        _KEYS,
+        lambda count: meter.measure_bytes(lambda: asyncio.run(_book(count))),
+    ),
+)
