Read stand-ins by one function

Cause: the fleet fetched and decoded three times in the same lines. Change: one function for reading, as for orders.

--- a/packages/standins/burdockdeal_standins/fleet.py
+++ b/packages/standins/burdockdeal_standins/fleet.py
@@ -7,6 +7,7 @@
 import pathlib
 import sys
 import tempfile
+import typing
 
 import aiohttp
 
@@ -23,6 +24,8 @@
 PEER_TOKEN = "peer-token-of-the-tests"
 START_S = 20.0
 
+T = typing.TypeVar("T")
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Place:
@@ -283,8 +286,11 @@
     async def record(self, node: Node) -> upstream.Record:
         """Read what a node's upstream ran."""
         url = f"http://{ports.HOST}:{node.upstream_port}/admin/record"
+        return await self._get(url, upstream.Record)
+
+    async def _get(self, url: str, kind: type[T]) -> T:
         async with self.session.get(url) as response:
-            return codec.decode(await response.read(), upstream.Record)
+            return codec.decode(await response.read(), kind)
 
     async def _put(self, url: str, order: object) -> None:
         async with self.session.put(url, data=codec.encode(order)) as answer:
@@ -298,14 +304,12 @@
     async def store_counts(self) -> store.Counts:
         """Read the store's count of calls."""
         url = f"http://{ports.HOST}:{self.store_port}/admin/counts"
-        async with self.session.get(url) as response:
-            return codec.decode(await response.read(), store.Counts)
+        return await self._get(url, store.Counts)
 
     async def store_entries(self, prefix: str) -> platform.Listing:
         """Read the store's entries below a prefix."""
         url = f"http://{ports.HOST}:{self.store_port}/v1/list?prefix={prefix}"
-        async with self.session.get(url) as response:
-            return codec.decode(await response.read(), platform.Listing)
+        return await self._get(url, platform.Listing)
 
     async def add_relay(self, target: str, **options: object) -> links.Relay:
         """Start a relay to a target, host and port."""
