Measure the choice with the parts where they now stand

Cause: the whole suite on a clean clone, 466 passed and 1 failed: the slope of routing's choice still took Parts from the assembly that was split. Change: it takes them from daemon/parts and daemon/path. Measured: 20 tests of slopes pass; the one that failed among them. Conclusion: the split had missed a caller in the bench.

--- a/packages/bench/burdockdeal_bench/slopes/choices.py
+++ b/packages/bench/burdockdeal_bench/slopes/choices.py
@@ -7,7 +7,8 @@
 from burdockdeal.admission import state
 from burdockdeal.core import call
 from burdockdeal.core import errors
-from burdockdeal.daemon import assembly
+from burdockdeal.daemon import parts
+from burdockdeal.daemon import path
 from burdockdeal.membership import messages
 from burdockdeal.settings import model
 from burdockdeal_bench.slopes import members
@@ -37,14 +38,14 @@
 
 def _measure_choice(count: int) -> float:
     """Time the choice of an instance among those of one service."""
-    parts = assembly.Parts(_make_settings())
-    parts.roster.hear(
+    shared = parts.Parts(_make_settings())
+    shared.roster.hear(
         [
             _serve_one(member, number)
             for number, member in enumerate(members.make_members(count))
         ]
     )
-    choose = assembly._make_choose(parts)
+    choose = path.make_choose(shared)
     work = call.Call("id", _SERVICE, "status", time.monotonic() + 10)
     none_tried: frozenset[str] = frozenset()
     return meter.measure_us(lambda: choose(work, none_tried), times=_CALLS)
