--- a/packages/burdockdeal/burdockdeal/announce/api.py
+++ b/packages/burdockdeal/burdockdeal/announce/api.py
@@ -59,6 +59,10 @@
         self._closed = True
 
 
+def _lease_s(upstream: state.Upstream) -> float:
+    return upstream.announce.lease_s if upstream.announce else 0.0
+
+
 def _reply(message: object, status: int = 200) -> web.Response:
     return web.Response(
         body=codec.encode(message),
@@ -87,7 +91,7 @@
                 return _reply(refused, 409)
             accepted = messages.Accepted(
                 decisions.HEARTBEAT_S,
-                decisions.LEASE_S,
+                _lease_s(side.upstream),
                 in_flight(),
                 side.clock(),
             )
--- a/packages/burdockdeal/burdockdeal/announce/decisions.py
+++ b/packages/burdockdeal/burdockdeal/announce/decisions.py
@@ -9,9 +9,6 @@
 #: Seconds between two heartbeats.
 HEARTBEAT_S = 0.5
 
-#: Seconds without a heartbeat after which an upstream gets no new calls.
-LEASE_S = 2.5
-
 #: Seconds between two tries to reach an upstream that still announces.
 BAR_S = 0.5
 
@@ -37,6 +34,10 @@
 )
 
 
+def _lease_s(upstream: state.Upstream) -> float:
+    return upstream.announce.lease_s if upstream.announce else 0.0
+
+
 def _announce(
     upstream: state.Upstream, event: messages.Announce, now: float
 ) -> state.Upstream:
@@ -58,7 +59,7 @@
     phase = Phase.SERVING
     if event.draining or upstream.phase is Phase.DRAINING:
         phase = Phase.DRAINING
-    elif now - heard_at > LEASE_S:
+    elif now - heard_at > _lease_s(upstream):
         phase = Phase.LAPSED
     return dataclasses.replace(
         upstream,
@@ -85,7 +86,7 @@
 
 def _tick(upstream: state.Upstream, event: Tick, now: float) -> state.Upstream:
     lapses = upstream.phase is Phase.SERVING
-    if not lapses or now - upstream.heard_at <= LEASE_S:
+    if not lapses or now - upstream.heard_at <= _lease_s(upstream):
         return upstream
     return dataclasses.replace(upstream, phase=Phase.LAPSED)
 
@@ -117,7 +118,7 @@
     """
     return (
         upstream.phase is Phase.SERVING
-        and now - upstream.heard_at <= LEASE_S
+        and now - upstream.heard_at <= _lease_s(upstream)
         and now >= upstream.barred_until
     )
 
--- a/packages/burdockdeal/burdockdeal/announce/messages.py
+++ b/packages/burdockdeal/burdockdeal/announce/messages.py
@@ -18,6 +18,9 @@
     :param slots: calls that it runs at once.
     :param connections: connections that it takes.
     :param warm_up_s: seconds over which its share of calls ramps up.
+    :param name: its own id of this incarnation, empty for none.
+    :param lease_s: seconds without a heartbeat after which it gets no new
+        calls.
     """
 
     service: str
@@ -27,6 +30,8 @@
     slots: checking.PositiveInt = 9
     connections: checking.PositiveInt = 200
     warm_up_s: typing.Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    name: str = ""
+    lease_s: float = 2.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/burdockdeal/burdockdeal/announce/tests/test_decisions.py
+++ b/packages/burdockdeal/burdockdeal/announce/tests/test_decisions.py
@@ -112,5 +112,5 @@
             ):
                 drained.add(upstream.incarnation)
         if decisions.may_start(upstream, now):
-            assert now - newest <= decisions.LEASE_S
+            assert now - newest <= upstream.announce.lease_s
             assert upstream.incarnation not in drained
--- a/packages/burdockdeal/burdockdeal/bookings/api.py
+++ b/packages/burdockdeal/burdockdeal/bookings/api.py
@@ -16,8 +16,8 @@
 from burdockdeal.core import errors
 from burdockdeal.core import verdict
 from burdockdeal.membership import messages as membership
+from burdockdeal.serving import dialect
 from burdockdeal.serving import messages as serving
-from burdockdeal.serving import refusals
 from burdockdeal.settings import model
 
 KEYS_PATH = "/burdockdeal/v1/keys"
@@ -163,6 +163,6 @@
                 raise errors.NotRunError(verdict.Reason.NO_RULE)
             return _reply(await issue(request.query.get("service", "")))
         except errors.CallError as error:
-            return refusals.build_refusal(error, new_id())
+            return dialect.OWN.build_refusal(error, new_id())
 
     return handle
--- a/packages/burdockdeal/burdockdeal/bookings/claims.py
+++ b/packages/burdockdeal/burdockdeal/bookings/claims.py
@@ -56,7 +56,7 @@
         self._tokens = _BURST
         self._counted_at = clock()
         self._away_until = 0.0
-        self._lease = ""
+        self._lease = 0
         self._lease_until = 0.0
 
     async def claim(
@@ -134,11 +134,12 @@
                 version=0,
                 lease=await self._hold_lease(),
             )
+        except errors.StoreLeaseError:
+            # It lapsed, as after a long pause.
+            self._lease_until = 0.0
+            return None
         except errors.StoreConflictError as error:
-            if not error.version:
-                # The lease lapsed, as after a long pause.
-                self._lease_until = 0.0
-                return None
+            journal.debug("claim_stands", key=name, version=error.version)
         except errors.StoreUncertainError as error:
             journal.warn("claim_uncertain", error=error)
         else:
@@ -149,7 +150,7 @@
         entry = await self._store.get(name)
         return codec.decode(entry.value, messages.Claim) if entry else None
 
-    async def _hold_lease(self) -> str:
+    async def _hold_lease(self) -> int:
         now = self._clock()
         if now >= self._lease_until:
             ttl_s = self._retention_s * LEASE_RETENTIONS
--- a/packages/burdockdeal/burdockdeal/configuration/archive.py
+++ b/packages/burdockdeal/burdockdeal/configuration/archive.py
@@ -84,7 +84,7 @@
             revision = self._standing.revision
             listing = await self._store.list(
                 messages.LOG_PREFIX,
-                start=log.log_key(revision + 1, self._ring),
+                after=log.key_before(revision + 1, self._ring),
                 limit=limit,
             )
             changes = tuple(map(read_change, listing.entries))
@@ -141,7 +141,7 @@
             limit = min(end - revision, room, _MOST_PER_PAGE)
             listing = await self._store.list(
                 messages.LOG_PREFIX,
-                start=log.log_key(revision, self._ring),
+                after=log.key_before(revision, self._ring),
                 limit=limit,
             )
             found += map(read_change, listing.entries)
@@ -254,17 +254,17 @@
     async def _sweep(self) -> None:
         """Delete the parts of snapshots that can no longer stand."""
         manifest, _ = await self._read_manifest()
-        start = ""
+        after = ""
         while manifest is not None:
             listing = await self._store.list(
-                messages.SNAPSHOT_PREFIX, start=start, limit=_SWEEP_PAGE
+                messages.SNAPSHOT_PREFIX, after=after, limit=_SWEEP_PAGE
             )
             for entry in listing.entries:
                 if snapshots.is_left_over(entry.key, manifest):
                     await self._delete(entry)
             if len(listing.entries) < _SWEEP_PAGE:
                 return
-            start = listing.entries[-1].key + "\0"
+            after = listing.entries[-1].key
 
     async def _delete(self, entry: platform.Entry) -> None:
         try:
--- a/packages/burdockdeal/burdockdeal/configuration/log.py
+++ b/packages/burdockdeal/burdockdeal/configuration/log.py
@@ -34,6 +34,15 @@
     return f"{messages.LOG_PREFIX}{slot_of(revision, ring):05d}"
 
 
+def key_before(revision: int, ring: int = RING) -> str:
+    """Name the key that a revision's follows in the store's order.
+
+    :returns: empty for the first slot.
+    """
+    slot = slot_of(revision, ring)
+    return log_key(slot - 1, ring) if slot else ""
+
+
 def judge_slot(
     revision: int, change_id: str, stands: messages.Change | None
 ) -> Fate:
--- a/packages/burdockdeal/burdockdeal/configuration/resources.py
+++ b/packages/burdockdeal/burdockdeal/configuration/resources.py
@@ -21,11 +21,14 @@
     :param upload_share: the share of an upstream's slots that uploads may
         hold at once, at least one slot; bodies that are read whole before
         they are sent on don't count.
+    :param health_path: the path at which an instance tells its health and
+        its load, empty for none.
     """
 
     max_ejected_share: Share = 0.5
     queue_limit: checking.PositiveInt = 64
     upload_share: Share = 0.34
+    health_path: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -60,13 +63,29 @@
     host: str = ""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Portion:
+    """A service's part of the requests that a rule splits.
+
+    :param weight: in proportion to the other portions'.
+    """
+
+    service: checking.Name
+    weight: typing.Annotated[float, msgspec.Meta(ge=0)]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Rule:
     """Which requests go to which service, and as what work.
 
     :param order: the lowest order that matches wins.
     :param idempotent: whether a request may be run more than once.
+    :param safe_methods: whether GET, HEAD and OPTIONS make a request
+        idempotent, whatever else the rule says.
     :param deadline_ms: milliseconds until the answer must have begun.
+    :param split: services that share the requests by weight, in place of
+        the one service; empty for none.
+    :param most_sends: instances that one request may be sent to at most.
     """
 
     service: checking.Name
@@ -74,7 +93,10 @@
     match: Match = Match()
     order: checking.Count = 100
     idempotent: bool = False
+    safe_methods: bool = True
     deadline_ms: checking.Positive = 10_000.0
+    split: tuple[Portion, ...] = ()
+    most_sends: checking.PositiveInt = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -93,18 +115,40 @@
     upstream_bytes_per_second: checking.PositiveInt = 8192
 
 
-Spec = Service | Rank | Rule | Budget
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """What callers may send, and how long they may take or stay idle.
+
+    The daemon's own settings bound it where they are lower.
+
+    :param head_s: seconds within which a request's head must be there.
+    :param idle_s: seconds that an idle connection is kept.
+    """
+
+    header_bytes: checking.PositiveInt = 16_384
+    body_bytes: checking.PositiveInt = 67_108_864
+    head_s: checking.Positive = 10.0
+    idle_s: checking.Positive = 75.0
+
+
+Spec = Service | Rank | Rule | Budget | CallerLimits
 
 KINDS: dict[str, type[Spec]] = {
     "Service": Service,
     "Rank": Rank,
     "Rule": Rule,
     "Budget": Budget,
+    "CallerLimits": CallerLimits,
 }
 
 #: The only name that a Budget may have.
 BUDGET_NAME = "measurement"
 
+#: The only name that CallerLimits may have.
+CALLER_LIMITS_NAME = "callers"
+
+_ONLY_NAMES = {"Budget": BUDGET_NAME, "CallerLimits": CALLER_LIMITS_NAME}
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Resource:
@@ -126,8 +170,9 @@
         msgspec.convert(name, checking.Name)
     except msgspec.ValidationError as error:
         return (errors.Fault("name", str(error)),)
-    if kind == "Budget" and name != BUDGET_NAME:
-        return (errors.Fault("name", f"a Budget is named {BUDGET_NAME}"),)
+    only = _ONLY_NAMES.get(kind, name)
+    if name != only:
+        return (errors.Fault("name", f"a {kind} is named {only}"),)
     return ()
 
 
--- a/packages/burdockdeal/burdockdeal/core/call.py
+++ b/packages/burdockdeal/burdockdeal/core/call.py
@@ -18,6 +18,7 @@
     :param retry_tokens: how many more sends it may cause, at all layers.
     :param idempotent: whether it may be run more than once.
     :param idempotency_key: the caller's key, None without one.
+    :param most_sends: instances that it may be sent to at most.
     """
 
     request_id: str
@@ -28,6 +29,7 @@
     retry_tokens: int = 0
     idempotent: bool = False
     idempotency_key: str | None = None
+    most_sends: int = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/burdockdeal/burdockdeal/core/checking.py
+++ b/packages/burdockdeal/burdockdeal/core/checking.py
@@ -44,6 +44,8 @@
     kind: object, raw: object, path: str, faults: list[errors.Fault]
 ) -> typing.Any:
     nested = _nested(kind)
+    if hasattr(nested, "from_text") and isinstance(raw, str):
+        return _check_text(nested, raw, path, faults)
     if nested is not None and raw is not None:
         return _check_fields(nested, raw, path, faults)
     element = _element(kind)
@@ -59,6 +61,16 @@
         return None
 
 
+def _check_text(
+    kind: type[T], raw: str, path: str, faults: list[errors.Fault]
+) -> T | None:
+    try:
+        return kind.from_text(raw)
+    except ValueError as error:
+        faults.append(errors.Fault(path, str(error)))
+        return None
+
+
 def _check_fields(
     kind: type[T], raw: object, path: str, faults: list[errors.Fault]
 ) -> T | None:
--- a/packages/burdockdeal/burdockdeal/core/errors.py
+++ b/packages/burdockdeal/burdockdeal/core/errors.py
@@ -80,6 +80,10 @@
         super().__init__(f"{key} stands at version {version}")
 
 
+class StoreLeaseError(PlatformError):
+    """The lease that a write named has ended: it had no effect."""
+
+
 class StoreBudgetError(PlatformError):
     """The daemon's own budget of store calls is used up."""
 
@@ -92,6 +96,8 @@
     """
 
     outcome = verdict.Verdict.MAY_HAVE_RUN
+    #: Seconds after which it is worth while to ask again.
+    retry_after_s = 0.0
 
     def __init__(self, reason: verdict.Reason, detail: str = "") -> None:
         self.reason = reason
@@ -103,6 +109,7 @@
     """No upstream ran the request, and none will.
 
     :param settled: whether no earlier send with the same key ran either.
+    :param retry_after_s: seconds after which there may be room.
     """
 
     outcome = verdict.Verdict.NOT_RUN
@@ -113,8 +120,10 @@
         detail: str = "",
         *,
         settled: bool = False,
+        retry_after_s: float = 0.0,
     ) -> None:
         self.settled = settled
+        self.retry_after_s = retry_after_s
         super().__init__(reason, detail)
 
 
--- a/packages/burdockdeal/burdockdeal/core/verdict.py
+++ b/packages/burdockdeal/burdockdeal/core/verdict.py
@@ -46,6 +46,10 @@
     INTERNAL = "INTERNAL"
 
 
+#: What stands in place of a status that promises "not run", where that is
+#: not known: 408, 421, 429 and 503 are taken for such a promise.
+UNCERTAIN_STATUS: dict[int, int] = {408: 502, 421: 502, 429: 502, 503: 502}
+
 #: The HTTP status that a caller sees for each reason.
 HTTP_STATUS: dict[Reason, int] = {
     Reason.MALFORMED: 400,
--- a/packages/burdockdeal/burdockdeal/daemon/assembly.py
+++ b/packages/burdockdeal/burdockdeal/daemon/assembly.py
@@ -2,54 +2,43 @@
 
 from collections import abc
 import contextlib
-import secrets
+import dataclasses
 
 import aiohttp
 from aiohttp import web
 
-from burdockdeal.announce import api as announce_api
 from burdockdeal.bookings import assembly as bookings
 from burdockdeal.configuration import wiring as configuration
 from burdockdeal.daemon import gauges
 from burdockdeal.daemon import listening
 from burdockdeal.daemon import measuring
 from burdockdeal.daemon import metrics
-from burdockdeal.daemon import operators
+from burdockdeal.daemon import own
 from burdockdeal.daemon import parts
 from burdockdeal.daemon import path
+from burdockdeal.daemon import sockets
+from burdockdeal.daemon import surroundings
 from burdockdeal.measurement import prober
 from burdockdeal.membership import contacts
 from burdockdeal.membership import service as membership
 from burdockdeal.membership import transport
+from burdockdeal.overload import guard as guards
 from burdockdeal.platform import store
+from burdockdeal.platform import surroundings as platform_side
 from burdockdeal.serving import front
+from burdockdeal.serving import pipeline
 from burdockdeal.serving import transfer
 from burdockdeal.settings import model
 from burdockdeal.shutdown import assembly as shutdown
 
+#: By whether the platform's own interfaces bring configuration and
+#: heartbeats.
+SURROUNDINGS = {False: own.OWN, True: platform_side.PLATFORM}
+
 #: Seconds that connections are given when all is done, or is cut off.
 _CUT_S = 0.1
 
 
-def _build_configuration(
-    shared: parts.Parts,
-    platform: store.Store,
-    control: aiohttp.ClientSession,
-) -> configuration.Slice:
-    means = configuration.Means(
-        settings=shared.settings,
-        platform=platform,
-        session=control,
-        chance=shared.chance,
-        roster=shared.roster,
-        is_relay=shared.is_relay,
-        new_id=lambda: secrets.token_hex(8),
-        clock=shared.clock,
-        wall_ms=parts.wall_ms,
-    )
-    return configuration.build(means, shared.standing)
-
-
 def _build_membership(
     shared: parts.Parts,
     platform: store.Store,
@@ -86,43 +75,81 @@
     return web.AppRunner(app, access_log=None, shutdown_timeout=_CUT_S)
 
 
-def _build_front(
-    limits: model.Limits, handler: front.Handler, *, half_open: bool = False
-) -> front.Front:
-    return front.Front(
-        handler,
-        header_bytes=limits.header_bytes,
-        idle_s=limits.caller_idle_s,
-        half_open=half_open,
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fronts:
+    """The servers of the path of requests."""
+
+    peers: front.Front
+    callers: pipeline.PipelinedFront
+
+
+def _build_fronts(
+    shared: parts.Parts, dispatch: front.Handler, entry: front.Handler
+) -> Fronts:
+    limits = shared.settings.limits
+    return Fronts(
+        front.Front(
+            dispatch,
+            header_bytes=limits.header_bytes,
+            idle_s=limits.caller_idle_s,
+        ),
+        pipeline.PipelinedFront(
+            entry,
+            header_bytes=limits.header_bytes,
+            idle_s=shared.caller_idle_s,
+            build_refusal=shared.speech.build_refusal,
+        ),
     )
 
 
 async def _listen(
     stack: contextlib.AsyncExitStack,
     shared: parts.Parts,
-    apps: tuple[web.Application, web.Application],
-    fronts: tuple[front.Front, front.Front],
+    hosted: tuple[surroundings.Hosted, ...],
+    fronts: Fronts,
 ) -> listening.Stop:
     """Listen on every address, on the callers' last.
 
-    :param apps: for operators and for the upstream.
-    :param fronts: for peers and for callers.
     :returns: the function that stops listening to callers.
     """
     listen, bounds = shared.settings.listen, shared.bounds
-    for app, address, bound in (
-        (apps[0], listen.operator, bounds.operator),
-        (apps[1], listen.upstream, bounds.upstream),
-    ):
-        runner = _build_app_runner(app)
-        await listening.listen(stack, runner, address, bound)
-    for server, address, bound in (
-        (fronts[0], listen.peer, bounds.peer),
-        (fronts[1], listen.caller, bounds.caller),
-    ):
-        runner = web.ServerRunner(server, shutdown_timeout=_CUT_S)
-        stop = await listening.listen(stack, runner, address, bound)
-    return stop
+    for each in hosted:
+        runner = _build_app_runner(each.app)
+        await listening.listen(stack, runner, each.address, each.bound)
+    runner = web.ServerRunner(fronts.peers, shutdown_timeout=_CUT_S)
+    await listening.listen(stack, runner, listen.peer, bounds.peer)
+    return await listening.listen_pipelined(
+        stack, fronts.callers, listen.caller, bounds.caller
+    )
+
+
+def _make_gauges(
+    shared: parts.Parts,
+    control: surroundings.Control,
+    probing: measuring.Measuring,
+    guard: guards.Guard,
+) -> tuple[metrics.Gauge, ...]:
+    return (
+        *gauges.make_gauges(shared.gate, shared.roster, shared.standing),
+        *control.gauges,
+        *probing.make_gauges(),
+        *metrics.make_retry_gauges(shared.budget),
+        *metrics.make_overload_gauges(shared.bounds, guard),
+    )
+
+
+async def _open_session(
+    stack: contextlib.AsyncExitStack, settings: model.Settings
+) -> aiohttp.ClientSession:
+    """Open the session for messages between daemons."""
+    connector = aiohttp.TCPConnector(
+        limit=0, socket_factory=sockets.make_factory(settings.listen.peer.host)
+    )
+    return await stack.enter_async_context(
+        aiohttp.ClientSession(
+            connector=connector, cookie_jar=aiohttp.DummyCookieJar()
+        )
+    )
 
 
 @contextlib.asynccontextmanager
@@ -133,71 +160,53 @@
 
     :param settings: the daemon's settings.
     """
-    shared = parts.Parts(settings)
+    around = SURROUNDINGS[settings.deployment is not None]
+    shared = parts.Parts(settings, around.speak(settings))
     limits = settings.limits
-    local_addr = (settings.listen.peer.host, 0)
     async with contextlib.AsyncExitStack() as stack:
         platform = await stack.enter_async_context(
             configuration.make_platform(settings, shared.chance, shared.clock)
         )
         session = await stack.enter_async_context(
-            transfer.build_session(limits.header_bytes, local_addr)
-        )
-        control = await stack.enter_async_context(
-            aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(limit=0, local_addr=local_addr),
-                cookie_jar=aiohttp.DummyCookieJar(),
+            transfer.build_session(
+                limits.header_bytes,
+                sockets.make_factory(settings.listen.peer.host),
             )
         )
+        messages = await _open_session(stack, settings)
         guard = await stack.enter_async_context(shared.build_guard())
-        configured = _build_configuration(shared, platform, control)
+        control = around.build_control(shared, platform, messages)
         members = _build_membership(
-            shared, platform, control, configured.puller.pull_from
-        )
-        probing = _build_measuring(shared, control)
-        told = metrics.Metrics(
-            (
-                *gauges.make_gauges(
-                    shared.gate, shared.roster, shared.standing
-                ),
-                *configured.gauges(),
-                *probing.make_gauges(),
-                *metrics.make_retry_gauges(shared.budget),
-                *metrics.make_overload_gauges(shared.bounds, guard),
-            )
+            shared, platform, messages, control.on_newer
         )
+        probing = _build_measuring(shared, messages)
+        told = metrics.Metrics(_make_gauges(shared, control, probing, guard))
         booked = bookings.Bookings(
-            settings, shared.roster, platform, control, shared.clock
+            settings, shared.roster, platform, messages, shared.clock
         )
         handlers = path.build_path(shared, session, booked, guard, told)
-        controls = {
-            **booked.peer_handlers,
-            **configured.peer_handlers,
-            **members.peer_handlers,
-            prober.PATH: probing.receiver.handle,
-        }
         dispatch = path.make_peer_dispatch(
-            settings.peer_token, handlers.handle_call, controls
-        )
-        fronts = (
-            _build_front(limits, dispatch),
-            _build_front(limits, handlers.handle_entry, half_open=True),
-        )
-        apps = (
-            operators.build_app(shared, platform, configured, told),
-            announce_api.build_app(shared.side, lambda: shared.gate.running),
+            settings.peer_token,
+            handlers.handle_call,
+            {
+                **booked.peer_handlers,
+                **control.peer_handlers,
+                **members.peer_handlers,
+                prober.PATH: probing.receiver.handle,
+            },
         )
-        stop_callers = await _listen(stack, shared, apps, fronts)
+        fronts = _build_fronts(shared, dispatch, handlers.handle_entry)
+        stop_callers = await _listen(stack, shared, control.host(told), fronts)
         shared.stopping = shutdown.make_stopping(
             settings,
             shared.side,
             shared.roster,
-            fronts,
+            (fronts.peers, fronts.callers),
             lambda: booked.active,
             stop_callers,
             shared.clock,
         )
-        shared.services = (*configured.services, members, probing.prober)
+        shared.services = (*control.services, members, probing.prober)
         for service in shared.services:
             await stack.enter_async_context(service)
         yield shared
--- a/packages/burdockdeal/burdockdeal/daemon/listening.py
+++ b/packages/burdockdeal/burdockdeal/daemon/listening.py
@@ -1,13 +1,15 @@
 """Listening on an address without the resolver, which takes threads."""
 
+import asyncio
 from collections import abc
 import contextlib
 import socket
 
 from aiohttp import web
 
-from burdockdeal.daemon import loop
+from burdockdeal.daemon import loop as loops
 from burdockdeal.overload import connections
+from burdockdeal.serving import pipeline
 from burdockdeal.settings import model
 
 _BACKLOG = 1024
@@ -18,7 +20,7 @@
 
 @contextlib.contextmanager
 def _bind(address: model.Address) -> abc.Iterator[socket.socket]:
-    family, kind, _, _, target = loop.resolve(address.host, address.port)
+    family, kind, _, _, target = loops.resolve(address.host, address.port)
     with socket.socket(family, kind) as bound:
         bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         bound.bind(target)
@@ -32,7 +34,7 @@
     address: model.Address,
     bound: connections.Connections,
 ) -> Stop:
-    """Serve on an address until the stack is unwound.
+    """Serve an application on an address until the stack is unwound.
 
     :param bound: bounds the listener's connections.
 
@@ -55,3 +57,32 @@
         listener.close()
 
     return stop
+
+
+async def listen_pipelined(
+    stack: contextlib.AsyncExitStack,
+    server: pipeline.PipelinedFront,
+    address: model.Address,
+    bound: connections.Connections,
+) -> Stop:
+    """Serve callers on an address until the stack is unwound.
+
+    :param bound: bounds the listener's connections.
+    :returns: a function that takes no more connections, and ends those
+        that have no request.
+    """
+    listener = stack.enter_context(_bind(address))
+    await stack.enter_async_context(server)
+    await stack.enter_async_context(bound)
+    bound.watch(server)
+    loop = asyncio.get_running_loop()
+    listening = await loop.create_server(
+        server, sock=listener, backlog=_BACKLOG
+    )
+    stack.callback(listening.close)
+
+    async def stop() -> None:
+        listening.close()
+        server.close_idle()
+
+    return stop
--- a/packages/burdockdeal/burdockdeal/daemon/parts.py
+++ b/packages/burdockdeal/burdockdeal/daemon/parts.py
@@ -20,6 +20,8 @@
 from burdockdeal.routing import board
 from burdockdeal.routing import state as routing
 from burdockdeal.serving import classify
+from burdockdeal.serving import dialect
+from burdockdeal.serving import splits
 from burdockdeal.settings import model
 from burdockdeal.shutdown import stopping
 
@@ -35,10 +37,14 @@
     """The parts of one daemon, made once and passed whole.
 
     :param settings: the daemon's settings.
+    :param speech: the headers of callers and of the upstream.
     """
 
-    def __init__(self, settings: model.Settings) -> None:
+    def __init__(
+        self, settings: model.Settings, speech: dialect.Dialect
+    ) -> None:
         self.settings = settings
+        self.speech = speech
         self.clock = time.monotonic
         self.chance = random.Random(settings.seed)
         self.roster = roster.Roster(
@@ -59,6 +65,7 @@
         )
         self.budget = budgets.Budget()
         self.bounds = connections.bound_listeners(settings.limits, self.clock)
+        self.splits = splits.Splits()
         self.snapshot: classify.Snapshot | None = None
         self.stopping: stopping.Stopping
         self.services: tuple[mode.Service, ...] = ()
@@ -134,6 +141,17 @@
             failed_share=self.meter.failed_share,
         )
 
+    def is_ready(self) -> bool:
+        """Tell whether callers should come here."""
+        return not self.missing() and not self.stopping.begun
+
+    def caller_idle_s(self) -> float:
+        """Tell how long an idle connection of a caller is kept."""
+        bound = self.settings.limits.caller_idle_s
+        if self.snapshot is None or self.snapshot.callers is None:
+            return bound
+        return min(bound, self.snapshot.callers.idle_s)
+
     def missing(self) -> tuple[str, ...]:
         """Tell what the daemon waits for before it can serve."""
         return () if self.snapshot else ("configuration",)
--- a/packages/burdockdeal/burdockdeal/daemon/path.py
+++ b/packages/burdockdeal/burdockdeal/daemon/path.py
@@ -82,6 +82,7 @@
             booked.ledger,
             booked.prepare,
             shared.meter,
+            shared.speech,
         )
     )
     remote = booked.guard_sends(
@@ -113,6 +114,8 @@
         clock=shared.clock,
         count=told.count,
         limits=settings.limits,
+        speech=shared.speech,
+        choose_service=shared.splits.choose_service,
     )
     return Path(booked.answer_keys(handle_entry, choose), handle_call)
 
--- /dev/null
+++ b/packages/burdockdeal/burdockdeal/daemon/surroundings.py
@@ -0,0 +1,57 @@
+"""What differs between deployments of the same daemon."""
+
+from collections import abc
+import dataclasses
+
+import aiohttp
+from aiohttp import web
+import mode
+
+from burdockdeal.daemon import metrics
+from burdockdeal.daemon import parts
+from burdockdeal.overload import connections
+from burdockdeal.platform import store
+from burdockdeal.serving import dialect
+from burdockdeal.serving import front
+from burdockdeal.settings import model
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hosted:
+    """An application and where it listens."""
+
+    app: web.Application
+    address: model.Address
+    bound: connections.Connections
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Control:
+    """How a daemon learns its configuration and its upstream.
+
+    :param services: what is to run, in the order of the start.
+    :param peer_handlers: answer the messages of other daemons, by path.
+    :param gauges: what it tells in the metrics.
+    :param on_newer: called with a peer whose configuration is newer.
+    :param host: makes the applications, given the metrics.
+    """
+
+    services: tuple[mode.Service, ...]
+    peer_handlers: abc.Mapping[str, front.Handler]
+    gauges: tuple[metrics.Gauge, ...]
+    on_newer: abc.Callable[[model.Address], None]
+    host: abc.Callable[[metrics.Metrics], tuple[Hosted, ...]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Surroundings:
+    """The functions by which one kind of deployment differs.
+
+    :param speak: makes the headers of callers and of the upstream.
+    :param build_control: builds what brings configuration and heartbeats.
+    """
+
+    speak: abc.Callable[[model.Settings], dialect.Dialect]
+    build_control: abc.Callable[
+        [parts.Parts, store.Store, aiohttp.ClientSession], Control
+    ]
--- a/packages/burdockdeal/burdockdeal/measurement/meter.py
+++ b/packages/burdockdeal/burdockdeal/measurement/meter.py
@@ -6,6 +6,8 @@
 import math
 import statistics
 
+from burdockdeal.measurement import state
+
 _SERVER_ERROR = 500
 _SMOOTHING = 0.2
 
@@ -30,6 +32,24 @@
         self._usual_s = 0.0
         self._answered_at = 0.0
         self._failed_share = 0.0
+        self._told: state.Told | None = None
+        self._told_at = 0.0
+
+    def note_told(self, told: state.Told | None) -> None:
+        """Take in what the upstream tells of its load, None for nothing."""
+        if told is not None:
+            self._told = told
+            self._told_at = self._clock()
+
+    @property
+    def told(self) -> state.Told | None:
+        """What the upstream told last, None before the first time."""
+        return self._told
+
+    @property
+    def told_age_s(self) -> float:
+        """Seconds since the upstream last told its load."""
+        return self._clock() - self._told_at
 
     @contextlib.contextmanager
     def watch(self, *, timed: bool) -> abc.Iterator[Answered]:
--- a/packages/burdockdeal/burdockdeal/measurement/state.py
+++ b/packages/burdockdeal/burdockdeal/measurement/state.py
@@ -11,6 +11,21 @@
     bytes_per_second: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Told:
+    """What an upstream tells of its own load; true when it was written.
+
+    :param slots: calls that it runs at once.
+    :param slowdown: how many times as long as usual work takes on its
+        machine at that moment.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    slowdown: float = 1.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Charge:
     """The cost of one probe.
--- a/packages/burdockdeal/burdockdeal/membership/roster.py
+++ b/packages/burdockdeal/burdockdeal/membership/roster.py
@@ -112,6 +112,12 @@
             )
         return self._relays[domain]
 
+    def first_of(self, domain: str, count: int) -> tuple[str, ...]:
+        """Name so many daemons of a domain; all daemons choose the same."""
+        return decisions.choose_relays(
+            self.in_domain(domain).values(), domain, count
+        )
+
     def in_buckets(
         self, buckets: abc.Container[int]
     ) -> tuple[messages.Member, ...]:
--- a/packages/burdockdeal/burdockdeal/overload/connections.py
+++ b/packages/burdockdeal/burdockdeal/overload/connections.py
@@ -3,8 +3,8 @@
 import asyncio
 from collections import abc
 import dataclasses
+import typing
 
-from aiohttp import web
 from aiohttp import web_protocol
 
 from burdockdeal.core import headers
@@ -31,11 +31,35 @@
 _SLOW = _write_refusal(verdict.Reason.SLOW_CALLER, "Request Timeout")
 
 
-def _is_idle(handler: web_protocol.RequestHandler) -> bool:
-    return handler._current_request is None and not handler._messages
+class Handler(typing.Protocol):
+    """The protocol of one connection."""
 
+    transport: asyncio.Transport | None
 
-def _refuse(handler: web_protocol.RequestHandler, answer: bytes) -> None:
+    def force_close(self) -> None:
+        """End the connection at once."""
+
+
+class Server(typing.Protocol):
+    """What makes the protocols and hears of their connections."""
+
+    connection_made: abc.Callable[..., None]
+    connection_lost: abc.Callable[..., None]
+
+
+def _is_idle(handler: Handler) -> bool:
+    if isinstance(handler, web_protocol.RequestHandler):
+        return handler._current_request is None and not handler._messages
+    return handler.is_idle
+
+
+def _has_had_request(handler: Handler) -> bool:
+    if isinstance(handler, web_protocol.RequestHandler):
+        return bool(handler._request_count)
+    return handler.has_had_request
+
+
+def _refuse(handler: Handler, answer: bytes) -> None:
     if handler.transport is not None:
         handler.transport.write(answer)
     handler.force_close()
@@ -67,8 +91,8 @@
         self._limit = limit
         self._head_s = head_s
         self._clock = clock
-        self._since: dict[web_protocol.RequestHandler, float] = {}
-        self._fresh: dict[web_protocol.RequestHandler, float] = {}
+        self._since: dict[Handler, float] = {}
+        self._fresh: dict[Handler, float] = {}
         self._timer: asyncio.TimerHandle | None = None
         self.refused = 0
         self.evicted = 0
@@ -85,18 +109,18 @@
     def __len__(self) -> int:
         return len(self._since)
 
-    def watch(self, server: web.Server) -> None:
+    def watch(self, server: Server) -> None:
         """Bound the connections of a server from now on."""
         made, lost = server.connection_made, server.connection_lost
 
         def connection_made(
-            handler: web_protocol.RequestHandler, transport: asyncio.Transport
+            handler: Handler, transport: asyncio.Transport
         ) -> None:
             made(handler, transport)
             self._add(handler)
 
         def connection_lost(
-            handler: web_protocol.RequestHandler,
+            handler: Handler,
             exc: BaseException | None = None,
         ) -> None:
             self._since.pop(handler, None)
@@ -106,7 +130,7 @@
         server.connection_made = connection_made
         server.connection_lost = connection_lost
 
-    def _add(self, handler: web_protocol.RequestHandler) -> None:
+    def _add(self, handler: Handler) -> None:
         if len(self._since) >= self._limit and not self._evict():
             self.refused += 1
             _refuse(handler, _FULL)
@@ -134,7 +158,7 @@
             if since > latest:
                 break
             del self._fresh[handler]
-            if not handler._request_count:
+            if not _has_had_request(handler):
                 slow += 1
                 _refuse(handler, _SLOW)
         self.slow += slow
@@ -153,11 +177,18 @@
     peer: Connections
     upstream: Connections
     operator: Connections
+    metrics: Connections
 
     @property
     def listeners(self) -> tuple[Connections, ...]:
         """All of them."""
-        return (self.caller, self.peer, self.upstream, self.operator)
+        return (
+            self.caller,
+            self.peer,
+            self.upstream,
+            self.operator,
+            self.metrics,
+        )
 
 
 def bound_listeners(
@@ -175,4 +206,5 @@
         peer=bound("peer", limits.connections),
         upstream=bound("upstream", limits.upstream_connections),
         operator=bound("operator", limits.operator_connections),
+        metrics=bound("metrics", limits.operator_connections),
     )
--- a/packages/burdockdeal/burdockdeal/platform/messages.py
+++ b/packages/burdockdeal/burdockdeal/platform/messages.py
@@ -26,13 +26,6 @@
     revision: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Written:
-    """The store's answer to a write that took effect."""
-
-    version: int
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Lease:
     """A lease granted by the store.
@@ -40,5 +33,5 @@
     :param ttl_s: seconds until it lapses unless it is renewed.
     """
 
-    lease: str
+    lease: int
     ttl_s: float
--- a/packages/burdockdeal/burdockdeal/platform/store.py
+++ b/packages/burdockdeal/burdockdeal/platform/store.py
@@ -1,9 +1,7 @@
 """The client of the platform's store.
 
-The store speaks HTTP: keys below /v1/kv, listings and watches at
-/v1/list and /v1/watch, leases at /v1/leases. Calls go out in lanes, each
-with a budget of its own, so that neither a mistake nor a restart of the
-whole fleet sends more than the store takes.
+Calls go out in lanes, each with a budget of its own, so that neither a
+mistake nor a restart of the whole fleet sends more than the store takes.
 """
 
 import asyncio
@@ -21,6 +19,7 @@
 from burdockdeal.platform import decisions
 from burdockdeal.platform import messages
 from burdockdeal.platform import state
+from burdockdeal.platform import wire
 from burdockdeal.settings import model
 
 #: A value may hold a megabyte.
@@ -29,8 +28,19 @@
 _TIMEOUT_S = 2.0
 _WATCH_MARGIN_S = 2.0
 
-_UNAVAILABLE = 503
-_EXPECTED = frozenset({200, 404, 409})
+_OK = 200
+_NOT_FOUND = 404
+_GONE = 410
+_CONFLICT = 412
+_EXPECTED = frozenset({_OK, _NOT_FOUND, _GONE, _CONFLICT})
+
+#: Statuses that say that nothing was done.
+_REFUSED = frozenset({429, 503})
+
+#: Entries of one listing at most.
+_MOST_LISTED = 1000
+
+_JSON = {"Content-Type": "application/json"}
 
 T = typing.TypeVar("T")
 
@@ -45,6 +55,10 @@
 
 
 def _read(raw: bytes, kind: type[T]) -> T:
+    """Read an answer.
+
+    :raises StoreUncertainError: if it is not what was asked for.
+    """
     try:
         return codec.decode(raw, kind)
     except codec.MalformedError as error:
@@ -144,6 +158,10 @@
         lane._patience_s = patience_s
         return lane
 
+    def make_unbounded_lane(self) -> "Store":
+        """Make a lane whose caller paces its calls by itself."""
+        return self.make_lane(_UNBOUNDED, at_once=True)
+
     @property
     def opens_at(self) -> float:
         """When the first call of this lane may leave."""
@@ -196,7 +214,7 @@
         path: str,
         *,
         kind: str = "reads",
-        body: str | None = None,
+        body: bytes | None = None,
         timeout_s: float = _TIMEOUT_S,
     ) -> _Answer:
         assert self._wire.session is not None
@@ -206,7 +224,8 @@
             async with self._wire.session.request(
                 method,
                 yarl.URL(self._base + path, encoded=True),
-                data=None if body is None else body.encode(),
+                data=body,
+                headers=_JSON if body else None,
                 timeout=aiohttp.ClientTimeout(total=timeout_s),
                 trace_request_ctx=attempt,
             ) as response:
@@ -219,8 +238,9 @@
             detail = f"{method} {path}: {error!r}"
             raise errors.StoreUncertainError(detail) from error
         self._note(answer.status in _EXPECTED)
-        if answer.status == _UNAVAILABLE:
-            raise errors.StoreUnavailableError(f"{method} {path}: 503")
+        if answer.status in _REFUSED:
+            detail = f"{method} {path}: {answer.status}"
+            raise errors.StoreUnavailableError(detail)
         if answer.status not in _EXPECTED:
             detail = f"{method} {path}: {answer.status}"
             raise errors.StoreUncertainError(detail)
@@ -232,92 +252,140 @@
         :returns: the entry, None if there is none.
         :raises PlatformError: if the store did not answer.
         """
-        answer = await self._send("GET", f"/v1/kv/{parse.quote(key)}")
-        if answer.status == 404:
+        query = parse.urlencode({"key": key})
+        answer = await self._send("GET", f"/api/kv-key?{query}")
+        if answer.status == _NOT_FOUND:
             return None
-        return _read(answer.body, messages.Entry)
+        return wire.read_item(_read(answer.body, wire.Item))
 
     async def put(
-        self, key: str, value: str, *, version: int, lease: str = ""
+        self, key: str, value: str, *, version: int, lease: int = 0
     ) -> int:
         """Write a key by compare-and-swap.
 
         :param version: the version that must stand there, 0 for none.
-        :param lease: the lease with which the key goes.
+        :param lease: the lease with which the key goes, 0 for none.
         :returns: the new version.
         :raises StoreConflictError: if another version stands there.
+        :raises StoreLeaseError: if the lease has ended.
         :raises StoreUncertainError: if it may have taken effect.
         """
-        query = parse.urlencode({"version": version, "lease": lease})
-        answer = await self._send(
-            "PUT",
-            f"/v1/kv/{parse.quote(key)}?{query}",
-            kind="writes",
-            body=value,
+        done = await self._commit(
+            wire.Transaction(
+                expected=(wire.Expected(key, version),),
+                puts=(wire.make_put(key, value, lease),),
+            )
         )
-        written = _read(answer.body, messages.Written)
-        if answer.status == 409:
-            raise errors.StoreConflictError(key, written.version)
-        return written.version
+        return done.revision
 
     async def delete(self, key: str, *, version: int) -> None:
         """Delete a key by compare-and-swap.
 
         :raises StoreConflictError: if another version stands there.
         """
+        await self._commit(
+            wire.Transaction(
+                expected=(wire.Expected(key, version),), remove=(key,)
+            )
+        )
+
+    async def _commit(self, change: wire.Transaction) -> wire.Committed:
         answer = await self._send(
-            "DELETE",
-            f"/v1/kv/{parse.quote(key)}?version={version}",
-            kind="writes",
+            "POST", "/api/kv-txn", kind="writes", body=codec.encode(change)
         )
-        if answer.status == 409:
-            written = _read(answer.body, messages.Written)
-            raise errors.StoreConflictError(key, written.version)
+        if answer.status == _CONFLICT:
+            stands = _read(answer.body, wire.Conflict)
+            key = change.expected[0].key
+            raise errors.StoreConflictError(key, stands.version_of(key))
+        if answer.status == _NOT_FOUND:
+            raise errors.StoreLeaseError("the lease has ended")
+        return _read(answer.body, wire.Committed)
 
     async def list(
-        self, prefix: str, *, start: str = "", limit: int = 1000
+        self,
+        prefix: str,
+        *,
+        after: str = "",
+        limit: int = _MOST_LISTED,
+        stale: bool = False,
     ) -> messages.Listing:
         """Read the entries below a prefix, in the order of their keys.
 
-        :param start: the first key to return.
+        Pages are read one after another and are no snapshot.
+
+        :param after: the key that the first one follows.
+        :param stale: whether the answer may be seconds old, at a tenth of
+            the price.
         """
-        query = parse.urlencode(
-            {"prefix": prefix, "start": start, "limit": limit}
+        found: list[messages.Entry] = []
+        while True:
+            page = await self._read_page(prefix, after, stale)
+            found += page.read_items()
+            if not page.more_pages or len(found) >= limit:
+                return messages.Listing(
+                    tuple(found[:limit]), page.store_revision
+                )
+            after = page.items[-1].key
+
+    async def _read_page(
+        self, prefix: str, after: str, stale: bool
+    ) -> wire.Page:
+        query = {"pathPrefix": prefix}
+        if after:
+            query["after"] = after
+        if stale:
+            query["staleOk"] = "1"
+        answer = await self._send(
+            "GET", f"/api/kv-range?{parse.urlencode(query)}"
         )
-        answer = await self._send("GET", f"/v1/list?{query}")
-        return _read(answer.body, messages.Listing)
+        return _read(answer.body, wire.Page)
 
     async def watch(
         self, prefix: str, *, after: int, wait_s: float
     ) -> messages.Listing:
         """Wait for entries below a prefix that are newer than a revision.
 
+        Where the store no longer has that history, what stands is read.
+
         :param after: the store's revision that is known.
         :param wait_s: how long to wait, in seconds.
         :returns: the newer entries, none if the wait ended first.
         """
         query = parse.urlencode(
-            {"prefix": prefix, "after": after, "wait_s": wait_s}
+            {
+                "pathPrefix": prefix,
+                "after": after,
+                "waitMs": round(wait_s * 1000),
+            }
         )
         answer = await self._send(
             "GET",
-            f"/v1/watch?{query}",
+            f"/api/kv-watch?{query}",
             kind="watches",
             timeout_s=wait_s + _WATCH_MARGIN_S,
         )
-        return _read(answer.body, messages.Listing)
+        if answer.status == _GONE:
+            return await self.list(prefix)
+        events = _read(answer.body, wire.Events)
+        return messages.Listing(events.read_items(), events.store_revision)
 
     async def grant(self, ttl_s: float) -> messages.Lease:
         """Ask for a lease."""
         answer = await self._send(
-            "POST", f"/v1/leases?ttl_s={ttl_s}", kind="leases"
+            "POST",
+            "/api/kv-lease",
+            kind="leases",
+            body=codec.encode(wire.LeaseRequest(round(ttl_s * 1000))),
         )
-        return _read(answer.body, messages.Lease)
+        granted = _read(answer.body, wire.Granted)
+        return messages.Lease(granted.lease, granted.ttl_ms / 1000)
 
-    async def renew(self, lease: str) -> bool:
+    async def renew(self, lease: int) -> bool:
         """Renew a lease.
 
         :returns: False if it had lapsed.
         """
-        answer = await self._send("POST", f"/v1/leases/{lease}", kind="leases")
-        return answer.status == 200
+        answer = await self._send(
+            "POST", f"/api/kv-keep/{lease}", kind="leases"
+        )
+        return answer.status == _OK
--- /dev/null
+++ b/packages/burdockdeal/burdockdeal/platform/surroundings.py
@@ -0,0 +1,94 @@
+"""The surroundings of a daemon on the users' platform."""
+
+import aiohttp
+from aiohttp import web
+
+from burdockdeal.configuration import peers
+from burdockdeal.configuration import resources
+from burdockdeal.daemon import metrics
+from burdockdeal.daemon import parts
+from burdockdeal.daemon import surroundings
+from burdockdeal.platform import finder
+from burdockdeal.platform import headers
+from burdockdeal.platform import heartbeats
+from burdockdeal.platform import store
+from burdockdeal.platform import watcher
+
+_NO_SERVICE = resources.Service()
+
+
+def _build_ready_app(shared: parts.Parts) -> web.Application:
+    async def ready(request: web.Request) -> web.Response:
+        return web.Response(status=200 if shared.is_ready() else 503)
+
+    app = web.Application()
+    app.router.add_get("/api/readiness", ready)
+    return app
+
+
+def _build_metrics_app(told: metrics.Metrics) -> web.Application:
+    app = web.Application()
+    app.router.add_get("/metrics", told.handle)
+    return app
+
+
+def _build_control(
+    shared: parts.Parts, platform: store.Store, control: aiohttp.ClientSession
+) -> surroundings.Control:
+    settings = shared.settings
+    deployment = settings.deployment
+    beats = heartbeats.Heartbeats(shared.side, deployment)
+
+    def find_health_path() -> str:
+        services = shared.snapshot.services if shared.snapshot else {}
+        return services.get(deployment.service, _NO_SERVICE).health_path
+
+    def is_watcher() -> bool:
+        own = settings.daemon
+        domain = settings.failure_domain
+        return own in shared.roster.first_of(domain, deployment.watchers)
+
+    puller = peers.Puller(
+        settings, shared.standing, control, clock=shared.clock
+    )
+
+    def host(told: metrics.Metrics) -> tuple[surroundings.Hosted, ...]:
+        bounds, listen = shared.bounds, settings.listen
+        return (
+            surroundings.Hosted(
+                _build_ready_app(shared), listen.operator, bounds.operator
+            ),
+            surroundings.Hosted(
+                heartbeats.build_app(beats), listen.upstream, bounds.upstream
+            ),
+            surroundings.Hosted(
+                _build_metrics_app(told), deployment.metrics, bounds.metrics
+            ),
+        )
+
+    return surroundings.Control(
+        services=(
+            puller,
+            watcher.Watcher(
+                platform.make_unbounded_lane(),
+                shared.standing,
+                shared.chance,
+                is_watcher,
+            ),
+            finder.Finder(
+                control, deployment.upstream, beats, find_health_path
+            ),
+        ),
+        peer_handlers={
+            peers.CHANGES_PATH: puller.handle_changes,
+            peers.SNAPSHOT_PATH: puller.handle_snapshot,
+        },
+        gauges=(),
+        on_newer=puller.pull_from,
+        host=host,
+    )
+
+
+PLATFORM = surroundings.Surroundings(
+    speak=headers.make_dialect, build_control=_build_control
+)
--- /dev/null
+++ b/packages/burdockdeal/burdockdeal/platform/watcher.py
@@ -0,0 +1,119 @@
+"""Following the configuration in the platform's store."""
+
+from collections import abc
+import random
+
+import mode
+
+from burdockdeal.configuration import standing
+from burdockdeal.core import codec
+from burdockdeal.core import errors
+from burdockdeal.core import journal
+from burdockdeal.platform import configuration
+from burdockdeal.platform import decisions
+from burdockdeal.platform import messages
+from burdockdeal.platform import store
+
+#: Seconds that a watch waits; the store waits 30 s at most.
+WATCH_S = 25.0
+
+#: Seconds between two watches at least, so that a series of changes costs
+#: few calls.
+GAP_S = 0.2
+
+#: Pauses after a failure, in seconds.
+FIRST_PAUSE_S = 0.1
+LONGEST_PAUSE_S = 0.5
+
+#: Seconds between two looks whether this daemon is to watch.
+_IDLE_S = 0.5
+
+
+class Watcher(mode.Service):
+    """Puts the newest configuration of the store in force.
+
+    :param is_watcher: whether this daemon watches for its failure domain.
+    """
+
+    def __init__(
+        self,
+        platform: store.Store,
+        in_force: standing.Standing,
+        chance: random.Random,
+        is_watcher: abc.Callable[[], bool],
+    ) -> None:
+        super().__init__()
+        self._store = platform
+        self._standing = in_force
+        self._chance = chance
+        self._is_watcher = is_watcher
+        self._failures = 0
+
+    @mode.Service.task
+    async def _follow_forever(self) -> None:
+        seen: int | None = None
+        while not self.should_stop:
+            if self._standing.revision and not self._is_watcher():
+                seen = None
+                await self.sleep(_IDLE_S)
+                continue
+            try:
+                seen = await self._follow(seen)
+                self._note_answer()
+            except errors.PlatformError as error:
+                seen = None
+                await self._pause(error)
+
+    async def _follow(self, seen: int | None) -> int:
+        """Take in what stands, or what is new.
+
+        :param seen: the store's revision of what was taken in, None if it
+            isn't known.
+        :returns: the same, as of now.
+        """
+        if seen is None:
+            entry = await self._store.get(configuration.KEY)
+            if entry is None:
+                # Nothing was written yet: any revision is newer.
+                return await self._watch(0)
+            self._take(entry)
+            return entry.version
+        await self.sleep(GAP_S)
+        return await self._watch(seen)
+
+    async def _watch(self, seen: int) -> int:
+        listing = await self._store.watch(
+            configuration.KEY, after=seen, wait_s=WATCH_S
+        )
+        for entry in listing.entries:
+            if entry.key == configuration.KEY:
+                self._take(entry)
+        return max(seen, listing.revision)
+
+    def _take(self, entry: messages.Entry) -> None:
+        try:
+            self._standing.take_snapshot(configuration.read(entry.value))
+        except codec.MalformedError as error:
+            journal.warn(
+                "configuration_unreadable",
+                store_revision=entry.version,
+                error=error,
+            )
+
+    def _note_answer(self) -> None:
+        if self._failures:
+            journal.record("store_regained", failures=self._failures)
+        self._failures = 0
+
+    async def _pause(self, error: errors.PlatformError) -> None:
+        self._failures += 1
+        if self._failures == 1:
+            journal.warn("store_lost", error=error)
+        await self.sleep(
+            decisions.back_off(
+                self._failures,
+                self._chance,
+                first_s=FIRST_PAUSE_S,
+                most_s=LONGEST_PAUSE_S,
+            )
+        )
--- a/packages/burdockdeal/burdockdeal/retry/decisions.py
+++ b/packages/burdockdeal/burdockdeal/retry/decisions.py
@@ -96,7 +96,9 @@
 
 def begin(work: call.Call) -> state.Progress:
     """Begin a call at its entry."""
-    return state.Progress(resends=min(LAYER_TOKENS, work.retry_tokens))
+    return state.Progress(
+        resends=min(LAYER_TOKENS, work.retry_tokens, work.most_sends - 1)
+    )
 
 
 def hand_down(work: call.Call, progress: state.Progress) -> call.Call:
--- a/packages/burdockdeal/burdockdeal/serving/classify.py
+++ b/packages/burdockdeal/burdockdeal/serving/classify.py
@@ -8,9 +8,9 @@
 from burdockdeal.configuration import state
 from burdockdeal.core import call
 from burdockdeal.core import errors
-from burdockdeal.core import headers
 from burdockdeal.core import verdict
 from burdockdeal.retry import decisions as retry
+from burdockdeal.serving import dialect
 
 #: Methods that HTTP itself calls idempotent and safe.
 _SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
@@ -24,6 +24,7 @@
     match: rules.MatchRule
     services: abc.Mapping[str, resources.Service]
     ranks: abc.Mapping[str, resources.Rank]
+    callers: resources.CallerLimits | None = None
 
 
 def build_snapshot(configuration: state.Configuration) -> Snapshot:
@@ -40,31 +41,10 @@
         match=rules.compile_rules(configuration),
         services=specs("Service"),
         ranks=specs("Rank"),
+        callers=specs("CallerLimits").get(resources.CALLER_LIMITS_NAME),
     )
 
 
-def _read_number(
-    given: abc.Mapping[str, str], name: str, default: float
-) -> float:
-    raw = given.get(name)
-    if raw is None:
-        return default
-    try:
-        number = float(raw)
-    except ValueError:
-        number = -1.0
-    if not 0 <= number < 1e9:
-        detail = f"{name} is not a number from 0"
-        raise errors.NotRunError(verdict.Reason.MALFORMED, detail)
-    return number
-
-
-def _read_tokens(given: abc.Mapping[str, str]) -> int | None:
-    if headers.RETRY_TOKENS not in given:
-        return None
-    return int(_read_number(given, headers.RETRY_TOKENS, 0))
-
-
 def _choose_rank(
     snapshot: Snapshot, rule: resources.Rule, wanted: str | None
 ) -> str:
@@ -82,38 +62,43 @@
     snapshot: Snapshot,
     method: str,
     path: str,
-    given: abc.Mapping[str, str],
+    host: str,
+    terms: dialect.Terms,
     *,
     request_id: str,
     now: float,
+    choose_service: abc.Callable[[resources.Rule], str],
 ) -> call.Call:
     """Make a call of a request.
 
-    :param given: the request's headers.
+    :param host: the Host header.
+    :param terms: what the caller says of it.
     :param now: monotonic time in seconds.
+    :param choose_service: chooses among the services of a rule.
     :raises NotRunError: if no rule fits or a header is wrong.
     """
-    rule = snapshot.match(method, path, given.get("Host", ""))
+    rule = snapshot.match(method, path, host)
     if rule is None:
         raise errors.NotRunError(
             verdict.Reason.NO_RULE, f"no rule fits {method} {path}"
         )
-    if rule.service not in snapshot.services:
+    service = choose_service(rule)
+    if service not in snapshot.services:
         raise errors.NotRunError(verdict.Reason.UNKNOWN_SERVICE)
-    depth = int(_read_number(given, headers.DEPTH, 0))
-    if depth >= call.MAX_DEPTH:
+    if terms.depth >= call.MAX_DEPTH:
         raise errors.NotRunError(verdict.Reason.TOO_DEEP)
-    allowed_ms = min(
-        _read_number(given, headers.DEADLINE_MS, rule.deadline_ms),
-        rule.deadline_ms,
-    )
+    allowed_ms = rule.deadline_ms
+    if terms.allowed_ms is not None:
+        allowed_ms = min(allowed_ms, terms.allowed_ms)
+    by_method = rule.safe_methods and method in _SAFE_METHODS
     return call.Call(
         request_id=request_id,
-        service=rule.service,
-        rank=_choose_rank(snapshot, rule, given.get(headers.RANK)),
+        service=service,
+        rank=_choose_rank(snapshot, rule, terms.rank),
         deadline=now + allowed_ms / 1000,
-        depth=depth,
-        retry_tokens=retry.grant(depth, _read_tokens(given)),
-        idempotent=rule.idempotent or method in _SAFE_METHODS,
-        idempotency_key=given.get(headers.IDEMPOTENCY_KEY),
+        depth=terms.depth,
+        retry_tokens=retry.grant(terms.depth, terms.retry_tokens),
+        idempotent=rule.idempotent or by_method,
+        idempotency_key=terms.idempotency_key,
+        most_sends=rule.most_sends,
     )
--- a/packages/burdockdeal/burdockdeal/serving/entry.py
+++ b/packages/burdockdeal/burdockdeal/serving/entry.py
@@ -7,9 +7,9 @@
 from aiohttp import web
 
 from burdockdeal.bookings import pinning
+from burdockdeal.configuration import resources
 from burdockdeal.core import call
 from burdockdeal.core import errors
-from burdockdeal.core import headers
 from burdockdeal.core import journal
 from burdockdeal.core import verdict
 from burdockdeal.membership import messages as membership
@@ -21,8 +21,8 @@
 from burdockdeal.routing import board
 from burdockdeal.serving import bodies
 from burdockdeal.serving import classify
+from burdockdeal.serving import dialect
 from burdockdeal.serving import messages
-from burdockdeal.serving import refusals
 from burdockdeal.serving import transfer
 from burdockdeal.settings import model
 
@@ -43,8 +43,14 @@
     clock: abc.Callable[[], float],
     count: Count,
     limits: model.Limits,
+    speech: dialect.Dialect,
+    choose_service: abc.Callable[[resources.Rule], str],
 ) -> abc.Callable[[web.BaseRequest], abc.Awaitable[web.StreamResponse]]:
-    """Make the handler of callers' requests."""
+    """Make the handler of callers' requests.
+
+    :param speech: the callers' headers.
+    :param choose_service: chooses among the services of a rule.
+    """
 
     @contextlib.asynccontextmanager
     async def watch_send(
@@ -89,16 +95,15 @@
     async def answer_call(
         request: web.BaseRequest, work: call.Call
     ) -> web.StreamResponse:
+        kept = transfer.keep_end_to_end(request.headers)
+        kept.update(speech.mark_origin())
         outbound = messages.Outbound(
             method=request.method,
             target=request.raw_path,
-            headers=transfer.keep_end_to_end(request.headers),
+            headers=kept,
             body=await bodies.take_body(request, limits),
         )
-        added = {
-            headers.VERDICT: verdict.Verdict.RAN.value,
-            headers.REQUEST_ID: work.request_id,
-        }
+        added = speech.mark_answer(work.request_id)
         async with dispatch(work, outbound) as answer:
             return await transfer.pass_on(request, answer, added, limits)
 
@@ -106,6 +111,8 @@
         request_id = new_id()
         rank = ""
         try:
+            terms = speech.read_terms(request.headers)
+            request_id = terms.request_id or request_id
             standing = snapshot()
             if standing is None:
                 raise errors.NotRunError(verdict.Reason.NOT_CONFIGURED)
@@ -113,9 +120,11 @@
                 standing,
                 request.method,
                 request.path,
-                request.headers,
+                request.headers.get("Host", ""),
+                terms,
                 request_id=request_id,
                 now=clock(),
+                choose_service=choose_service,
             )
             rank = work.rank
             with guard.hold(work):
@@ -135,7 +144,7 @@
                 reason=error.reason,
                 detail=error.detail,
             )
-            return refusals.build_refusal(error, request_id)
+            return speech.build_refusal(error, request_id)
         except asyncio.CancelledError:
             journal.record("caller_gone", request_id=request_id, rank=rank)
             raise
--- a/packages/burdockdeal/burdockdeal/serving/front.py
+++ b/packages/burdockdeal/burdockdeal/serving/front.py
@@ -11,14 +11,14 @@
 from burdockdeal.core import errors
 from burdockdeal.core import journal
 from burdockdeal.core import verdict
-from burdockdeal.serving import half_open
-from burdockdeal.serving import refusals
+from burdockdeal.serving import dialect
 from burdockdeal.serving import transfer
 
+BuildRefusal = abc.Callable[[errors.CallError, str], web.Response]
 Handler = abc.Callable[[web.BaseRequest], abc.Awaitable[web.StreamResponse]]
 
 
-def _explain(exc: BaseException | None, status: int) -> errors.CallError:
+def _classify(exc: BaseException | None, status: int) -> errors.CallError:
     if isinstance(exc, errors.CallError):
         return exc
     if isinstance(exc, codec.MalformedError):
@@ -32,16 +32,34 @@
     return errors.MayHaveRunError(verdict.Reason.INTERNAL)
 
 
-class _Protocol(web_protocol.RequestHandler):
-    """Answers what could not be handled with a verdict."""
+def explain(
+    exc: BaseException | None,
+    *,
+    status: int = http.HTTPStatus.INTERNAL_SERVER_ERROR,
+    message: str | None = None,
+    build_refusal: BuildRefusal = dialect.OWN.build_refusal,
+) -> web.Response:
+    """Make the answer to a request that could not be handled.
 
-    def eof_received(self) -> bool:
-        """Keep a half-closed connection until its request is answered.
+    :param exc: what was raised, if anything.
+    :param status: what a library would answer.
+    :param build_refusal: builds the answer of an error.
+    :returns: an answer with a verdict, which ends its connection.
+    """
+    error = _classify(exc, status)
+    journal.warn(
+        "request_failed",
+        reason=error.reason,
+        error=repr(exc) if exc else message,
+        where=journal.trace(exc) if exc else None,
+    )
+    response = build_refusal(error, "")
+    response.force_close()
+    return response
 
-        :returns: whether the transport stays open for writing.
-        """
-        manager = self._manager
-        return bool(manager and manager.half_open) and half_open.keep(self)
+
+class _Protocol(web_protocol.RequestHandler):
+    """Answers what could not be handled with a verdict."""
 
     def handle_error(
         self,
@@ -50,17 +68,9 @@
         exc: BaseException | None = None,
         message: str | None = None,
     ) -> web.StreamResponse:
-        error = _explain(exc, status)
-        journal.warn(
-            "request_failed",
-            reason=error.reason,
-            error=repr(exc) if exc else message,
-            where=journal.trace(exc) if exc else None,
-        )
+        response = explain(exc, status=status, message=message)
         if request.writer.output_size > 0:
             raise ConnectionError("an answer had begun")
-        response = refusals.build_refusal(error, "")
-        response.force_close()
         return response
 
 
@@ -75,13 +85,11 @@
 
 
 class Front(web.Server):
-    """A low-level server for the path of requests.
+    """A low-level server for what other daemons send.
 
     :param handler: answers each request.
     :param header_bytes: the largest line or field that is taken.
     :param idle_s: seconds that an idle connection is kept.
-    :param half_open: whether a client that closes its sending side is
-        still answered; if not, it is taken to be gone.
     """
 
     def __init__(
@@ -90,7 +98,6 @@
         *,
         header_bytes: int,
         idle_s: float,
-        half_open: bool = False,
     ) -> None:
         super().__init__(
             self._count(handler),
@@ -104,7 +111,6 @@
             "max_line_size": header_bytes,
             "max_field_size": header_bytes,
         }
-        self.half_open = half_open
         self._active = 0
         #: Whether each connection ends with its next answer.
         self.closing = False
--- a/packages/burdockdeal/burdockdeal/serving/owner.py
+++ b/packages/burdockdeal/burdockdeal/serving/owner.py
@@ -24,6 +24,7 @@
 from burdockdeal.routing import state as routing
 from burdockdeal.serving import bodies
 from burdockdeal.serving import classify
+from burdockdeal.serving import dialect
 from burdockdeal.serving import messages
 from burdockdeal.serving import transfer
 from burdockdeal.settings import model
@@ -52,28 +53,26 @@
     return name, send.daemon_incarnation, request.deadline
 
 
-def _check_upstream_ran(response: aiohttp.ClientResponse) -> None:
-    """Believe an upstream that says it refused a request.
+def _check_answer(
+    speech: dialect.Dialect,
+    send: messages.Send,
+    response: aiohttp.ClientResponse,
+) -> None:
+    """Check that an answer belongs to a send that ran.
 
-    :raises NotRunError: if it did.
+    :raises NotRunError: if the upstream says that it refused the request.
+    :raises LostAnswerError: if the answer is that to another request.
     """
-    if response.headers.get(headers.VERDICT) == verdict.Verdict.NOT_RUN:
+    if not speech.is_answer_to(send, response.headers):
+        raise errors.LostAnswerError(
+            verdict.Reason.BROKEN_CONNECTION,
+            "the upstream answered another request",
+        )
+    if speech.is_refusal(response.status, response.headers):
         detail = f"the upstream answered {response.status}"
         raise errors.NotRunError(verdict.Reason.UPSTREAM_REFUSED, detail)
 
 
-def _upstream_headers(send: messages.Send, now: float) -> dict[str, str]:
-    request = send.request
-    return {
-        headers.INCARNATION: str(send.incarnation),
-        headers.REQUEST_ID: request.request_id,
-        headers.RANK: request.rank,
-        headers.DEADLINE_MS: f"{(request.deadline - now) * 1000:.0f}",
-        headers.DEPTH: str(request.depth + 1),
-        headers.RETRY_TOKENS: str(request.retry_tokens),
-    }
-
-
 def make_owner(
     side: announce_api.Side,
     slots: gate.Gate,
@@ -83,6 +82,7 @@
     ledger: ledgers.Ledger,
     prepare: abc.Callable[[messages.Send], abc.Awaitable[None]],
     times: meter.Meter,
+    speech: dialect.Dialect,
 ) -> messages.OpenAnswer:
     """Make the function that opens answers of the upstream beside us.
 
@@ -90,6 +90,7 @@
     :param ledger: knows which sends may start.
     :param prepare: called with each send once it has its slot.
     :param times: takes how long the upstream takes.
+    :param speech: the upstream's headers.
     """
 
     def check(send: messages.Send) -> None:
@@ -144,12 +145,13 @@
                     session,
                     f"http://{announced.host}:{announced.port}",
                     send.outbound,
-                    _upstream_headers(send, now),
+                    speech.mark_send(send, announced.name, now),
                     remaining_s=send.request.deadline - now,
                     expect=False,
                 ) as response:
                     head(response.status)
-                    _check_upstream_ran(response)
+                    _check_answer(speech, send, response)
+                    times.note_told(speech.read_load(response.headers))
                     yield messages.read_answer(response)
 
     return open_answer
--- a/packages/burdockdeal/burdockdeal/serving/transfer.py
+++ b/packages/burdockdeal/burdockdeal/serving/transfer.py
@@ -4,6 +4,8 @@
 from collections import abc
 import contextlib
 import http
+import socket
+import typing
 
 import aiohttp
 from aiohttp import web
@@ -31,20 +33,24 @@
 )
 
 
+#: Make a socket, as aiohttp asks for it.
+SocketFactory = abc.Callable[[tuple[typing.Any, ...]], socket.socket]
+
+
 def build_session(
-    header_bytes: int, local_addr: tuple[str, int] | None = None
+    header_bytes: int, socket_factory: SocketFactory | None = None
 ) -> aiohttp.ClientSession:
     """Build a client session that passes requests on as they are.
 
     :param header_bytes: the largest head of an answer that is taken.
-    :param local_addr: the address that connections are made from.
+    :param socket_factory: makes the sockets of connections.
     """
     session = aiohttp.ClientSession(
         connector=aiohttp.TCPConnector(
             limit=0,
             keepalive_timeout=_IDLE_CONNECTION_S,
             use_dns_cache=False,
-            local_addr=local_addr,
+            socket_factory=socket_factory,
         ),
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
--- a/packages/burdockdeal/burdockdeal/settings/model.py
+++ b/packages/burdockdeal/burdockdeal/settings/model.py
@@ -23,6 +23,17 @@
     host: str
     port: checking.Port
 
+    @classmethod
+    def from_text(cls, text: str) -> "Address":
+        """Read an address written as one text, host and port.
+
+        :raises ValueError: if it is not one.
+        """
+        host, _, port = text.rpartition(":")
+        if not host or not port.isdecimal() or not 0 < int(port) < 65536:
+            raise ValueError(f"not an address and a port: {text!r}")
+        return cls(host, int(port))
+
     def __str__(self) -> str:
         return f"{self.host}:{self.port}"
 
@@ -70,6 +81,8 @@
     :param answer_idle_s: seconds without a byte of an answer that began,
         or in which a client takes none.
     :param stop_s: seconds that a graceful stop takes at most.
+    :param linger_s: seconds for which a daemon that stops still takes
+        connections.
     :param keys: idempotency keys that are remembered at once.
     :param key_retention_s: seconds for which a key is remembered.
     :param claims_per_s: keys of callers' own that are claimed a second.
@@ -88,6 +101,7 @@
     body_grace_s: checking.Positive = 10.0
     answer_idle_s: checking.Positive = 30.0
     stop_s: checking.Positive = 30.0
+    linger_s: checking.Positive = 1.0
     keys: checking.PositiveInt = 20_000
     key_retention_s: checking.Positive = 600.0
     claims_per_s: checking.Positive = 5.0
@@ -122,6 +136,39 @@
     start_spread_s: NotNegative = 0.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class FleetRetries:
+    """What all daemons together may send to one service beyond first sends.
+
+    :param share: of the requests for it.
+    :param slack: sends more, in each window, for the whole fleet.
+    :param window_s: the span in which both are counted, in seconds.
+    """
+
+    share: NotNegative = 0.1
+    slack: NotNegative = 40.0
+    window_s: checking.Positive = 10.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Deployment:
+    """A deployment on a platform that brings configuration and heartbeats.
+
+    :param service: the service of the upstream beside this daemon.
+    :param upstream: where that upstream takes requests.
+    :param metrics: where metrics are served.
+    :param watchers: daemons of a failure domain that watch the store.
+    :param lease_s: seconds without a heartbeat after which the upstream
+        gets no new calls.
+    """
+
+    service: str
+    upstream: Address
+    metrics: Address
+    watchers: checking.PositiveInt = 32
+    lease_s: checking.Positive = 10.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Settings:
     """A daemon's settings, checked whole and passed whole.
@@ -135,6 +182,8 @@
     :param advertise: where other daemons reach this one, if not at
         listen.peer.
     :param store_budget: bounds on calls to the platform's store.
+    :param deployment: set where the platform brings configuration and
+        heartbeats, not operators and upstreams themselves.
     :param policy: the routing policy's name.
     """
 
@@ -143,10 +192,12 @@
     listen: Listen
     store: Address
     peer_token: Secret
-    operators: tuple[Operator, ...]
+    operators: tuple[Operator, ...] = ()
     region: checking.Name = "local"
     peers: tuple[Address, ...] = ()
     advertise: Address | None = None
+    deployment: Deployment | None = None
+    fleet_retries: FleetRetries = FleetRetries()
     policy: Policy = "hot_cold"
     seed: int | None = None
     limits: Limits = Limits()
@@ -195,7 +246,7 @@
                 )
             )
         seen.setdefault(address, f"listen.{field.name}")
-    if not settings.operators:
+    if not settings.operators and settings.deployment is None:
         faults.append(errors.Fault("operators", "at least one is needed"))
     names = [operator.name for operator in settings.operators]
     tokens = [operator.token for operator in settings.operators]
--- a/packages/burdockdeal/burdockdeal/shutdown/assembly.py
+++ b/packages/burdockdeal/burdockdeal/shutdown/assembly.py
@@ -39,7 +39,7 @@
         closing.add(asyncio.ensure_future(stop_callers()))
 
     return stopping.Stopping(
-        state.Terms(stopping.LINGER_S, settings.limits.stop_s),
+        state.Terms(settings.limits.linger_s, settings.limits.stop_s),
         lambda: count_runs() + sum(server.busy for server in fronts),
         {
             state.Phase.LEAVING: leave,
--- a/packages/burdockdeal/burdockdeal/shutdown/stopping.py
+++ b/packages/burdockdeal/burdockdeal/shutdown/stopping.py
@@ -7,9 +7,6 @@
 from burdockdeal.shutdown import messages
 from burdockdeal.shutdown import state
 
-#: Seconds for which a daemon that leaves still takes connections.
-LINGER_S = 1.0
-
 _ENDS = frozenset({state.Phase.ENDED, state.Phase.CUT})
 
 
@@ -35,6 +32,11 @@
         self._clock = clock
         self._stop = state.Stop()
 
+    @property
+    def begun(self) -> bool:
+        """Whether the stop was asked for."""
+        return self._stop.phase is not state.Phase.RUNNING
+
     @property
     def ended(self) -> bool:
         """Whether the daemon is to end now."""
--- a/packages/standins/burdockdeal_standins/fleet.py
+++ b/packages/standins/burdockdeal_standins/fleet.py
@@ -13,6 +13,7 @@
 
 from burdockdeal.core import codec
 from burdockdeal.platform import messages as platform
+from burdockdeal.platform import wire
 from burdockdeal.settings import model
 from burdockdeal_standins import links
 from burdockdeal_standins import logs
@@ -306,10 +307,11 @@
         url = f"http://{ports.HOST}:{self.store_port}/admin/counts"
         return await self._get(url, store.Counts)
 
-    async def store_entries(self, prefix: str) -> platform.Listing:
+    async def store_entries(self, prefix: str) -> tuple[platform.Entry, ...]:
         """Read the store's entries below a prefix."""
-        url = f"http://{ports.HOST}:{self.store_port}/v1/list?prefix={prefix}"
-        return await self._get(url, platform.Listing)
+        url = f"http://{ports.HOST}:{self.store_port}/api/kv-range"
+        page = await self._get(f"{url}?pathPrefix={prefix}", wire.Page)
+        return page.read_items()
 
     async def add_relay(self, target: str, **options: object) -> links.Relay:
         """Start a relay to a target, host and port."""
--- a/packages/standins/burdockdeal_standins/memory_store.py
+++ b/packages/standins/burdockdeal_standins/memory_store.py
@@ -81,7 +81,7 @@
         return self._see(self._meet("get", key)).get(key)
 
     async def put(
-        self, key: str, value: str, *, version: int, lease: str = ""
+        self, key: str, value: str, *, version: int, lease: int = 0
     ) -> int:
         """Write a key by compare-and-swap."""
         fate = self._meet("put", key)
@@ -104,12 +104,12 @@
         del self.entries[key]
 
     async def list(
-        self, prefix: str, *, start: str = "", limit: int = 1000
+        self, prefix: str, *, after: str = "", limit: int = 1000
     ) -> messages.Listing:
         """Read the entries below a prefix."""
         seen = self._see(self._meet("list", prefix))
         keys = sorted(
-            key for key in seen if key.startswith(prefix) and key >= start
+            key for key in seen if key.startswith(prefix) and key > after
         )
         return messages.Listing(
             tuple(seen[key] for key in keys[:limit]), self.version
--- a/packages/standins/burdockdeal_standins/operating.py
+++ b/packages/standins/burdockdeal_standins/operating.py
@@ -96,9 +96,9 @@
 
 async def read_changes(fleet: standins.Fleet) -> list[messages.Change]:
     """Read the change log from the store."""
-    listing = await fleet.store_entries(messages.LOG_PREFIX)
+    entries = await fleet.store_entries(messages.LOG_PREFIX)
     return sorted(
-        (codec.decode(e.value, messages.Change) for e in listing.entries),
+        (codec.decode(e.value, messages.Change) for e in entries),
         key=lambda change: change.revision,
     )
 
@@ -133,5 +133,5 @@
 
 async def has_snapshot(fleet: standins.Fleet) -> bool:
     """Tell whether the store holds a snapshot."""
-    listing = await fleet.store_entries(messages.MANIFEST_KEY)
-    return bool(listing.entries)
+    entries = await fleet.store_entries(messages.MANIFEST_KEY)
+    return bool(entries)
--- a/packages/standins/burdockdeal_standins/store.py
+++ b/packages/standins/burdockdeal_standins/store.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import bisect
+import collections
 import dataclasses
 import itertools
 import time
@@ -14,10 +15,19 @@
 import fire
 
 from burdockdeal.core import codec
-from burdockdeal.platform import messages
+from burdockdeal.platform import wire
 from burdockdeal_standins import process
 
-VALUE_LIMIT_BYTES = 1_000_000
+VALUE_LIMIT_BYTES = 1_048_576
+
+#: The same in base64.
+ENCODED_LIMIT_BYTES = VALUE_LIMIT_BYTES * 4 // 3 + 4
+
+#: Items of one page of a listing.
+PAGE_ITEMS = 500
+
+#: Changes that watches can still be told.
+HISTORY_EVENTS = 4096
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -54,15 +64,31 @@
     leases: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lease:
+    """A lease.
+
+    :param until: monotonic time at which it ends, in seconds.
+    :param ttl_s: seconds that it lasts after each renewal.
+    """
+
+    until: float
+    ttl_s: float
+
+
 class Data:
-    """The keys, leases and counts of one store."""
+    """The keys, leases, history and counts of one store."""
 
     def __init__(self) -> None:
-        self.entries: dict[str, messages.Entry] = {}
+        self.items: dict[str, wire.Item] = {}
         self.keys: list[str] = []
-        self.leased: dict[str, str] = {}
-        self.leases: dict[str, tuple[float, float]] = {}
-        self.before: dict[str, messages.Entry] = {}
+        self.leases: dict[int, Lease] = {}
+        self.before: dict[str, wire.Item] = {}
+        self.history: collections.deque[wire.Item] = collections.deque(
+            maxlen=HISTORY_EVENTS
+        )
+        #: The last revision that the history no longer holds.
+        self.compacted = 0
         self.revision = 0
         self.counts = Counts()
         self.faults = Faults()
@@ -76,45 +102,78 @@
 
     def version(self, key: str) -> int:
         """Tell the version that stands, 0 for none."""
-        entry = self.entries.get(key)
-        return entry.version if entry else 0
+        item = self.items.get(key)
+        return item.revision if item else 0
 
-    def put(self, key: str, value: str) -> int:
-        """Write a key."""
+    def commit(self, change: wire.Transaction) -> int:
+        """Carry out the writes of a transaction, at one revision."""
         self.revision += 1
-        if key in self.entries:
-            self.before[key] = self.entries[key]
-        else:
-            bisect.insort(self.keys, key)
-        self.entries[key] = messages.Entry(key, value, self.revision)
+        for put in change.puts:
+            self._put(put)
+        for key in change.remove:
+            if key in self.items:
+                self._remove(key)
         return self.revision
 
-    def remove(self, key: str) -> None:
-        """Delete a key."""
-        self.revision += 1
-        del self.entries[key]
-        self.before.pop(key, None)
-        self.keys.remove(key)
-        self.leased.pop(key, None)
+    def compact(self) -> None:
+        """Forget the history."""
+        self.history.clear()
+        self.compacted = self.revision
+
+    def since(self, prefix: str, revision: int) -> tuple[wire.Item, ...]:
+        """List the changes below a prefix after a revision."""
+        return tuple(
+            item
+            for item in self.history
+            if item.revision > revision and item.key.startswith(prefix)
+        )
 
-    def below(self, prefix: str, start: str) -> list[messages.Entry]:
-        """List the entries below a prefix from a key on."""
-        position = bisect.bisect_left(self.keys, max(prefix, start))
+    def below(
+        self, prefix: str, after: str, held: dict[str, wire.Item]
+    ) -> list[wire.Item]:
+        """List the items below a prefix that follow a key."""
+        position = bisect.bisect_right(self.keys, after)
+        position = max(position, bisect.bisect_left(self.keys, prefix))
         found = itertools.takewhile(
             lambda key: key.startswith(prefix), self.keys[position:]
         )
-        return [self.entries[key] for key in found]
+        return [held[key] for key in found if key in held]
 
     def lapse(self) -> None:
         """End the leases whose time is over, and their keys."""
         now = time.monotonic()
         over = {
-            lease for lease, (until, _) in self.leases.items() if until < now
+            number
+            for number, lease in self.leases.items()
+            if lease.until < now
         }
-        for lease in over:
-            del self.leases[lease]
-        for key in [k for k, lease in self.leased.items() if lease in over]:
-            self.remove(key)
+        for number in over:
+            del self.leases[number]
+        lapsed = tuple(
+            key for key, item in self.items.items() if item.lease in over
+        )
+        if lapsed:
+            self.commit(wire.Transaction(remove=lapsed))
+
+    def _put(self, put: wire.Put) -> None:
+        if put.key in self.items:
+            self.before[put.key] = self.items[put.key]
+        else:
+            bisect.insort(self.keys, put.key)
+        item = wire.Item(put.key, put.value, self.revision, put.lease)
+        self.items[put.key] = item
+        self._note(item)
+
+    def _remove(self, key: str) -> None:
+        del self.items[key]
+        self.before.pop(key, None)
+        self.keys.remove(key)
+        self._note(wire.Item(key, revision=self.revision, tombstone=True))
+
+    def _note(self, item: wire.Item) -> None:
+        if len(self.history) == self.history.maxlen:
+            self.compacted = self.history[0].revision
+        self.history.append(item)
 
 
 def _reply(message: object, status: int = 200) -> web.Response:
@@ -148,10 +207,10 @@
             cut_off(request)
             await asyncio.sleep(late_s)
 
-    def see(key: str) -> messages.Entry | None:
+    def see() -> dict[str, wire.Item]:
         if use_up("stale_reads"):
-            return data.before.get(key)
-        return data.entries.get(key)
+            return {**data.items, **data.before}
+        return data.items
 
     async def tell() -> None:
         async with data.changed:
@@ -172,83 +231,93 @@
 
     async def get(request: web.Request) -> web.Response:
         data.count("reads")
-        entry = see(request.match_info["key"])
-        return _reply(entry) if entry else web.Response(status=404)
+        item = see().get(request.query["key"])
+        return _reply(item) if item else web.Response(status=404)
 
-    async def put(request: web.Request) -> web.Response:
+    async def change(request: web.Request) -> web.Response:
         data.count("writes")
-        key = request.match_info["key"]
-        value = (await request.read()).decode()
-        if len(value) > VALUE_LIMIT_BYTES:
+        wanted = codec.decode(await request.read(), wire.Transaction)
+        if any(len(put.value) > ENCODED_LIMIT_BYTES for put in wanted.puts):
             return web.Response(status=413)
         await delay_write(request)
-        if int(request.query["version"]) != data.version(key):
-            return _reply(messages.Written(data.version(key)), 409)
-        lease = request.query.get("lease", "")
-        if lease and lease not in data.leases:
-            return _reply(messages.Written(data.version(key)), 409)
-        version = data.put(key, value)
-        if lease:
-            data.leased[key] = lease
-        await tell()
-        await lose_answer(request)
-        return _reply(messages.Written(version))
-
-    async def delete(request: web.Request) -> web.Response:
-        data.count("writes")
-        key = request.match_info["key"]
-        if int(request.query["version"]) != data.version(key):
-            return _reply(messages.Written(data.version(key)), 409)
-        data.remove(key)
+        if any(
+            data.version(expected.key) != expected.revision
+            for expected in wanted.expected
+        ):
+            stand = (data.items.get(each.key) for each in wanted.expected)
+            return _reply(wire.Conflict(tuple(filter(None, stand))), 412)
+        if any(
+            put.lease and put.lease not in data.leases for put in wanted.puts
+        ):
+            return web.Response(status=404)
+        revision = data.commit(wanted)
         await tell()
         await lose_answer(request)
-        return _reply(messages.Written(0))
+        return _reply(wire.Committed(revision))
 
     async def listing(request: web.Request) -> web.Response:
         data.count("reads")
         found = data.below(
-            request.query["prefix"], request.query.get("start", "")
+            request.query["pathPrefix"], request.query.get("after", ""), see()
         )
-        if use_up("stale_reads"):
-            found = [e for e in found if e.version < data.revision]
-        limit = int(request.query.get("limit", "1000"))
-        return _reply(messages.Listing(tuple(found[:limit]), data.revision))
+        page = tuple(found[:PAGE_ITEMS])
+        more = len(found) > PAGE_ITEMS
+        return _reply(wire.Page(data.revision, page, more))
 
     async def watch(request: web.Request) -> web.Response:
         data.count("watches")
         after = int(request.query["after"])
-        prefix = request.query["prefix"]
+        prefix = request.query["pathPrefix"]
+        if after < data.compacted:
+            return web.Response(status=410)
 
-        def newer() -> list[messages.Entry]:
-            return [e for e in data.below(prefix, "") if e.version > after]
+        def may_end() -> bool:
+            newer = data.since(prefix, after)
+            return bool(newer) or data.faults.outage or after < data.compacted
 
         try:
-            async with asyncio.timeout(float(request.query["wait_s"])):
+            async with asyncio.timeout(int(request.query["waitMs"]) / 1000):
                 async with data.changed:
-                    await data.changed.wait_for(
-                        lambda: newer() or data.faults.outage
-                    )
+                    await data.changed.wait_for(may_end)
         except TimeoutError:
             pass
         if data.faults.outage:
             return web.Response(status=503)
-        return _reply(messages.Listing(tuple(newer()), data.revision))
+        if after < data.compacted:
+            return web.Response(status=410)
+        return _reply(wire.Events(data.revision, data.since(prefix, after)))
 
     async def grant(request: web.Request) -> web.Response:
         data.count("leases")
-        ttl_s = float(request.query["ttl_s"])
-        lease = f"lease-{next(data.numbers)}"
-        data.leases[lease] = (time.monotonic() + ttl_s, ttl_s)
-        return _reply(messages.Lease(lease, ttl_s))
+        wanted = codec.decode(await request.read(), wire.LeaseRequest)
+        ttl_s = wanted.ttl_ms / 1000
+        number = next(data.numbers)
+        data.leases[number] = Lease(time.monotonic() + ttl_s, ttl_s)
+        return _reply(wire.Granted(number, wanted.ttl_ms))
 
     async def renew(request: web.Request) -> web.Response:
         data.count("leases")
-        lease = request.match_info["lease"]
-        if lease not in data.leases:
+        number = int(request.match_info["lease"])
+        if number not in data.leases:
+            return web.Response(status=404)
+        ttl_s = data.leases[number].ttl_s
+        data.leases[number] = Lease(time.monotonic() + ttl_s, ttl_s)
+        return _reply(wire.Granted(number, round(ttl_s * 1000)))
+
+    async def end(request: web.Request) -> web.Response:
+        data.count("leases")
+        number = int(request.match_info["lease"])
+        if number not in data.leases:
             return web.Response(status=404)
-        ttl_s = data.leases[lease][1]
-        data.leases[lease] = (time.monotonic() + ttl_s, ttl_s)
-        return _reply(messages.Lease(lease, ttl_s))
+        data.leases[number] = Lease(0.0, 0.0)
+        data.lapse()
+        await tell()
+        return web.Response()
+
+    async def compact(request: web.Request) -> web.Response:
+        data.compact()
+        await tell()
+        return web.Response()
 
     async def set_faults(request: web.Request) -> web.Response:
         data.faults = codec.decode(await request.read(), Faults)
@@ -261,13 +330,14 @@
     app = web.Application(
         middlewares=[meet_faults], client_max_size=2 * VALUE_LIMIT_BYTES
     )
-    app.router.add_get("/v1/kv/{key:.+}", get)
-    app.router.add_put("/v1/kv/{key:.+}", put)
-    app.router.add_delete("/v1/kv/{key:.+}", delete)
-    app.router.add_get("/v1/list", listing)
-    app.router.add_get("/v1/watch", watch)
-    app.router.add_post("/v1/leases", grant)
-    app.router.add_post("/v1/leases/{lease}", renew)
+    app.router.add_get("/api/kv-key", get)
+    app.router.add_get("/api/kv-range", listing)
+    app.router.add_get("/api/kv-watch", watch)
+    app.router.add_post("/api/kv-txn", change)
+    app.router.add_post("/api/kv-lease", grant)
+    app.router.add_post("/api/kv-keep/{lease}", renew)
+    app.router.add_delete("/api/kv-lease-end/{lease}", end)
+    app.router.add_post("/admin/compact", compact)
     app.router.add_put("/admin/faults", set_faults)
     app.router.add_get("/admin/counts", show_counts)
     return app
--- a/tests/test_configuration_spread.py
+++ b/tests/test_configuration_spread.py
@@ -10,6 +10,7 @@
 from burdockdeal.configuration import messages
 from burdockdeal.configuration import snapshots
 from burdockdeal.core import codec
+from burdockdeal.platform import wire
 from burdockdeal.settings import model
 from burdockdeal_standins import fleet as standins
 from burdockdeal_standins import links
@@ -231,10 +232,14 @@
         previous_generation=0,
         spec=msgspec.Raw(b"{}"),
     )
-    url = f"http://127.0.0.1:{small.store_port}/v1/kv/"
-    async with small.session.put(
-        url + log.log_key(revision + 1) + "?version=0",
-        data=codec.encode(change),
+    key = log.log_key(revision + 1)
+    written = wire.Transaction(
+        expected=(wire.Expected(key, 0),),
+        puts=(wire.make_put(key, codec.encode(change).decode(), 0),),
+    )
+    async with small.session.post(
+        f"http://127.0.0.1:{small.store_port}/api/kv-txn",
+        data=codec.encode(written),
     ) as answer:
         assert answer.status == 200
     before = await small.store_counts()
