Start work on a machine that is quick at that moment

Ruled out: waits at the gate (median 0.1 ms) and hops (about 1 ms). Change: an owner asks its upstream's load just before a start, unless what it knows is at most 15 ms old; a call that comes to a slow machine is told SLOWED at once and asks another instance, at no cost to the retry budget, since nothing reached an upstream; where all are slow it waits at one, whose owner asks again every 15 ms. One line of the log for each decision on a request, to standard output, bounded and never blocking.

--- a/packages/burdockdeal/burdockdeal/admission/decisions.py
+++ b/packages/burdockdeal/burdockdeal/admission/decisions.py
@@ -22,6 +22,7 @@
     REFUSE_FULL = "REFUSE_FULL"
     REFUSE_LATE = "REFUSE_LATE"
     REFUSE_TARGET = "REFUSE_TARGET"
+    REFUSE_SLOW = "REFUSE_SLOW"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -141,7 +142,7 @@
     :returns: the line, None if nothing can start.
     """
     slots = gathering.room.slots
-    if gathering.running >= slots:
+    if gathering.running >= slots or gathering.room.slow:
         return None
     fits = upload_fits(gathering)
     ready = [
@@ -235,8 +236,10 @@
     room = gathering.room
     if now >= ticket.deadline:
         return Admission(Decision.REFUSE_LATE)
+    if room.slow and not ticket.patient:
+        return Admission(Decision.REFUSE_SLOW)
     fits = not ticket.streamed or upload_fits(gathering)
-    if gathering.running < room.slots and fits:
+    if gathering.running < room.slots and fits and not room.slow:
         return Admission(Decision.RUN)
     if expect_wait(ticket, gathering, now) > ticket.due - now:
         return Admission(Decision.REFUSE_TARGET)
--- a/packages/burdockdeal/burdockdeal/admission/gate.py
+++ b/packages/burdockdeal/burdockdeal/admission/gate.py
@@ -16,6 +16,7 @@
     decisions.Decision.REFUSE_FULL: verdict.Reason.QUEUE_FULL,
     decisions.Decision.REFUSE_LATE: verdict.Reason.DEADLINE_PASSED,
     decisions.Decision.REFUSE_TARGET: verdict.Reason.TARGET_MISSED,
+    decisions.Decision.REFUSE_SLOW: verdict.Reason.SLOWED,
 }
 
 
@@ -66,15 +67,22 @@
         deadline: float,
         *,
         streamed: bool = False,
+        patient: bool = False,
     ) -> abc.AsyncIterator[None]:
         """Hold a slot of the upstream while the block runs.
 
         :param deadline: monotonic time in seconds.
         :param streamed: whether the body is passed on as it comes.
+        :param patient: whether it waits for a slow machine.
         :raises NotRunError: if the call is refused.
         """
         ticket = state.Ticket(
-            next(self._numbers), terms, self._clock(), deadline, streamed
+            next(self._numbers),
+            terms,
+            self._clock(),
+            deadline,
+            streamed,
+            patient,
         )
         await self._enter(ticket)
         started = self._clock()
@@ -87,6 +95,11 @@
             )
             self._leave(ticket)
 
+    def wake(self) -> None:
+        """Start what may start, after what the upstream takes changed."""
+        if self.waiting:
+            self._start_waiting()
+
     def _gather(self) -> state.Gathering:
         return state.Gathering(self._lines, self._room(), self._pace)
 
--- a/packages/burdockdeal/burdockdeal/admission/state.py
+++ b/packages/burdockdeal/burdockdeal/admission/state.py
@@ -25,11 +25,14 @@
     :param slots: calls that may run at once.
     :param uploads: slots that streamed bodies may hold at once.
     :param queue_limit: calls that may wait.
+    :param slow: whether nothing should start at this moment, since its
+        machine is slow.
     """
 
     slots: int
     uploads: int
     queue_limit: int
+    slow: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -39,6 +42,8 @@
     :param arrived: monotonic time in seconds.
     :param deadline: monotonic time in seconds.
     :param streamed: whether its body is passed on as it comes.
+    :param patient: whether it waits for a slow machine, as no other
+        instance is quick.
     """
 
     number: int
@@ -46,6 +51,7 @@
     arrived: float
     deadline: float
     streamed: bool = False
+    patient: bool = False
 
     @property
     def due(self) -> float:
--- a/packages/burdockdeal/burdockdeal/core/call.py
+++ b/packages/burdockdeal/burdockdeal/core/call.py
@@ -47,6 +47,7 @@
         it.
     :param sent_at: the receiver's clock when it was sent, in seconds, at
         the least; None if the sender never heard that clock.
+    :param patient: whether it waits for a slow machine.
     """
 
     request_id: str
@@ -62,6 +63,7 @@
     attempt: int
     daemon_incarnation: int = 0
     sent_at: float | None = None
+    patient: bool = False
 
 
 def seal(
@@ -73,6 +75,7 @@
     *,
     daemon_incarnation: int = 0,
     sent_at: float | None = None,
+    patient: bool = False,
 ) -> Envelope:
     """Make the envelope for one send of a call.
 
@@ -93,6 +96,7 @@
         attempt=attempt,
         daemon_incarnation=daemon_incarnation,
         sent_at=sent_at,
+        patient=patient,
     )
 
 
--- a/packages/burdockdeal/burdockdeal/core/verdict.py
+++ b/packages/burdockdeal/burdockdeal/core/verdict.py
@@ -28,6 +28,7 @@
     QUEUE_FULL = "QUEUE_FULL"
     SHED = "SHED"
     TARGET_MISSED = "TARGET_MISSED"
+    SLOWED = "SLOWED"
     DEADLINE_PASSED = "DEADLINE_PASSED"
     OVERLOADED = "OVERLOADED"
     SLOW_CALLER = "SLOW_CALLER"
@@ -66,6 +67,7 @@
     Reason.QUEUE_FULL: 503,
     Reason.SHED: 503,
     Reason.TARGET_MISSED: 503,
+    Reason.SLOWED: 503,
     Reason.DEADLINE_PASSED: 504,
     Reason.OVERLOADED: 503,
     Reason.SLOW_CALLER: 408,
--- a/packages/burdockdeal/burdockdeal/daemon/assembly.py
+++ b/packages/burdockdeal/burdockdeal/daemon/assembly.py
@@ -18,6 +18,7 @@
 from burdockdeal.daemon import path
 from burdockdeal.daemon import sockets
 from burdockdeal.daemon import surroundings
+from burdockdeal.measurement import freshness
 from burdockdeal.measurement import prober
 from burdockdeal.membership import contacts
 from burdockdeal.membership import service as membership
@@ -184,7 +185,10 @@
         booked = bookings.Bookings(
             settings, shared.roster, platform, messages, shared.clock
         )
-        handlers = path.build_path(shared, session, booked, guard, told)
+        fresh = await stack.enter_async_context(
+            freshness.Freshness(shared.meter, control.ask_load, shared.clock)
+        )
+        handlers = path.build_path(shared, session, booked, guard, fresh, told)
         dispatch = path.make_peer_dispatch(
             settings.peer_token,
             handlers.handle_call,
--- a/packages/burdockdeal/burdockdeal/daemon/own.py
+++ b/packages/burdockdeal/burdockdeal/daemon/own.py
@@ -18,6 +18,10 @@
 from burdockdeal.serving import dialect
 
 
+async def _ask_nothing() -> None:
+    """Upstreams of this interface tell their load in heartbeats only."""
+
+
 def _build_control(
     shared: parts.Parts, platform: store.Store, control: aiohttp.ClientSession
 ) -> surroundings.Control:
@@ -51,6 +55,7 @@
         gauges=configured.gauges(),
         on_newer=configured.puller.pull_from,
         host=host,
+        ask_load=_ask_nothing,
     )
 
 
--- a/packages/burdockdeal/burdockdeal/daemon/parts.py
+++ b/packages/burdockdeal/burdockdeal/daemon/parts.py
@@ -69,6 +69,7 @@
         self.snapshot: classify.Snapshot | None = None
         self.stopping: stopping.Stopping
         self.services: tuple[mode.Service, ...] = ()
+        self.meter.on_told(self.gate.wake)
         self.side.on_change(self._declare_upstream)
         self.standing.on_change(self._take_configuration)
         self.roster.on_change(self._take_member)
@@ -86,6 +87,7 @@
         spec = services.get(service, _DEFAULT_SERVICE)
         slots = self._slots()
         return admission.Room(
+            slow=self.meter.is_slow,
             slots=slots,
             uploads=max(1, int(slots * spec.upload_share)),
             queue_limit=spec.queue_limit,
@@ -133,12 +135,15 @@
 
     def load(self) -> routing.Report:
         """Tell the load beside this daemon, as put on each answer."""
+        told = self.meter.told
         return routing.Report(
             in_flight=self.gate.running,
             waiting=self.gate.waiting,
             slots=self._slots(),
             service_ms=self.meter.service_ms(),
             failed_share=self.meter.failed_share,
+            slowdown=told.slowdown if told else 1.0,
+            slowdown_age_ms=round(min(60.0, self.meter.told_age_s) * 1000, 1),
         )
 
     def is_ready(self) -> bool:
--- a/packages/burdockdeal/burdockdeal/daemon/path.py
+++ b/packages/burdockdeal/burdockdeal/daemon/path.py
@@ -14,6 +14,7 @@
 from burdockdeal.core import verdict
 from burdockdeal.daemon import metrics
 from burdockdeal.daemon import parts
+from burdockdeal.measurement import freshness
 from burdockdeal.overload import guard as guards
 from burdockdeal.retry import absence
 from burdockdeal.routing import selection
@@ -64,11 +65,13 @@
     session: aiohttp.ClientSession,
     booked: bookings.Bookings,
     guard: guards.Guard,
+    fresh: freshness.Freshness,
     told: metrics.Metrics,
 ) -> Path:
     """Put the path of requests together.
 
     :param session: connections to upstreams and to other daemons.
+    :param fresh: keeps what the upstream tells of its load fresh.
     """
     settings = shared.settings
     choose = make_choose(shared)
@@ -82,6 +85,7 @@
             booked.ledger,
             booked.prepare,
             shared.meter,
+            fresh,
             shared.speech,
         )
     )
--- a/packages/burdockdeal/burdockdeal/daemon/surroundings.py
+++ b/packages/burdockdeal/burdockdeal/daemon/surroundings.py
@@ -9,6 +9,7 @@
 
 from burdockdeal.daemon import metrics
 from burdockdeal.daemon import parts
+from burdockdeal.measurement import freshness
 from burdockdeal.overload import connections
 from burdockdeal.platform import store
 from burdockdeal.serving import dialect
@@ -34,6 +35,7 @@
     :param gauges: what it tells in the metrics.
     :param on_newer: called with a peer whose configuration is newer.
     :param host: makes the applications, given the metrics.
+    :param ask_load: asks the upstream for its load.
     """
 
     services: tuple[mode.Service, ...]
@@ -41,6 +43,7 @@
     gauges: tuple[metrics.Gauge, ...]
     on_newer: abc.Callable[[model.Address], None]
     host: abc.Callable[[metrics.Metrics], tuple[Hosted, ...]]
+    ask_load: freshness.Ask
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/burdockdeal/burdockdeal/measurement/decisions.py
+++ b/packages/burdockdeal/burdockdeal/measurement/decisions.py
@@ -22,6 +22,15 @@
 #: Seconds between two probes of one instance.
 SPACING_S = 0.2
 
+#: Work that takes this many times the usual makes a machine slow.
+SLOW_FACTOR = 2.5
+
+#: Seconds for which what an upstream told of its machine is remembered.
+TOLD_MEMORY_S = 0.06
+
+#: Seconds of slowness after which no call waits for its end.
+LONGEST_SPELL_S = 0.6
+
 _BUDGET = configuration.Key("Budget", resources.BUDGET_NAME)
 
 
@@ -118,3 +127,21 @@
         names.append(want.name)
         credit -= 0 if want.suspect else 1
     return Plan(tuple(names), ledger, credit)
+
+
+def is_slow_spell(
+    slow_since: float | None, told_age_s: float, now: float
+) -> bool:
+    """Tell whether work should rather wait than start.
+
+    What a slow machine starts stays slow to its end, while the machine is
+    mostly quick again within a fraction of a second. One that stays slow
+    is no longer waited for.
+
+    :param slow_since: when it was first told to be slow, in seconds; None
+        if it was quick when last told.
+    :param told_age_s: seconds since it was last told.
+    """
+    if slow_since is None or told_age_s > TOLD_MEMORY_S:
+        return False
+    return now - slow_since < LONGEST_SPELL_S
--- a/packages/burdockdeal/burdockdeal/measurement/meter.py
+++ b/packages/burdockdeal/burdockdeal/measurement/meter.py
@@ -6,6 +6,7 @@
 import math
 import statistics
 
+from burdockdeal.measurement import decisions
 from burdockdeal.measurement import state
 
 _SERVER_ERROR = 500
@@ -33,13 +34,34 @@
         self._answered_at = 0.0
         self._failed_share = 0.0
         self._told: state.Told | None = None
-        self._told_at = 0.0
+        self._told_at = -math.inf
+        self._slow_since: float | None = None
+        self._listeners: list[abc.Callable[[], None]] = []
 
     def note_told(self, told: state.Told | None) -> None:
         """Take in what the upstream tells of its load, None for nothing."""
-        if told is not None:
-            self._told = told
-            self._told_at = self._clock()
+        if told is None:
+            return
+        now = self._clock()
+        if told.slowdown < decisions.SLOW_FACTOR:
+            self._slow_since = None
+        elif self._slow_since is None:
+            self._slow_since = now
+        self._told = told
+        self._told_at = now
+        for listener in self._listeners:
+            listener()
+
+    def on_told(self, listener: abc.Callable[[], None]) -> None:
+        """Call a function whenever the upstream tells its load."""
+        self._listeners.append(listener)
+
+    @property
+    def is_slow(self) -> bool:
+        """Whether its machine is slow at this moment, but not for long."""
+        return decisions.is_slow_spell(
+            self._slow_since, self.told_age_s, self._clock()
+        )
 
     @property
     def told(self) -> state.Told | None:
--- a/packages/burdockdeal/burdockdeal/platform/finder.py
+++ b/packages/burdockdeal/burdockdeal/platform/finder.py
@@ -2,11 +2,13 @@
 
 import asyncio
 from collections import abc
+import dataclasses
 
 import aiohttp
 import mode
 
 from burdockdeal.core import journal
+from burdockdeal.measurement import state as measurement
 from burdockdeal.platform import headers
 from burdockdeal.platform import heartbeats
 from burdockdeal.settings import model
@@ -21,6 +23,43 @@
 _DEFAULT_SLOTS = 9
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Health:
+    """What a worker tells on its health path.
+
+    :param name: its id.
+    :param healthy: what it says of itself; it may be wrong.
+    :param told: its load, None if it does not tell.
+    """
+
+    name: str
+    healthy: bool
+    told: measurement.Told | None
+
+
+async def ask_health(
+    session: aiohttp.ClientSession, address: model.Address, path: str
+) -> Health | None:
+    """Ask a worker's health path.
+
+    :returns: None without an answer in time.
+    """
+    try:
+        async with session.get(
+            f"http://{address}{path}",
+            timeout=aiohttp.ClientTimeout(total=TIMEOUT_S),
+        ) as response:
+            await response.read()
+            return Health(
+                name=response.headers.get(_NAME, ""),
+                healthy=response.status == 200,
+                told=headers.read_load(response.headers),
+            )
+    except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
+        journal.debug("upstream_silent", error=repr(error))
+        return None
+
+
 class Finder(mode.Service):
     """Asks the upstream's health path until the worker is known.
 
@@ -52,16 +91,10 @@
             await self.sleep(PAUSE_S)
 
     async def _ask(self, path: str) -> None:
-        try:
-            async with self._session.get(
-                f"http://{self._address}{path}",
-                timeout=aiohttp.ClientTimeout(total=TIMEOUT_S),
-            ) as response:
-                name = response.headers.get(_NAME)
-                told = headers.read_load(response.headers)
-                good = response.status == 200
-        except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
-            journal.debug("upstream_silent", error=repr(error))
+        health = await ask_health(self._session, self._address, path)
+        if health is None or not health.healthy or not health.name:
             return
-        if good and name and not self._beats.heard:
-            self._beats.learn(name, told.slots if told else _DEFAULT_SLOTS)
+        if not self._beats.heard:
+            told = health.told
+            slots = told.slots if told else _DEFAULT_SLOTS
+            self._beats.learn(health.name, slots)
--- a/packages/burdockdeal/burdockdeal/platform/surroundings.py
+++ b/packages/burdockdeal/burdockdeal/platform/surroundings.py
@@ -8,6 +8,7 @@
 from burdockdeal.daemon import metrics
 from burdockdeal.daemon import parts
 from burdockdeal.daemon import surroundings
+from burdockdeal.measurement import state as measurement
 from burdockdeal.platform import finder
 from burdockdeal.platform import headers
 from burdockdeal.platform import heartbeats
@@ -43,6 +44,13 @@
         services = shared.snapshot.services if shared.snapshot else {}
         return services.get(deployment.service, _NO_SERVICE).health_path
 
+    async def ask_load() -> measurement.Told | None:
+        path = find_health_path()
+        if not path:
+            return None
+        health = await finder.ask_health(control, deployment.upstream, path)
+        return health.told if health else None
+
     def is_watcher() -> bool:
         own = settings.daemon
         domain = settings.failure_domain
@@ -86,6 +94,7 @@
         gauges=(),
         on_newer=puller.pull_from,
         host=host,
+        ask_load=ask_load,
     )
 
 
--- a/packages/burdockdeal/burdockdeal/retry/attempts.py
+++ b/packages/burdockdeal/burdockdeal/retry/attempts.py
@@ -16,13 +16,18 @@
 from burdockdeal.retry import state
 from burdockdeal.serving import messages
 
-#: Open the answer of one send: call, request, instance and the send's
-#: number.
+#: Open the answer of one send: call, request, instance, the send's number
+#: and whether it waits for a slow machine.
 OpenTo = abc.Callable[
-    [call.Call, messages.Outbound, membership.Member, int], opening.Opened
+    [call.Call, messages.Outbound, membership.Member, int, bool],
+    opening.Opened,
 ]
 
 
+#: Reasons for which nothing was sent to an upstream, nor waited at it.
+_UNSENT = frozenset({verdict.Reason.UNREACHABLE, verdict.Reason.SLOWED})
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Outcome:
     """What became of one send, or of one and its hedge.
@@ -103,7 +108,7 @@
     ) -> messages.Answer:
         kept: Outcome | None = None
         outcome: Outcome | None = None
-        while member := self._choose(self._work, self._progress.tried):
+        while member := self._choose_next():
             outcome = await self._attempt(member, self._progress)
             if outcome.opened is not None:
                 stack.push_async_exit(outcome.opened)
@@ -112,6 +117,8 @@
                 kept = kept or outcome
             self._progress = self._note_failure(outcome)
             reason = outcome.error.reason if outcome.error else None
+            if reason is verdict.Reason.SLOWED:
+                self._progress = decisions.note_slow(self._progress)
             if reason in decisions.GONE_REASONS:
                 self._gone.note(member)
             if not self._may_resend(outcome):
@@ -120,6 +127,22 @@
             return kept.answer
         raise _give_up(self._progress, outcome)
 
+    def _choose_next(self) -> membership.Member | None:
+        """Choose where the call is sent next.
+
+        Where every instance was slow when it was asked, the call goes to
+        one of them once more, and waits there.
+        """
+        progress = self._progress
+        if progress.knocks < decisions.MOST_KNOCKS:
+            member = self._choose(self._work, progress.tried)
+            if member is not None or not progress.knocks:
+                return member
+        if progress.patient:
+            return self._choose(self._work, progress.tried)
+        self._progress = decisions.wait_for_slow(progress)
+        return self._choose(self._work, frozenset())
+
     def _pay_for_repeat(self) -> None:
         if not self._budget.pay(self._work):
             raise errors.NotRunError(
@@ -149,6 +172,7 @@
             self._outbound,
             member,
             progress.sends + 1,
+            progress.patient,
         )
 
     async def _send(
@@ -207,8 +231,7 @@
         return decisions.note_send(progress, member.daemon)
 
     def _count(self, error: errors.CallError | None) -> None:
-        unsent = error and error.reason is verdict.Reason.UNREACHABLE
-        if not unsent:
+        if error is None or error.reason not in _UNSENT:
             self._budget.count_send(self._work, first=not self._counted)
             self._counted = True
 
@@ -243,7 +266,9 @@
         if isinstance(outcome.error, errors.KeyHeldError):
             return False
         reason = outcome.error.reason if outcome.error else None
-        if reason in decisions.GONE_REASONS:
+        if reason in decisions.GONE_REASONS or (
+            reason is verdict.Reason.SLOWED
+        ):
             # The instance is now passed over, so that this ends by itself.
             return True
         account = self._budget.find(self._work)
--- a/packages/burdockdeal/burdockdeal/retry/decisions.py
+++ b/packages/burdockdeal/burdockdeal/retry/decisions.py
@@ -57,6 +57,10 @@
     }
 )
 
+#: Instances that a call asks in turn while each is slow at that moment;
+#: it then waits at one.
+MOST_KNOCKS = 4
+
 #: Seconds for which an entry passes over an instance that was gone, unless
 #: there is no other; the membership has then caught up.
 GONE_S = 1.0
@@ -137,6 +141,23 @@
     )
 
 
+def note_slow(progress: state.Progress) -> state.Progress:
+    """Take in that an instance was slow at that moment.
+
+    Nothing reached its upstream, so the send counts as none.
+    """
+    return dataclasses.replace(
+        progress,
+        resends=progress.resends + (progress.sends > 1),
+        knocks=progress.knocks + 1,
+    )
+
+
+def wait_for_slow(progress: state.Progress) -> state.Progress:
+    """Let a call wait at any instance, as none that it asked is quick."""
+    return dataclasses.replace(progress, patient=True, tried=frozenset())
+
+
 def may_resend(
     work: call.Call,
     progress: state.Progress,
--- a/packages/burdockdeal/burdockdeal/retry/state.py
+++ b/packages/burdockdeal/burdockdeal/retry/state.py
@@ -48,6 +48,8 @@
     :param tried: the daemons that it was sent to.
     :param exposed: whether an earlier send may have run.
     :param refused: whether an earlier send met a full instance.
+    :param knocks: instances that were slow when they were asked.
+    :param patient: whether it now waits where it is sent.
     """
 
     resends: int
@@ -55,3 +57,5 @@
     tried: frozenset[str] = frozenset()
     exposed: bool = False
     refused: bool = False
+    knocks: int = 0
+    patient: bool = False
--- a/packages/burdockdeal/burdockdeal/routing/board.py
+++ b/packages/burdockdeal/burdockdeal/routing/board.py
@@ -175,6 +175,22 @@
         key = group.Key(daemon, incarnation)
         return Watch(self, key, service, timed)
 
+    def describe(self, daemon: str, incarnation: int) -> dict[str, object]:
+        """Tell what is known of an instance, for a line of the log."""
+        held = self.find(group.Key(daemon, incarnation))
+        known: dict[str, object] = {"sent": held.sent}
+        report = self._load() if daemon == self._own else held.report
+        if report is None:
+            return known
+        age_s = self.clock() - held.reported_at
+        return known | {
+            "in_flight": report.in_flight,
+            "waiting": report.waiting,
+            "slots": report.slots,
+            "service_ms": report.service_ms,
+            "report_age_ms": 0 if daemon == self._own else round(age_s * 1000),
+        }
+
     def note_report(
         self, daemon: str, incarnation: int, report: state.Report
     ) -> None:
--- a/packages/burdockdeal/burdockdeal/routing/decisions.py
+++ b/packages/burdockdeal/burdockdeal/routing/decisions.py
@@ -47,6 +47,9 @@
 #: Seconds past an ejection after which a call is risked in any case.
 SPARED_S = 8.0
 
+#: Seconds for which what was told of a machine's slowness is believed.
+SLOWDOWN_MEMORY_S = 0.1
+
 #: A time at the upstream within this factor of the usual is the usual.
 SAME_FACTOR = 1.5
 
@@ -126,6 +129,20 @@
     return norm.service_s + weight * (reported - norm.service_s)
 
 
+def _estimate_slowdown(view: state.View) -> float:
+    """Estimate how much longer than usual work takes on a machine now.
+
+    What was told holds for a fraction of a second.
+    """
+    report = view.report
+    if report is None:
+        return 1.0
+    age_s = view.report_age_s + report.slowdown_age_ms / 1000
+    if age_s > SLOWDOWN_MEMORY_S:
+        return 1.0
+    return max(1.0, report.slowdown)
+
+
 def _soften(surplus: float, spread: float) -> float:
     """Smooth max(0, surplus) over the spread of what is believed."""
     scaled = surplus / spread
@@ -141,7 +158,7 @@
     else:
         slots = max(1, view.report.slots)
     load = _estimate_load(view, norm, slots)
-    service_s = _estimate_service(view, norm)
+    service_s = _estimate_service(view, norm) * _estimate_slowdown(view)
     queue = _soften(load + 1 - slots, slots * SPREAD_SHARE)
     wait_s = queue * service_s / slots
     usual_s = view.link_s + wait_s + service_s
--- a/packages/burdockdeal/burdockdeal/routing/state.py
+++ b/packages/burdockdeal/burdockdeal/routing/state.py
@@ -19,6 +19,9 @@
         answers, in milliseconds.
     :param failed_share: share of the upstream's recent answers that were
         server errors.
+    :param slowdown: how many times as long as usual work takes on its
+        machine, as it was last told.
+    :param slowdown_age_ms: milliseconds since that was told.
     """
 
     in_flight: int
@@ -27,6 +30,8 @@
     service_ms: float = 0.0
     spent_ms: float = 0.0
     failed_share: float = 0.0
+    slowdown: float = 1.0
+    slowdown_age_ms: float = 60_000.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/burdockdeal/burdockdeal/serving/entry.py
+++ b/packages/burdockdeal/burdockdeal/serving/entry.py
@@ -17,7 +17,6 @@
 from burdockdeal.retry import absence
 from burdockdeal.retry import attempts
 from burdockdeal.retry import budget as budgets
-from burdockdeal.retry import decisions as retry
 from burdockdeal.routing import board
 from burdockdeal.serving import bodies
 from burdockdeal.serving import classify
@@ -52,10 +51,25 @@
     :param choose_service: chooses among the services of a rule.
     """
 
+    def log_send(send: messages.Send) -> None:
+        known = tallies.describe(send.daemon, send.incarnation)
+        journal.record_request(
+            "request_sent",
+            request_id=send.request.request_id,
+            service=send.request.service,
+            instance=send.daemon,
+            incarnation=send.incarnation,
+            attempt=send.attempt,
+            patient=send.patient or None,
+            remaining_ms=round((send.request.deadline - clock()) * 1000),
+            **known,
+        )
+
     @contextlib.asynccontextmanager
     async def watch_send(
         send: messages.Send,
     ) -> abc.AsyncIterator[messages.Answer]:
+        log_send(send)
         with tallies.watch(
             send.daemon,
             send.incarnation,
@@ -71,6 +85,7 @@
         outbound: messages.Outbound,
         member: membership.Member,
         attempt: int,
+        patient: bool,
     ) -> contextlib.AbstractAsyncContextManager[messages.Answer]:
         return watch_send(
             messages.Send(
@@ -81,6 +96,7 @@
                 incarnation=member.upstream_incarnation,
                 attempt=attempt,
                 daemon_incarnation=member.incarnation,
+                patient=patient,
             )
         )
 
@@ -110,6 +126,19 @@
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
         request_id = new_id()
         rank = ""
+        started = clock()
+        standing = None
+
+        def log_end(event: str, **fields: object) -> None:
+            journal.record_request(
+                event,
+                request_id=request_id,
+                rank=rank,
+                revision=standing.revision if standing else 0,
+                elapsed_ms=round((clock() - started) * 1000, 1),
+                **fields,
+            )
+
         try:
             terms = speech.read_terms(request.headers)
             request_id = terms.request_id or request_id
@@ -130,23 +159,19 @@
             with guard.hold(work):
                 answer = await answer_call(request, work)
             count(rank, verdict.Verdict.RAN)
-            journal.debug("request_answered", request_id=request_id, rank=rank)
+            log_end("request_answered", status=answer.status)
             return answer
         except errors.CallError as error:
             count(rank, error.outcome)
-            # A flood's refusals are counted, and only shown if asked for.
-            flood = error.reason in retry.FULL_REASONS
-            (journal.debug if flood else journal.record)(
+            log_end(
                 "request_refused",
-                request_id=request_id,
-                rank=rank,
                 verdict=error.outcome,
                 reason=error.reason,
                 detail=error.detail,
             )
             return speech.build_refusal(error, request_id)
         except asyncio.CancelledError:
-            journal.record("caller_gone", request_id=request_id, rank=rank)
+            log_end("caller_gone")
             raise
 
     return handle
--- a/packages/burdockdeal/burdockdeal/serving/messages.py
+++ b/packages/burdockdeal/burdockdeal/serving/messages.py
@@ -91,6 +91,7 @@
     :param attempt: 1 for the first send.
     :param daemon_incarnation: the daemon's, as the sender knows it.
     :param sent_at: the daemon's clock when it is sent, at the least.
+    :param patient: whether it waits for a slow machine.
     """
 
     request: call.Call
@@ -101,6 +102,7 @@
     attempt: int
     daemon_incarnation: int = 0
     sent_at: float | None = None
+    patient: bool = False
 
 
 #: Open an answer to a send; raises CallError if there is none.
--- a/packages/burdockdeal/burdockdeal/serving/owner.py
+++ b/packages/burdockdeal/burdockdeal/serving/owner.py
@@ -19,7 +19,9 @@
 from burdockdeal.core import codec
 from burdockdeal.core import errors
 from burdockdeal.core import headers
+from burdockdeal.core import journal
 from burdockdeal.core import verdict
+from burdockdeal.measurement import freshness
 from burdockdeal.measurement import meter
 from burdockdeal.routing import state as routing
 from burdockdeal.serving import bodies
@@ -82,6 +84,7 @@
     ledger: ledgers.Ledger,
     prepare: abc.Callable[[messages.Send], abc.Awaitable[None]],
     times: meter.Meter,
+    fresh: freshness.Freshness,
     speech: dialect.Dialect,
 ) -> messages.OpenAnswer:
     """Make the function that opens answers of the upstream beside us.
@@ -90,6 +93,7 @@
     :param ledger: knows which sends may start.
     :param prepare: called with each send once it has its slot.
     :param times: takes how long the upstream takes.
+    :param fresh: keeps what the upstream tells of its load fresh.
     :param speech: the upstream's headers.
     """
 
@@ -106,6 +110,30 @@
         if not send.request.idempotent:
             ledger.check(*_name_send(send))
 
+    def log_start(send: messages.Send, waited_s: float) -> None:
+        told = times.told
+        journal.record_request(
+            "request_started",
+            request_id=send.request.request_id,
+            attempt=send.attempt,
+            upstream=side.upstream.announce.name or None,
+            waited_ms=round(waited_s * 1000, 1),
+            running=slots.running,
+            waiting=slots.waiting,
+            remaining_ms=round((send.request.deadline - clock()) * 1000),
+            slowdown=told.slowdown if told else None,
+            told_age_ms=round(times.told_age_s * 1000) if told else None,
+        )
+
+    def log_answer(send: messages.Send, status: int, spent_s: float) -> None:
+        journal.record_request(
+            "upstream_answered",
+            request_id=send.request.request_id,
+            attempt=send.attempt,
+            status=status,
+            spent_ms=round(spent_s * 1000, 1),
+        )
+
     @contextlib.contextmanager
     def watch_address() -> abc.Iterator[None]:
         try:
@@ -122,12 +150,17 @@
         standing = snapshot()
         if standing is None:
             raise errors.NotRunError(verdict.Reason.NOT_CONFIGURED)
+        arrived = clock()
         check(send)
         terms = _terms(standing, send.request.rank)
+        await fresh.freshen()
+        if times.is_slow and send.patient:
+            fresh.watch(lambda: slots.waiting > 0 and times.is_slow)
         async with slots.hold_slot(
             terms,
             send.request.deadline,
             streamed=send.outbound.body.streamed,
+            patient=send.patient,
         ):
             await prepare(send)
             # The waits may have been long. From here to the first byte
@@ -137,6 +170,7 @@
                 ledger.start(*_name_send(send))
             now = clock()
             announced = side.upstream.announce
+            log_start(send, now - arrived)
             with (
                 watch_address(),
                 times.watch(timed=not send.outbound.body.streamed) as head,
@@ -152,9 +186,33 @@
                     head(response.status)
                     _check_answer(speech, send, response)
                     times.note_told(speech.read_load(response.headers))
+                    log_answer(send, response.status, clock() - now)
                     yield messages.read_answer(response)
 
-    return open_answer
+    @contextlib.asynccontextmanager
+    async def open_logged(
+        send: messages.Send,
+    ) -> abc.AsyncIterator[messages.Answer]:
+        started = clock()
+        try:
+            async with open_answer(send) as answer:
+                yield answer
+        except errors.CallError as error:
+            journal.record_request(
+                "send_refused",
+                request_id=send.request.request_id,
+                attempt=send.attempt,
+                verdict=error.outcome,
+                reason=error.reason,
+                detail=error.detail,
+                held_ms=round((clock() - started) * 1000, 1),
+                running=slots.running,
+                waiting=slots.waiting,
+                phase=side.upstream.phase,
+            )
+            raise
+
+    return open_logged
 
 
 def _read_holder(
@@ -219,6 +277,7 @@
             incarnation=envelope.incarnation,
             attempt=envelope.attempt,
             daemon_incarnation=envelope.daemon_incarnation,
+            patient=envelope.patient,
         )
         try:
             async with open_answer(send) as answer:
--- a/packages/burdockdeal/burdockdeal/serving/peers.py
+++ b/packages/burdockdeal/burdockdeal/serving/peers.py
@@ -71,6 +71,7 @@
             now,
             daemon_incarnation=send.daemon_incarnation,
             sent_at=send.sent_at,
+            patient=send.patient,
         )
         async with transfer.open_response(
             session,
