Keep the fleet's retries within one bound; reload settings; push changes

Change: what stands is read after each watch without an event. An entry keeps to its part of what the fleet may send again; sends that reach no upstream count as none, whatever a route's limit; a daemon tells 32 others of its own change at once; the settings file is read again when it changes.

--- a/packages/burdockdeal/burdockdeal/daemon/main.py
+++ b/packages/burdockdeal/burdockdeal/daemon/main.py
@@ -14,6 +14,7 @@
 from burdockdeal.daemon import loop
 from burdockdeal.settings import loader
 from burdockdeal.settings import model
+from burdockdeal.settings import reload
 
 _TICK_S = 0.1
 
@@ -22,11 +23,13 @@
 EXIT_SETTINGS = 2
 
 
-async def _serve(settings: model.Settings) -> int:
+async def _serve(settings: model.Settings, path: str) -> int:
     running = asyncio.get_running_loop()
     async with assembly.run_daemon(settings) as parts:
         for number in (signal.SIGTERM, signal.SIGINT):
             running.add_signal_handler(number, parts.stopping.ask)
+        watch = reload.Reload(path, settings, parts.take_settings, parts.clock)
+        running.add_signal_handler(signal.SIGHUP, watch.ask)
         journal.record(
             "daemon_started",
             daemon=settings.daemon,
@@ -47,6 +50,7 @@
                 # Another process runs under this name: give way to it,
                 # and cut nothing.
                 parts.stopping.give_way()
+            watch.tick()
             parts.stopping.tick()
             await asyncio.sleep(_TICK_S)
     journal.record("daemon_stopped", daemon=settings.daemon)
@@ -67,7 +71,7 @@
             print(f"{error.subject}: {fault}", file=sys.stderr)
         return EXIT_SETTINGS
     with asyncio.Runner(loop_factory=loop.new_loop) as runner:
-        return runner.run(_serve(checked))
+        return runner.run(_serve(checked, settings))
 
 
 def run() -> None:
--- a/packages/burdockdeal/burdockdeal/daemon/parts.py
+++ b/packages/burdockdeal/burdockdeal/daemon/parts.py
@@ -16,6 +16,7 @@
 from burdockdeal.membership import roster
 from burdockdeal.overload import connections
 from burdockdeal.overload import guard as guards
+from burdockdeal.retry import allowance
 from burdockdeal.retry import budget as budgets
 from burdockdeal.routing import board
 from burdockdeal.routing import state as routing
@@ -63,7 +64,7 @@
         self.board = board.Board(
             settings.daemon, settings.failure_domain, self.clock, self.load
         )
-        self.budget = budgets.Budget()
+        self.budget = budgets.Budget(self._make_allowance())
         self.bounds = connections.bound_listeners(settings.limits, self.clock)
         self.splits = splits.Splits()
         self.snapshot: classify.Snapshot | None = None
@@ -74,6 +75,19 @@
         self.standing.on_change(self._take_configuration)
         self.roster.on_change(self._take_member)
 
+    def take_settings(self, settings: model.Settings) -> None:
+        """Take in settings that may change while the daemon runs."""
+        self.settings = settings
+
+    def _make_allowance(self) -> allowance.Allowance | None:
+        if self.settings.fleet_retries is None:
+            return None
+        return allowance.Allowance(
+            lambda: self.settings.fleet_retries,
+            lambda: self.roster.size,
+            self.clock,
+        )
+
     def _slots(self) -> int:
         upstream = self.side.upstream
         if upstream.announce is None:
--- a/packages/burdockdeal/burdockdeal/membership/decisions.py
+++ b/packages/burdockdeal/burdockdeal/membership/decisions.py
@@ -20,6 +20,10 @@
 #: Each news is sent this many times the logarithm of the fleet's size.
 SPREAD_FACTOR = 3
 
+#: Daemons that are told of a daemon's own change at once; the others hear
+#: of it beside probes.
+PUSH_FANOUT = 32
+
 #: Buckets over which two rosters are compared.
 BUCKETS = 1024
 
--- a/packages/burdockdeal/burdockdeal/membership/service.py
+++ b/packages/burdockdeal/burdockdeal/membership/service.py
@@ -72,6 +72,7 @@
         self._suspects: dict[str, float] = {}
         self._gone_at: dict[str, float] = {}
         self._compared_at = clock()
+        self._is_push_due = False
         standing.on_change(self._note_change)
 
     @property
@@ -245,10 +246,28 @@
         if ping.revision > self._revision():
             self._on_newer(ping.sender.peer)
 
+    def _push_own(self) -> None:
+        """Tell some daemons of a change at once, not with the next probe."""
+        self._is_push_due = False
+        peers = self._roster.peers
+        chosen = self._chance.sample(
+            peers, min(decisions.PUSH_FANOUT, len(peers))
+        )
+        for peer in chosen:
+            self.add_future(self._ping(peer.peer, peer.daemon))
+
+    def _expect_push(self) -> None:
+        if self._is_push_due or not self.started:
+            return
+        self._is_push_due = True
+        asyncio.get_running_loop().call_soon(self._push_own)
+
     def _note_change(
         self, known: messages.Member | None, stands: messages.Member
     ) -> None:
         daemon = stands.daemon
+        if daemon == self._roster.own.daemon:
+            self._expect_push()
         if stands.health is not messages.Health.SUSPECT:
             self._suspects.pop(daemon, None)
         elif known is None or known.health is not messages.Health.SUSPECT:
--- /dev/null
+++ b/packages/burdockdeal/burdockdeal/platform/tests/test_configuration.py
@@ -0,0 +1,116 @@
+"""The platform's configuration, made into resources."""
+
+import json
+
+import pytest
+
+from burdockdeal.configuration import resources
+from burdockdeal.core import codec
+from burdockdeal.platform import configuration
+from burdockdeal.serving import classify
+from burdockdeal.serving import dialect
+from burdockdeal.serving import splits
+
+ROUTES = [
+    {
+        "name": "r-a",
+        "host": "a.example",
+        "pathPrefix": "/x/",
+        "kind": "safe",
+        "timeoutMs": 1500,
+        "targetLatencyMs": 600,
+        "priority": 1,
+        "trafficSplit": [
+            {"service": "one", "weight": 90},
+            {"service": "two", "weight": 10},
+        ],
+        "maxAttempts": 2,
+    },
+    {
+        "name": "r-b",
+        "host": "a.example",
+        "pathPrefix": "/x/y/",
+        "kind": "unsafe",
+        "timeoutMs": 1200,
+        "targetLatencyMs": 800,
+        "priority": 0,
+        "service": "two",
+        "maxAttempts": 2,
+        "novelty": {"a": 1},
+    },
+]
+DOCUMENT = {
+    "version": "r7",
+    "routes": ROUTES,
+    "services": [
+        {"name": "one", "healthPath": "/health", "maxConnections": 220},
+        {"name": "two", "healthPath": "/health", "tls": False},
+    ],
+    "limits": {"maxHeaderBytes": 16384, "idleTimeoutMs": 15000},
+    "baseVersion": "r5",
+}
+
+
+def classify_one(document: dict, method: str, path: str, host: str):
+    snapshot = classify.build_snapshot(
+        configuration.read(json.dumps(document))
+    )
+    return classify.classify(
+        snapshot,
+        method,
+        path,
+        host,
+        dialect.Terms(allowed_ms=5000.0),
+        request_id="r",
+        now=100.0,
+        choose_service=splits.Splits().choose_service,
+    )
+
+
+def test_the_longest_prefix_wins() -> None:
+    outer = classify_one(DOCUMENT, "GET", "/x/1", "a.example")
+    inner = classify_one(DOCUMENT, "GET", "/x/y/1", "a.example:80")
+    assert outer.service == "one"
+    assert outer.idempotent
+    assert outer.deadline == pytest.approx(101.5)
+    assert inner.service == "two"
+
+
+def test_the_kind_decides_what_may_repeat_whatever_the_method() -> None:
+    assert not classify_one(DOCUMENT, "GET", "/x/y/", "a.example").idempotent
+    assert classify_one(DOCUMENT, "POST", "/x/", "a.example").idempotent
+
+
+def test_another_host_has_no_route() -> None:
+    with pytest.raises(classify.errors.NotRunError):
+        classify_one(DOCUMENT, "GET", "/x/1", "b.example")
+
+
+def test_a_split_is_shared_by_weight() -> None:
+    snapshot = classify.build_snapshot(
+        configuration.read(json.dumps(DOCUMENT))
+    )
+    rule = snapshot.match("GET", "/x/1", "a.example")
+    choose = splits.Splits().choose_service
+    chosen = [choose(rule) for _ in range(100)]
+    assert chosen.count("two") == 10
+    assert chosen[:20].count("two") == 2
+
+
+def test_limits_and_version_are_read() -> None:
+    read = configuration.read(json.dumps(DOCUMENT))
+    assert read.revision == 7
+    snapshot = classify.build_snapshot(read)
+    assert snapshot.callers == resources.CallerLimits(
+        header_bytes=16384, body_bytes=67_108_864, head_s=10.0, idle_s=15.0
+    )
+
+
+@pytest.mark.parametrize("version", ["7", "r", "x7", "r-7", 7, None])
+def test_a_version_is_a_letter_and_a_number(version) -> None:
+    document = json.dumps({**DOCUMENT, "version": version})
+    if version == "7":
+        assert configuration.read(document).revision == 7
+        return
+    with pytest.raises(codec.MalformedError):
+        configuration.read(document)
--- a/packages/burdockdeal/burdockdeal/platform/watcher.py
+++ b/packages/burdockdeal/burdockdeal/platform/watcher.py
@@ -64,9 +64,12 @@
                 seen = None
                 await self._pause(error)
 
-    async def _follow(self, seen: int | None) -> int:
+    async def _follow(self, seen: int | None) -> int | None:
         """Take in what stands, or what is new.
 
+        A watch that ends without an event proves nothing: the store may
+        have dropped the history that held one. So what stands is read.
+
         :param seen: the store's revision of what was taken in, None if it
             isn't known.
         :returns: the same, as of now.
@@ -81,14 +84,14 @@
         await self.sleep(GAP_S)
         return await self._watch(seen)
 
-    async def _watch(self, seen: int) -> int:
+    async def _watch(self, seen: int) -> int | None:
         listing = await self._store.watch(
             configuration.KEY, after=seen, wait_s=WATCH_S
         )
         for entry in listing.entries:
             if entry.key == configuration.KEY:
                 self._take(entry)
-        return max(seen, listing.revision)
+        return listing.revision if listing.entries else None
 
     def _take(self, entry: messages.Entry) -> None:
         try:
--- a/packages/burdockdeal/burdockdeal/retry/attempts.py
+++ b/packages/burdockdeal/burdockdeal/retry/attempts.py
@@ -117,8 +117,10 @@
                 kept = kept or outcome
             self._progress = self._note_failure(outcome)
             reason = outcome.error.reason if outcome.error else None
-            if reason is verdict.Reason.SLOWED:
-                self._progress = decisions.note_slow(self._progress)
+            if reason in decisions.PASSING_REASONS:
+                self._progress = decisions.note_unreached(
+                    self._progress, reason
+                )
             if reason in decisions.GONE_REASONS:
                 self._gone.note(member)
             if not self._may_resend(outcome):
@@ -266,9 +268,7 @@
         if isinstance(outcome.error, errors.KeyHeldError):
             return False
         reason = outcome.error.reason if outcome.error else None
-        if reason in decisions.GONE_REASONS or (
-            reason is verdict.Reason.SLOWED
-        ):
+        if reason in decisions.PASSING_REASONS:
             # The instance is now passed over, so that this ends by itself.
             return True
         account = self._budget.find(self._work)
--- a/packages/burdockdeal/burdockdeal/retry/budget.py
+++ b/packages/burdockdeal/burdockdeal/retry/budget.py
@@ -3,14 +3,20 @@
 import dataclasses
 
 from burdockdeal.core import call
+from burdockdeal.retry import allowance as allowances
 from burdockdeal.retry import decisions
 from burdockdeal.retry import state
 
 
 class Budget:
-    """Holds an account for each service and rank, and the tally."""
+    """Holds an account for each service and rank, and the tally.
 
-    def __init__(self) -> None:
+    :param allowance: what the entry may add to the fleet's sends; None
+        without a bound on the fleet.
+    """
+
+    def __init__(self, allowance: allowances.Allowance | None = None) -> None:
+        self._allowance = allowance
         self._accounts: dict[tuple[str, str], state.Account] = {}
         self.tally = state.Tally()
 
@@ -28,6 +34,8 @@
         :param first: whether it is the call's first here.
         """
         tally = self.tally
+        if self._allowance is not None:
+            self._allowance.count(work.service, first=first)
         earns = first and decisions.is_first(work)
         self.tally = dataclasses.replace(
             tally,
@@ -43,7 +51,9 @@
         :returns: False if the account can't pay.
         """
         account = decisions.pay(self.find(work))
-        if account is None:
+        shared = self._allowance
+        allowed = shared is None or shared.may_repeat(work.service)
+        if account is None or not allowed:
             self.deny()
             return False
         self._keep(work, account)
--- a/packages/burdockdeal/burdockdeal/retry/decisions.py
+++ b/packages/burdockdeal/burdockdeal/retry/decisions.py
@@ -57,6 +57,13 @@
     }
 )
 
+#: Sends of one call at most, those included that reach no upstream.
+MOST_SENDS = 10
+
+#: Refusals at once, by which nothing has reached an upstream and nothing
+#: has waited: the call goes elsewhere at no cost.
+PASSING_REASONS = GONE_REASONS | {verdict.Reason.SLOWED}
+
 #: Instances that a call asks in turn while each is slow at that moment;
 #: it then waits at one.
 MOST_KNOCKS = 4
@@ -101,7 +108,7 @@
 def begin(work: call.Call) -> state.Progress:
     """Begin a call at its entry."""
     return state.Progress(
-        resends=min(LAYER_TOKENS, work.retry_tokens, work.most_sends - 1)
+        left=1 + min(LAYER_TOKENS, work.retry_tokens, work.most_sends - 1)
     )
 
 
@@ -119,7 +126,7 @@
     """Take in that a call is sent."""
     return dataclasses.replace(
         progress,
-        resends=progress.resends - (progress.sends > 0),
+        left=progress.left - 1,
         sends=progress.sends + 1,
         tried=progress.tried | {daemon},
     )
@@ -141,15 +148,14 @@
     )
 
 
-def note_slow(progress: state.Progress) -> state.Progress:
-    """Take in that an instance was slow at that moment.
-
-    Nothing reached its upstream, so the send counts as none.
-    """
+def note_unreached(
+    progress: state.Progress, reason: verdict.Reason
+) -> state.Progress:
+    """Take in that a send did not reach an upstream, so counts as none."""
     return dataclasses.replace(
         progress,
-        resends=progress.resends + (progress.sends > 1),
-        knocks=progress.knocks + 1,
+        left=progress.left + 1,
+        knocks=progress.knocks + (reason is verdict.Reason.SLOWED),
     )
 
 
@@ -174,7 +180,8 @@
     return (
         (work.idempotent or not progress.exposed)
         and replayable
-        and progress.resends > 0
+        and progress.left > 0
+        and progress.sends < MOST_SENDS
         and now < work.deadline
     )
 
@@ -231,7 +238,7 @@
     allowed = (
         work.idempotent
         and replayable
-        and progress.resends > 0
+        and progress.left > 0
         and account.usual_s > 0
         and account.tokens >= HEDGE_TOKENS
         and not is_full(account, now)
--- a/packages/burdockdeal/burdockdeal/retry/state.py
+++ b/packages/burdockdeal/burdockdeal/retry/state.py
@@ -43,7 +43,7 @@
 class Progress:
     """How far one call has come at its entry.
 
-    :param resends: sends that it may still cause here.
+    :param left: sends that may still reach an upstream from here.
     :param sends: how often it was sent.
     :param tried: the daemons that it was sent to.
     :param exposed: whether an earlier send may have run.
@@ -52,7 +52,7 @@
     :param patient: whether it now waits where it is sent.
     """
 
-    resends: int
+    left: int
     sends: int = 0
     tried: frozenset[str] = frozenset()
     exposed: bool = False
--- a/packages/burdockdeal/burdockdeal/retry/tests/test_attempts.py
+++ b/packages/burdockdeal/burdockdeal/retry/tests/test_attempts.py
@@ -26,6 +26,7 @@
     "full": lambda: errors.NotRunError(Reason.QUEUE_FULL),
     "away": lambda: errors.NotRunError(Reason.UNREACHABLE),
     "leaving": lambda: errors.NotRunError(Reason.DRAINING),
+    "slowed": lambda: errors.NotRunError(Reason.SLOWED),
     "broken": lambda: errors.MayHaveRunError(Reason.BROKEN_CONNECTION),
 }
 OUTBOUND = types.SimpleNamespace(
@@ -54,6 +55,8 @@
         self.budgets = [budgets.Budget() for _ in range(DAEMONS)]
         self.begins: dict[int, list] = {}
         self.gone: str | None = None
+        self.slow: frozenset[str] = frozenset()
+        self.patient: list[bool] = []
         self.runs = 0
         self.cancelled = 0
         self.log: list[str] = []
@@ -66,11 +69,14 @@
         return types.SimpleNamespace(daemon=daemon, upstream_incarnation=1)
 
     @contextlib.asynccontextmanager
-    async def _open(self, work, outbound, member, attempt):
+    async def _open(self, work, outbound, member, attempt, patient):
         layer = self.layers[work.depth]
+        self.patient.append(patient)
         fails = self.chance.random() < layer.failing
         kind = layer.failure if fails else "served"
         kind = "leaving" if member.daemon == self.gone else kind
+        if member.daemon in self.slow and not patient:
+            kind = "slowed"
         loop = asyncio.get_running_loop()
         self.log.append(
             f"{loop.time() * 1000:.0f} ms: call {work.request_id} at depth"
@@ -247,9 +253,9 @@
 
 def test_the_verdict_tells_of_every_send() -> None:
     error = attempts._give_up(
-        state.Progress(resends=0, exposed=True),
+        state.Progress(left=0, exposed=True),
         attempts.Outcome(
-            state.Progress(resends=0),
+            state.Progress(left=0),
             error=errors.NotRunError(Reason.QUEUE_FULL),
         ),
     )
@@ -278,3 +284,32 @@
     world = World(layers, 11)
     virtual.run(world.play(8))
     assert world.log == snapshot
+
+
+def test_work_goes_past_slow_instances_at_no_cost() -> None:
+    world = World([Layer(idempotent=False)], 5)
+    world.slow = frozenset({"d0", "d1"})
+    statuses = virtual.run(world.play(300))
+    assert statuses == [200] * 300
+    assert world.runs == 300
+    assert not any(world.patient)
+    assert world.sends == world.first_sends
+
+
+def test_work_waits_at_one_instance_where_all_are_slow() -> None:
+    world = World([Layer(idempotent=False)], 5)
+    world.slow = frozenset({"d0", "d1", "d2"})
+    statuses = virtual.run(world.play(100))
+    assert statuses == [200] * 100
+    assert world.runs == 100
+    assert world.patient.count(True) == 100
+    assert world.patient.count(False) == 100 * DAEMONS
+
+
+def test_work_for_one_instance_only_may_still_pass_slow_ones() -> None:
+    work = call.Call("r", "s", "", 10.0, most_sends=1, retry_tokens=16)
+    progress = decisions.note_send(decisions.begin(work), "d0")
+    assert not decisions.may_resend(work, progress, replayable=True, now=0)
+    for reason in decisions.PASSING_REASONS:
+        passed = decisions.note_unreached(progress, reason)
+        assert decisions.may_resend(work, passed, replayable=True, now=0)
--- a/packages/burdockdeal/burdockdeal/settings/model.py
+++ b/packages/burdockdeal/burdockdeal/settings/model.py
@@ -184,6 +184,8 @@
     :param store_budget: bounds on calls to the platform's store.
     :param deployment: set where the platform brings configuration and
         heartbeats, not operators and upstreams themselves.
+    :param fleet_retries: a bound on what all daemons send again; None to
+        leave it to the accounts of each.
     :param policy: the routing policy's name.
     """
 
@@ -197,7 +199,7 @@
     peers: tuple[Address, ...] = ()
     advertise: Address | None = None
     deployment: Deployment | None = None
-    fleet_retries: FleetRetries = FleetRetries()
+    fleet_retries: FleetRetries | None = None
     policy: Policy = "hot_cold"
     seed: int | None = None
     limits: Limits = Limits()
