Run on asyncio's own loop: uvloop closed other connections' sockets

Where a connect is cancelled, aiohttp closes its socket and uvloop closes it again; by then the number may belong to another connection, which loses its bytes or gets another's. Ruled out: the sockets that the daemon makes itself (the fault shows without them), sudden ends of peers.

--- a/packages/bench/burdockdeal_bench/caller.py
+++ b/packages/bench/burdockdeal_bench/caller.py
@@ -11,6 +11,7 @@
 
 from burdockdeal.core import codec
 from burdockdeal.core import headers
+from burdockdeal.daemon import loop as loops
 from burdockdeal_bench import plan
 
 _UPLOAD_PARTS = 10
@@ -86,10 +87,8 @@
 def run(*, plan_file: str, outcome_file: str) -> None:
     """Send the requests of a plan and write down what became of them."""
     os.environ["UV_USE_IO_URING"] = "0"
-    import uvloop
-
     wanted = codec.decode(pathlib.Path(plan_file).read_bytes(), plan.Plan)
-    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+    with asyncio.Runner(loop_factory=loops.new_loop) as runner:
         outcomes = runner.run(send_all(wanted))
     pathlib.Path(outcome_file).write_bytes(codec.encode(outcomes))
 
--- a/packages/burdockdeal/burdockdeal/daemon/loop.py
+++ b/packages/burdockdeal/burdockdeal/daemon/loop.py
@@ -1,8 +1,12 @@
-"""The loop that a daemon runs on: uvloop, on one thread, no io_uring."""
+"""The loop that a daemon runs on: asyncio's own, on one thread.
+
+uvloop is no choice: where a connect is cancelled, aiohttp and uvloop both
+close its socket, and the second close hits whatever connection has taken
+the descriptor meanwhile.
+"""
 
 import asyncio
 import ipaddress
-import os
 import socket
 import typing
 
@@ -32,20 +36,15 @@
     )
 
 
-def new_loop() -> asyncio.AbstractEventLoop:
-    """Make a loop that starts no thread and uses no io_uring.
+class _Loop(asyncio.SelectorEventLoop):
+    """A loop that resolves IP numbers only, and so starts no thread."""
 
-    uvloop hands even IP numbers to its pool of threads as soon as a
-    socket connects; here they are answered at once.
-    """
-    # libuv reads this when it makes its first loop.
-    os.environ["UV_USE_IO_URING"] = "0"
-    import uvloop
+    async def getaddrinfo(
+        self, host: str, port: int, **hints: int
+    ) -> list[AddressInfo]:
+        return [resolve(host, port)]
 
-    class Loop(uvloop.Loop):
-        async def getaddrinfo(
-            self, host: str, port: int, **hints: int
-        ) -> list[AddressInfo]:
-            return [resolve(host, port)]
 
-    return Loop()
+def new_loop() -> asyncio.AbstractEventLoop:
+    """Make the loop that a daemon runs on."""
+    return _Loop()
--- a/packages/burdockdeal/burdockdeal/retry/decisions.py
+++ b/packages/burdockdeal/burdockdeal/retry/decisions.py
@@ -238,7 +238,7 @@
     allowed = (
         work.idempotent
         and replayable
-        and progress.left > 0
+        and progress.left > 1
         and account.usual_s > 0
         and account.tokens >= HEDGE_TOKENS
         and not is_full(account, now)
--- a/packages/burdockdeal/burdockdeal/retry/tests/test_allowance.py
+++ b/packages/burdockdeal/burdockdeal/retry/tests/test_allowance.py
@@ -38,9 +38,7 @@
 
 @given(
     strategies.lists(
-        strategies.tuples(
-            strategies.floats(0.0, 2.0), strategies.booleans()
-        ),
+        strategies.tuples(strategies.floats(0.0, 2.0), strategies.booleans()),
         max_size=300,
     )
 )
--- a/packages/burdockdeal/burdockdeal/settings/reload.py
+++ b/packages/burdockdeal/burdockdeal/settings/reload.py
@@ -28,9 +28,7 @@
     )
 
 
-def take_live(
-    before: model.Settings, after: model.Settings
-) -> model.Settings:
+def take_live(before: model.Settings, after: model.Settings) -> model.Settings:
     """Make the settings that a running daemon goes on with."""
     live = {name: getattr(after, name) for name in LIVE_FIELDS}
     return dataclasses.replace(before, **live)
--- a/packages/standins/burdockdeal_standins/passthrough.py
+++ b/packages/standins/burdockdeal_standins/passthrough.py
@@ -8,6 +8,7 @@
 import fire
 import yarl
 
+from burdockdeal.daemon import loop as loops
 from burdockdeal_standins import process
 
 _KEPT_OUT = ("Connection", "Transfer-Encoding", "Content-Length")
@@ -50,9 +51,7 @@
             await runner.cleanup()
 
     os.environ["UV_USE_IO_URING"] = "0"
-    import uvloop
-
-    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+    with asyncio.Runner(loop_factory=loops.new_loop) as runner:
         runner.run(main())
 
 
