Read the configuration now and then, and tell the fleet of a newer one

Ruled out: the drop of the history (410 reads what stands), pulls from peers (none knew it). Change: one daemon of a failure domain reads the key each 0.7 s; two watch. Whoever puts a newer configuration in force tells 12 others at once, and they pull it. A watcher that stops ends its watch.

--- a/packages/burdockdeal/burdockdeal/configuration/peers.py
+++ b/packages/burdockdeal/burdockdeal/configuration/peers.py
@@ -130,7 +130,11 @@
 
     def _pin(self) -> None:
         now = self._clock()
-        if now - self._pinned_at >= _PIN_S:
+        revision = self._pinned[0].revision if self._pinned else 0
+        outdated = len(self._pinned) <= 1 and (
+            revision != self._standing.revision
+        )
+        if outdated or now - self._pinned_at >= _PIN_S:
             self._pinned_at = now
             self._pinned = snapshots.split(
                 self._standing.configuration, part_bytes=_PART_BYTES
--- a/packages/burdockdeal/burdockdeal/daemon/assembly.py
+++ b/packages/burdockdeal/burdockdeal/daemon/assembly.py
@@ -180,6 +180,7 @@
         members = _build_membership(
             shared, platform, messages, control.on_newer
         )
+        shared.standing.on_change(members.tell_change)
         probing = _build_measuring(shared, messages)
         told = metrics.Metrics(_make_gauges(shared, control, probing, guard))
         booked = bookings.Bookings(
--- a/packages/burdockdeal/burdockdeal/membership/decisions.py
+++ b/packages/burdockdeal/burdockdeal/membership/decisions.py
@@ -20,9 +20,9 @@
 #: Each news is sent this many times the logarithm of the fleet's size.
 SPREAD_FACTOR = 3
 
-#: Daemons that are told of a daemon's own change at once; the others hear
-#: of it beside probes.
-PUSH_FANOUT = 32
+#: Daemons that are told at once of a daemon's own change, and of a newer
+#: configuration; the others hear of it from these, or beside probes.
+PUSH_FANOUT = 12
 
 #: Buckets over which two rosters are compared.
 BUCKETS = 1024
--- a/packages/burdockdeal/burdockdeal/membership/service.py
+++ b/packages/burdockdeal/burdockdeal/membership/service.py
@@ -246,8 +246,11 @@
         if ping.revision > self._revision():
             self._on_newer(ping.sender.peer)
 
+    def tell_change(self) -> None:
+        """Tell some daemons of a change here, not with the next probe."""
+        self._expect_push()
+
     def _push_own(self) -> None:
-        """Tell some daemons of a change at once, not with the next probe."""
         self._is_push_due = False
         peers = self._roster.peers
         chosen = self._chance.sample(
--- a/packages/burdockdeal/burdockdeal/platform/surroundings.py
+++ b/packages/burdockdeal/burdockdeal/platform/surroundings.py
@@ -51,10 +51,9 @@
         health = await finder.ask_health(control, deployment.upstream, path)
         return health.told if health else None
 
-    def is_watcher() -> bool:
-        own = settings.daemon
+    def is_among(count: int) -> bool:
         domain = settings.failure_domain
-        return own in shared.roster.first_of(domain, deployment.watchers)
+        return settings.daemon in shared.roster.first_of(domain, count)
 
     puller = peers.Puller(
         settings, shared.standing, control, clock=shared.clock
@@ -81,7 +80,9 @@
                 platform.make_unbounded_lane(),
                 shared.standing,
                 shared.chance,
-                is_watcher,
+                is_watcher=lambda: is_among(deployment.watchers),
+                is_reader=lambda: is_among(1),
+                read_s=deployment.read_s,
             ),
             finder.Finder(
                 control, deployment.upstream, beats, find_health_path
--- a/packages/burdockdeal/burdockdeal/platform/watcher.py
+++ b/packages/burdockdeal/burdockdeal/platform/watcher.py
@@ -1,5 +1,6 @@
 """Following the configuration in the platform's store."""
 
+import asyncio
 from collections import abc
 import random
 
@@ -32,7 +33,13 @@
 class Watcher(mode.Service):
     """Puts the newest configuration of the store in force.
 
+    A watch may miss a change without a sign of it, so one daemon of a
+    failure domain also reads now and then. The others hear of a newer
+    configuration from each other.
+
     :param is_watcher: whether this daemon watches for its failure domain.
+    :param is_reader: whether this daemon reads for its failure domain.
+    :param read_s: seconds between two reads.
     """
 
     def __init__(
@@ -40,19 +47,32 @@
         platform: store.Store,
         in_force: standing.Standing,
         chance: random.Random,
+        *,
         is_watcher: abc.Callable[[], bool],
+        is_reader: abc.Callable[[], bool],
+        read_s: float,
     ) -> None:
         super().__init__()
         self._store = platform
         self._standing = in_force
         self._chance = chance
         self._is_watcher = is_watcher
+        self._is_reader = is_reader
+        self._read_s = read_s
         self._failures = 0
+        self._is_ending = False
+        self._watching: asyncio.Future[messages.Listing] | None = None
+
+    async def on_stop(self) -> None:
+        """End the watch that waits."""
+        self._is_ending = True
+        if self._watching is not None:
+            self._watching.cancel()
 
     @mode.Service.task
     async def _follow_forever(self) -> None:
         seen: int | None = None
-        while not self.should_stop:
+        while not self._is_ending:
             if self._standing.revision and not self._is_watcher():
                 seen = None
                 await self.sleep(_IDLE_S)
@@ -64,6 +84,20 @@
                 seen = None
                 await self._pause(error)
 
+    @mode.Service.task
+    async def _read_forever(self) -> None:
+        while not self.should_stop:
+            await self.sleep(self._read_s)
+            if not self._standing.revision or not self._is_reader():
+                continue
+            try:
+                entry = await self._store.get(configuration.KEY)
+            except errors.PlatformError as error:
+                journal.debug("read_failed", error=error)
+                continue
+            if entry is not None:
+                self._take(entry)
+
     async def _follow(self, seen: int | None) -> int | None:
         """Take in what stands, or what is new.
 
@@ -82,12 +116,19 @@
             self._take(entry)
             return entry.version
         await self.sleep(GAP_S)
-        return await self._watch(seen)
+        return seen if self._is_ending else await self._watch(seen)
 
     async def _watch(self, seen: int) -> int | None:
-        listing = await self._store.watch(
-            configuration.KEY, after=seen, wait_s=WATCH_S
+        watching = asyncio.ensure_future(
+            self._store.watch(configuration.KEY, after=seen, wait_s=WATCH_S)
         )
+        self._watching = watching
+        try:
+            listing = await watching
+        except asyncio.CancelledError:
+            if self._is_ending:
+                return seen
+            raise
         for entry in listing.entries:
             if entry.key == configuration.KEY:
                 self._take(entry)
--- a/packages/burdockdeal/burdockdeal/settings/model.py
+++ b/packages/burdockdeal/burdockdeal/settings/model.py
@@ -158,6 +158,8 @@
     :param upstream: where that upstream takes requests.
     :param metrics: where metrics are served.
     :param watchers: daemons of a failure domain that watch the store.
+    :param read_s: seconds between two reads of the configuration by the
+        one daemon of a failure domain that does not trust watches alone.
     :param lease_s: seconds without a heartbeat after which the upstream
         gets no new calls.
     """
@@ -165,7 +167,8 @@
     service: str
     upstream: Address
     metrics: Address
-    watchers: checking.PositiveInt = 32
+    watchers: checking.PositiveInt = 2
+    read_s: checking.Positive = 0.7
     lease_s: checking.Positive = 10.0
 
 
