Let a peer read a configuration whose routes split

The failure was logged for developers only. Change: such a rule names its first service; a pull that fails is a warning.

--- a/packages/burdockdeal/burdockdeal/configuration/peers.py
+++ b/packages/burdockdeal/burdockdeal/configuration/peers.py
@@ -64,7 +64,7 @@
         try:
             await self._pull_all(peer)
         except _FAILURES as error:
-            journal.debug("pull_failed", peer=peer, error=repr(error))
+            journal.warn("pull_failed", peer=peer, error=repr(error))
         finally:
             self._pulling.discard(peer)
 
--- a/packages/burdockdeal/burdockdeal/platform/configuration.py
+++ b/packages/burdockdeal/burdockdeal/platform/configuration.py
@@ -110,9 +110,14 @@
     )
 
 
+def _find_service(route: Route) -> str:
+    """Find the service of a route, the first of one that splits."""
+    return route.service or route.traffic_split[0].service
+
+
 def _make_rule(route: Route) -> resources.Rule:
     return resources.Rule(
-        service=route.service,
+        service=_find_service(route),
         rank=_name_rank(route),
         match=resources.Match(path_prefix=route.path_prefix, host=route.host),
         idempotent=route.kind == _IDEMPOTENT,
@@ -147,6 +152,8 @@
         spec = resources.Service(health_path=service.health_path)
         specs[state.Key("Service", service.name)] = spec
     for route in document.routes:
+        if not route.service and not route.traffic_split:
+            raise codec.MalformedError(f"route {route.name} goes nowhere")
         specs[state.Key("Rank", _name_rank(route))] = _make_rank(route)
         specs[state.Key("Rule", route.name)] = _make_rule(route)
     return specs
--- a/packages/burdockdeal/burdockdeal/platform/tests/test_configuration.py
+++ b/packages/burdockdeal/burdockdeal/platform/tests/test_configuration.py
@@ -4,7 +4,9 @@
 
 import pytest
 
+from burdockdeal.configuration import messages
 from burdockdeal.configuration import resources
+from burdockdeal.configuration import snapshots
 from burdockdeal.core import codec
 from burdockdeal.platform import configuration
 from burdockdeal.serving import classify
@@ -106,6 +108,15 @@
     )
 
 
+def test_a_peer_reads_it_from_a_snapshot() -> None:
+    read = configuration.read(json.dumps(DOCUMENT))
+    parts = [
+        codec.decode(codec.encode(part), messages.Part)
+        for part in snapshots.split(read, part_bytes=100)
+    ]
+    assert snapshots.join(parts) == read
+
+
 @pytest.mark.parametrize("version", ["7", "r", "x7", "r-7", 7, None])
 def test_a_version_is_a_letter_and_a_number(version) -> None:
     document = json.dumps({**DOCUMENT, "version": version})
