Leave slots free on an upstream that slows down when nearly full

On the platform a request waits beside an upstream for half of the time that its answer may take. Refusals tell when to come back, by their reason.

--- a/packages/burdockdeal/burdockdeal/admission/gate.py
+++ b/packages/burdockdeal/burdockdeal/admission/gate.py
@@ -6,6 +6,7 @@
 import itertools
 
 from burdockdeal.admission import decisions
+from burdockdeal.admission import knee as knees
 from burdockdeal.admission import pace
 from burdockdeal.admission import queue
 from burdockdeal.admission import state
@@ -42,6 +43,7 @@
         self._lines: dict[str, state.Line] = {}
         self._queues: dict[str, queue.Queue] = {}
         self._pace = state.Pace()
+        self.knee = knees.Knee()
         self.running = 0
         self.waiting = 0
 
@@ -86,10 +88,13 @@
         )
         await self._enter(ticket)
         started = self._clock()
+        crowded = knees.is_crowded(self.running, self._room().all_slots)
         try:
             yield
         finally:
             now = self._clock()
+            if not streamed:
+                self.knee.note(terms.name, now - started, now, crowded=crowded)
             self._pace = pace.note_end(
                 self._pace, now - started, streamed=streamed, now=now
             )
--- a/packages/burdockdeal/burdockdeal/admission/state.py
+++ b/packages/burdockdeal/burdockdeal/admission/state.py
@@ -27,12 +27,19 @@
     :param queue_limit: calls that may wait.
     :param slow: whether nothing should start at this moment, since its
         machine is slow.
+    :param whole: slots that the upstream has, if some are left free.
     """
 
     slots: int
     uploads: int
     queue_limit: int
     slow: bool = False
+    whole: int = 0
+
+    @property
+    def all_slots(self) -> int:
+        """The slots, those that are better left free among them."""
+        return max(self.whole, self.slots)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/burdockdeal/burdockdeal/core/errors.py
+++ b/packages/burdockdeal/burdockdeal/core/errors.py
@@ -88,6 +88,25 @@
     """The daemon's own budget of store calls is used up."""
 
 
+#: Seconds after which it is worth while to ask again: until a slow machine
+#: is quick again, a queue has moved on, the fleet has heard of a change, or
+#: a daemon that starts knows its configuration.
+RETRY_AFTER_S: dict[verdict.Reason, float] = {
+    verdict.Reason.SLOWED: 0.1,
+    verdict.Reason.QUEUE_FULL: 0.15,
+    verdict.Reason.SHED: 0.15,
+    verdict.Reason.TARGET_MISSED: 0.15,
+    verdict.Reason.OVERLOADED: 0.15,
+    verdict.Reason.UPSTREAM_REFUSED: 0.15,
+    verdict.Reason.DRAINING: 0.1,
+    verdict.Reason.STALE_INSTANCE: 0.1,
+    verdict.Reason.UNREACHABLE: 0.1,
+    verdict.Reason.NO_INSTANCE: 0.3,
+    verdict.Reason.FENCED: 0.05,
+    verdict.Reason.NOT_CONFIGURED: 0.5,
+}
+
+
 class CallError(BurdockdealError):
     """A request ends without an upstream's answer.
 
@@ -109,7 +128,6 @@
     """No upstream ran the request, and none will.
 
     :param settled: whether no earlier send with the same key ran either.
-    :param retry_after_s: seconds after which there may be room.
     """
 
     outcome = verdict.Verdict.NOT_RUN
@@ -120,10 +138,9 @@
         detail: str = "",
         *,
         settled: bool = False,
-        retry_after_s: float = 0.0,
     ) -> None:
         self.settled = settled
-        self.retry_after_s = retry_after_s
+        self.retry_after_s = RETRY_AFTER_S.get(reason, 0.0)
         super().__init__(reason, detail)
 
 
--- a/packages/burdockdeal/burdockdeal/daemon/parts.py
+++ b/packages/burdockdeal/burdockdeal/daemon/parts.py
@@ -99,9 +99,11 @@
         service = self.roster.own.service
         services = self.snapshot.services if self.snapshot else {}
         spec = services.get(service, _DEFAULT_SERVICE)
-        slots = self._slots()
+        whole = self._slots()
+        slots = self.gate.knee.bound(whole, self.clock())
         return admission.Room(
             slow=self.meter.is_slow,
+            whole=whole,
             slots=slots,
             uploads=max(1, int(slots * spec.upload_share)),
             queue_limit=spec.queue_limit,
@@ -153,7 +155,7 @@
         return routing.Report(
             in_flight=self.gate.running,
             waiting=self.gate.waiting,
-            slots=self._slots(),
+            slots=self.gate.knee.bound(self._slots(), self.clock()),
             service_ms=self.meter.service_ms(),
             failed_share=self.meter.failed_share,
             slowdown=told.slowdown if told else 1.0,
--- a/packages/burdockdeal/burdockdeal/platform/configuration.py
+++ b/packages/burdockdeal/burdockdeal/platform/configuration.py
@@ -19,6 +19,10 @@
 _WORTH_STEP = 2.0
 _LOWEST_URGENCY = 8
 
+#: Share of the time that an answer may take which it may wait beside the
+#: upstream; the rest is for the work itself.
+_WAIT_SHARE = 0.5
+
 _WRITER = "platform"
 
 
@@ -106,7 +110,7 @@
     return resources.Rank(
         urgency=route.priority,
         worth=_WORTH_STEP**height,
-        target_ms=route.target_latency_ms or route.timeout_ms,
+        target_ms=_WAIT_SHARE * (route.target_latency_ms or route.timeout_ms),
     )
 
 
