Keep large bodies in their failure domain

Change: another failure domain must be better by 10 ms, and by 5 ms for each kilobyte of a body; a call with a body from 16 KiB on waits for a slow machine at the instance it was sent to first.

--- a/packages/burdockdeal/burdockdeal/core/call.py
+++ b/packages/burdockdeal/burdockdeal/core/call.py
@@ -19,6 +19,7 @@
     :param idempotent: whether it may be run more than once.
     :param idempotency_key: the caller's key, None without one.
     :param most_sends: instances that it may be sent to at most.
+    :param body_bytes: the length of its body, as far as it is known.
     """
 
     request_id: str
@@ -30,6 +31,7 @@
     idempotent: bool = False
     idempotency_key: str | None = None
     most_sends: int = 3
+    body_bytes: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/burdockdeal/burdockdeal/retry/decisions.py
+++ b/packages/burdockdeal/burdockdeal/retry/decisions.py
@@ -68,6 +68,10 @@
 #: it then waits at one.
 MOST_KNOCKS = 4
 
+#: Bytes of a body from which on a call rather waits for a slow machine
+#: than goes on to another.
+PATIENT_BODY_BYTES = 16_384
+
 #: Seconds for which an entry passes over an instance that was gone, unless
 #: there is no other; the membership has then caught up.
 GONE_S = 1.0
@@ -108,7 +112,8 @@
 def begin(work: call.Call) -> state.Progress:
     """Begin a call at its entry."""
     return state.Progress(
-        left=1 + min(LAYER_TOKENS, work.retry_tokens, work.most_sends - 1)
+        left=1 + min(LAYER_TOKENS, work.retry_tokens, work.most_sends - 1),
+        patient=work.body_bytes >= PATIENT_BODY_BYTES,
     )
 
 
--- a/packages/burdockdeal/burdockdeal/routing/decisions.py
+++ b/packages/burdockdeal/burdockdeal/routing/decisions.py
@@ -71,6 +71,10 @@
 
 _JITTER_SHARE = 0.02
 
+#: What a call to another failure domain costs, as seconds of waiting.
+REMOTE_S = 0.01
+REMOTE_S_PER_BYTE = 5e-6
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Expected:
@@ -248,6 +252,14 @@
     return None
 
 
+def find_remote_cost(body_bytes: int) -> float:
+    """Find by how much another failure domain must be better, in seconds.
+
+    Bytes between failure domains are dear, those of a body most of all.
+    """
+    return REMOTE_S + REMOTE_S_PER_BYTE * body_bytes
+
+
 def choose(
     views: abc.Sequence[state.View],
     norm: state.Norm,
@@ -255,11 +267,13 @@
     chance: random.Random,
     *,
     patience: float = 0.0,
+    remote_s: float = 0.0,
 ) -> state.View:
     """Choose the instance for a call.
 
     :param views: the candidates, at least one.
     :param patience: see ejection.is_trial_due.
+    :param remote_s: seconds that another failure domain must be better by.
     """
     able = [view for view in views if _may_take(view, now)] or views
     expected = [expect(view, norm) for view in able]
@@ -269,6 +283,8 @@
         if trial is not None:
             return trial
     costs = [
-        one.total_s * (1 + _JITTER_SHARE * chance.random()) for one in expected
+        one.total_s * (1 + _JITTER_SHARE * chance.random())
+        + (0.0 if view.local else remote_s)
+        for one, view in zip(expected, able, strict=True)
     ]
     return able[costs.index(min(costs))]
--- a/packages/burdockdeal/burdockdeal/routing/policies.py
+++ b/packages/burdockdeal/burdockdeal/routing/policies.py
@@ -103,6 +103,7 @@
             tallies.clock(),
             chance,
             patience=patience(work),
+            remote_s=decisions.find_remote_cost(work.body_bytes),
         )
         return chosen.member
 
--- a/packages/burdockdeal/burdockdeal/routing/tests/test_decisions.py
+++ b/packages/burdockdeal/burdockdeal/routing/tests/test_decisions.py
@@ -129,3 +129,10 @@
 
     assert total(load, 0) <= total(load + more, 0)
     assert total(load, 0) <= total(load, silent_s)
+
+
+def test_a_large_body_stays_in_its_failure_domain() -> None:
+    small = decisions.find_remote_cost(400)
+    large = decisions.find_remote_cost(60_000)
+    assert small < 0.02
+    assert 0.2 < large < 0.5
--- a/packages/burdockdeal/burdockdeal/serving/classify.py
+++ b/packages/burdockdeal/burdockdeal/serving/classify.py
@@ -67,6 +67,7 @@
     *,
     request_id: str,
     now: float,
+    body_bytes: int = 0,
     choose_service: abc.Callable[[resources.Rule], str],
 ) -> call.Call:
     """Make a call of a request.
@@ -74,6 +75,7 @@
     :param host: the Host header.
     :param terms: what the caller says of it.
     :param now: monotonic time in seconds.
+    :param body_bytes: the length of the body, as far as it is known.
     :param choose_service: chooses among the services of a rule.
     :raises NotRunError: if no rule fits or a header is wrong.
     """
@@ -101,4 +103,5 @@
         idempotent=rule.idempotent or by_method,
         idempotency_key=terms.idempotency_key,
         most_sends=rule.most_sends,
+        body_bytes=body_bytes,
     )
--- a/packages/burdockdeal/burdockdeal/serving/entry.py
+++ b/packages/burdockdeal/burdockdeal/serving/entry.py
@@ -153,6 +153,7 @@
                 terms,
                 request_id=request_id,
                 now=clock(),
+                body_bytes=request.content_length or 0,
                 choose_service=choose_service,
             )
             rank = work.rank
