Explain a request from the daemons' logs

Cause: on-call engineers have logs only, a file for each daemon. Change: burdockctl explain ID FILE... puts one request's lines in order and names the cause.

--- a/packages/operator/burdockdeal_operator/commands.py
+++ b/packages/operator/burdockdeal_operator/commands.py
@@ -15,6 +15,7 @@
 from burdockdeal.settings import loader
 from burdockdeal_operator import client
 from burdockdeal_operator import exits
+from burdockdeal_operator import explanation
 from burdockdeal_operator import files
 from burdockdeal_operator import text
 
@@ -44,6 +45,10 @@
     sys.exit(code)
 
 
+def _render_explanation(told: explanation.Explanation) -> str:
+    return "\n".join([*map(str, told.steps), f"cause: {told.cause}"])
+
+
 def _run(work: abc.Coroutine[None, None, object]) -> object:
     """Run a command and turn its errors into plain lines."""
     try:
@@ -127,6 +132,22 @@
         if any(one.faults for one in checked):
             sys.exit(exits.Exit.REFUSED)
 
+    def explain(self, request_id: str, *paths: str) -> None:
+        """Explain what became of a request, from the daemons' logs.
+
+        :param request_id: as the caller was told it, or gave it.
+        :param paths: the logs of the daemons on its way, or of all.
+        """
+        if not paths:
+            _fail(exits.Exit.USAGE, "give the log of at least one daemon")
+        try:
+            told = explanation.explain(str(request_id), map(str, paths))
+        except OSError as error:
+            _fail(exits.Exit.USAGE, str(error))
+        self._print(told, _render_explanation)
+        if not told.steps:
+            sys.exit(exits.Exit.NOT_FOUND)
+
     def declare(
         self, path: str, *, wait: bool = False, timeout_s: float = 30.0
     ) -> None:
