--- a/packages/operator/burdockdeal_operator/explanation.py
+++ b/packages/operator/burdockdeal_operator/explanation.py
@@ -6,7 +6,9 @@
 import re
 
 #: A line of a log: what a collector of logs put before it, and its pairs.
-_LINE = re.compile(r"^(?P<before>.*?)\bat=(?P<at>\S+) level=\S+ (?P<pairs>.*)$")
+_LINE = re.compile(
+    r"^(?P<before>.*?)\bat=(?P<at>\S+) level=\S+ (?P<pairs>.*)$"
+)
 _PAIR = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S+)')
 
 #: What each reason means for the one who asks why a request failed.
