--- a/packages/standins/burdockdeal_standins/fleet.py
+++ b/packages/standins/burdockdeal_standins/fleet.py
@@ -12,8 +12,6 @@
 import aiohttp
 
 from burdockdeal.core import codec
-from burdockdeal.platform import messages as platform
-from burdockdeal.platform import wire
 from burdockdeal.settings import model
 from burdockdeal_standins import links
 from burdockdeal_standins import logs
@@ -75,6 +73,7 @@
         self.folder = folder
         self.session: aiohttp.ClientSession
         self.store_port = ports.free_port()
+        self._store_admin = f"http://{ports.HOST}:{self.store_port}/admin"
         self.store: asyncio.subprocess.Process | None = None
         self.nodes: dict[str, Node] = {}
         self._processes: list[asyncio.subprocess.Process] = []
@@ -299,19 +298,11 @@
 
     async def set_store_faults(self, faults: store.Faults) -> None:
         """Set what goes wrong at the store."""
-        url = f"http://{ports.HOST}:{self.store_port}/admin/faults"
-        await self._put(url, faults)
+        await self._put(f"{self._store_admin}/faults", faults)
 
     async def store_counts(self) -> store.Counts:
         """Read the store's count of calls."""
-        url = f"http://{ports.HOST}:{self.store_port}/admin/counts"
-        return await self._get(url, store.Counts)
-
-    async def store_entries(self, prefix: str) -> tuple[platform.Entry, ...]:
-        """Read the store's entries below a prefix."""
-        url = f"http://{ports.HOST}:{self.store_port}/api/kv-range"
-        page = await self._get(f"{url}?pathPrefix={prefix}", wire.Page)
-        return page.read_items()
+        return await self._get(f"{self._store_admin}/counts", store.Counts)
 
     async def add_relay(self, target: str, **options: object) -> links.Relay:
         """Start a relay to a target, host and port."""
--- a/packages/standins/burdockdeal_standins/operating.py
+++ b/packages/standins/burdockdeal_standins/operating.py
@@ -7,7 +7,10 @@
 from burdockdeal.configuration import resources
 from burdockdeal.core import codec
 from burdockdeal.daemon import messages as daemon
+from burdockdeal.platform import messages as platform
+from burdockdeal.platform import wire
 from burdockdeal_standins import fleet as standins
+from burdockdeal_standins import ports
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -94,9 +97,19 @@
     )
 
 
+async def read_entries(
+    fleet: standins.Fleet, prefix: str
+) -> tuple[platform.Entry, ...]:
+    """Read the store's entries below a prefix."""
+    url = f"http://{ports.HOST}:{fleet.store_port}/api/kv-range"
+    async with fleet.session.get(f"{url}?pathPrefix={prefix}") as answer:
+        answer.raise_for_status()
+        return codec.decode(await answer.read(), wire.Page).read_items()
+
+
 async def read_changes(fleet: standins.Fleet) -> list[messages.Change]:
     """Read the change log from the store."""
-    entries = await fleet.store_entries(messages.LOG_PREFIX)
+    entries = await read_entries(fleet, messages.LOG_PREFIX)
     return sorted(
         (codec.decode(e.value, messages.Change) for e in entries),
         key=lambda change: change.revision,
@@ -133,5 +146,5 @@
 
 async def has_snapshot(fleet: standins.Fleet) -> bool:
     """Tell whether the store holds a snapshot."""
-    entries = await fleet.store_entries(messages.MANIFEST_KEY)
+    entries = await read_entries(fleet, messages.MANIFEST_KEY)
     return bool(entries)
