Let the demo keep its logs and name what failed

Cause: a run that failed left nothing to trace it by. Change: the daemons' logs stay in demo.log, and each request that failed is named with its verdict and id.

--- a/packages/bench/burdockdeal_bench/demo.py
+++ b/packages/bench/burdockdeal_bench/demo.py
@@ -47,14 +47,21 @@
     """How one request ended.
 
     :param answered: whether an upstream's answer arrived whole.
+    :param request_id: as the answer names it, empty without one.
+    :param detail: what went wrong, empty if nothing did.
     """
 
     rank: str
     verdict: str
     answered: bool
     seconds: float
+    request_id: str = ""
+    detail: str = ""
 
 
+#: Where the daemons' logs of a run that fails are kept.
+KEPT_LOGS = pathlib.Path("demo.log")
+
 #: What callers ask for in each deployment.
 KINDS: dict[str, tuple[Kind, ...]] = {
     "hinge-and-joint": (
@@ -100,7 +107,7 @@
     session: aiohttp.ClientSession, entry: str, kind: Kind
 ) -> Outcome:
     started = time.monotonic()
-    told = ""
+    told = request_id = detail = ""
     answered = False
     try:
         async with session.request(
@@ -110,10 +117,13 @@
         ) as response:
             await response.read()
             told = response.headers.get(headers.VERDICT, "")
+            request_id = response.headers.get(headers.REQUEST_ID, "")
+            detail = response.headers.get(headers.REASON, "")
             answered = response.status == 200
-    except aiohttp.ClientError:
-        told = verdict.Verdict.MAY_HAVE_RUN
-    return Outcome(kind.rank, told, answered, time.monotonic() - started)
+    except aiohttp.ClientError as error:
+        told, detail = verdict.Verdict.MAY_HAVE_RUN, repr(error)
+    spent_s = time.monotonic() - started
+    return Outcome(kind.rank, told, answered, spent_s, request_id, detail)
 
 
 async def _send_all(
@@ -170,6 +180,17 @@
     await fleet.wait_ready(revision)
 
 
+def _keep_logs(fleet: standins.Fleet, failed: list[Outcome]) -> None:
+    """Keep the daemons' logs, and name the requests that failed."""
+    KEPT_LOGS.write_text(fleet.all_logs(), encoding="utf-8")
+    for one in failed:
+        print(
+            f"not answered: rank {one.rank}, verdict {one.verdict}, "
+            f"id {one.request_id or 'unknown'}: {one.detail}"
+        )
+    print(f"the daemons' logs are in {KEPT_LOGS}: burdockctl explain ID FILE")
+
+
 async def _show(folder: pathlib.Path) -> bool:
     kinds = KINDS[folder.name]
     async with standins.run_fleet() as fleet:
@@ -184,8 +205,11 @@
         await _declare(fleet, folder / "resources.json5")
         print("in force everywhere; sending requests", flush=True)
         outcomes = await _send_all(fleet, kinds)
+        failed = [one for one in outcomes if not one.answered]
+        if failed:
+            _keep_logs(fleet, failed)
     print(_render(kinds, outcomes))
-    return all(outcome.answered for outcome in outcomes)
+    return not failed
 
 
 def demo(deployment: str = "examples/hinge-and-joint") -> None:
