Test the store's client against lost answers, refusals and lost history

Cause: the new protocol's client was tested through the slices only. Change: twelve tests against the stand-in: conflicts, lost answers, outages, 429 and 503, unreadable answers, watches whose history is gone, pages, leases.

--- /dev/null
+++ b/packages/burdockdeal/burdockdeal/platform/tests/test_store.py
@@ -0,0 +1,163 @@
+"""The store's client, against a stand-in that misbehaves on order."""
+
+import asyncio
+from collections import abc
+import contextlib
+import dataclasses
+
+from aiohttp import test_utils
+from aiohttp import web
+import pytest
+
+from burdockdeal.core import errors
+from burdockdeal.platform import store
+from burdockdeal.settings import model
+from burdockdeal_standins import store as standin
+
+
+@contextlib.asynccontextmanager
+async def connect(app: web.Application) -> abc.AsyncIterator[store.Store]:
+    async with test_utils.TestServer(app) as server:
+        address = model.Address("127.0.0.1", server.port)
+        async with store.Store(address) as client:
+            yield client
+
+
+@contextlib.asynccontextmanager
+async def run_store() -> abc.AsyncIterator[tuple[store.Store, standin.Data]]:
+    data = standin.Data()
+    async with connect(standin.build_app(data)) as client:
+        yield client, data
+
+
+def order(data: standin.Data, **faults: object) -> None:
+    data.faults = dataclasses.replace(standin.Faults(), **faults)
+
+
+async def test_a_write_is_read_and_has_a_version() -> None:
+    async with run_store() as (client, _):
+        assert await client.get("a/b") is None
+        version = await client.put("a/b", "é", version=0)
+        entry = await client.get("a/b")
+        assert (entry.value, entry.version) == ("é", version)
+        await client.delete("a/b", version=version)
+        assert await client.get("a/b") is None
+
+
+async def test_a_conflict_tells_what_stands() -> None:
+    async with run_store() as (client, _):
+        version = await client.put("a", "1", version=0)
+        with pytest.raises(errors.StoreConflictError) as caught:
+            await client.put("a", "2", version=0)
+        assert caught.value.version == version
+        with pytest.raises(errors.StoreConflictError) as caught:
+            await client.put("b", "2", version=version)
+        assert caught.value.version == 0
+
+
+async def test_a_lost_answer_is_uncertain_and_may_have_had_its_effect() -> (
+    None
+):
+    async with run_store() as (client, data):
+        order(data, lose_answers=1)
+        with pytest.raises(errors.StoreUncertainError):
+            await client.put("a", "1", version=0)
+        assert (await client.get("a")).value == "1"
+
+
+async def test_an_outage_had_no_effect() -> None:
+    async with run_store() as (client, data):
+        order(data, outage=True)
+        with pytest.raises(errors.StoreUnavailableError):
+            await client.put("a", "1", version=0)
+        order(data)
+        assert await client.get("a") is None
+        assert client.outage.since is None
+
+
+@pytest.mark.parametrize("status", [429, 503])
+async def test_a_store_that_turns_this_daemon_away_did_nothing(
+    status: int,
+) -> None:
+    async def refuse(request: web.Request) -> web.Response:
+        return web.Response(status=status)
+
+    app = web.Application()
+    app.router.add_route("*", "/{path:.*}", refuse)
+    async with connect(app) as client:
+        with pytest.raises(errors.StoreUnavailableError):
+            await client.put("a", "1", version=0)
+        with pytest.raises(errors.StoreUnavailableError):
+            await client.watch("a", after=1, wait_s=0.1)
+
+
+async def test_an_answer_that_can_not_be_read_is_uncertain() -> None:
+    async def babble(request: web.Request) -> web.Response:
+        return web.Response(text="{")
+
+    app = web.Application()
+    app.router.add_route("*", "/{path:.*}", babble)
+    async with connect(app) as client:
+        with pytest.raises(errors.StoreUncertainError):
+            await client.get("a")
+
+
+async def test_a_watch_tells_what_is_newer() -> None:
+    async with run_store() as (client, _):
+        version = await client.put("a/1", "1", version=0)
+        watching = asyncio.ensure_future(
+            client.watch("a/", after=version, wait_s=5)
+        )
+        await asyncio.sleep(0.05)
+        await client.put("b/1", "other", version=0)
+        await client.put("a/2", "2", version=0)
+        listing = await watching
+        assert [entry.key for entry in listing.entries] == ["a/2"]
+        empty = await client.watch("a/", after=listing.revision, wait_s=0.1)
+        assert not empty.entries
+
+
+async def test_a_watch_whose_history_is_gone_reads_what_stands() -> None:
+    async with run_store() as (client, data):
+        version = await client.put("a/1", "1", version=0)
+        await client.put("a/1", "2", version=version)
+        data.compact()
+        listing = await client.watch("a/", after=version, wait_s=0.1)
+        assert [entry.value for entry in listing.entries] == ["2"]
+
+
+async def test_a_listing_is_read_page_by_page() -> None:
+    async with run_store() as (client, _):
+        keys = [f"a/{number:04d}" for number in range(620)]
+        for key in keys:
+            await client.put(key, "x", version=0)
+        listing = await client.list("a/")
+        assert [entry.key for entry in listing.entries] == keys
+        rest = await client.list("a/", after="a/0616", limit=2)
+        assert [entry.key for entry in rest.entries] == ["a/0617", "a/0618"]
+
+
+async def test_a_key_goes_with_its_lease() -> None:
+    async with run_store() as (client, _):
+        lease = await client.grant(0.2)
+        await client.put("a", "1", version=0, lease=lease.lease)
+        assert await client.renew(lease.lease)
+        await asyncio.sleep(0.4)
+        assert await client.get("a") is None
+        assert not await client.renew(lease.lease)
+        with pytest.raises(errors.StoreLeaseError):
+            await client.put("a", "1", version=0, lease=lease.lease)
+
+
+async def test_a_value_of_another_writer_reads_as_no_message() -> None:
+    async with run_store() as (client, data):
+        data.commit(
+            standin.wire.Transaction(
+                puts=(
+                    standin.wire.Put("a", "//8="),
+                    standin.wire.Put("b", "no base64"),
+                )
+            )
+        )
+        listing = await client.list("")
+        assert [entry.key for entry in listing.entries] == ["a", "b"]
