--- a/packages/burdockdeal/burdockdeal/serving/tests/test_pipeline.py
+++ b/packages/burdockdeal/burdockdeal/serving/tests/test_pipeline.py
@@ -227,6 +227,23 @@
         writer.close()
 
 
+async def test_a_request_is_answered_though_its_segment_ends_in_noise() -> (
+    None
+):
+    callers = Callers()
+    async with serve(callers) as (_, port):
+        reader, writer = await asyncio.open_connection(_HOST, port)
+        writer.write(ask("/1") + b"\x00\x01 no request\r\n\r\n")
+        await until(lambda: bool(callers.begun))
+        callers.let("/1")
+        async with asyncio.timeout(5):
+            assert await read_answer(reader) == (200, b"/1:0")
+            status, _ = await read_answer(reader)
+            assert status == 400
+            assert await reader.read() == b""
+        writer.close()
+
+
 async def test_an_idle_connection_is_ended() -> None:
     callers = Callers()
     async with serve(callers, idle_s=0.1) as (_, port):
