Answer what was read before noise; pass on answers that end with their connection

An answer without length or chunks was given up with 502 although the platform allows it if its connection is closed, and not reset. Ruled out: reading the parser's list of messages after its error (private to the C parser). Telling a reset from the payload alone: aiohttp ends such a body the same way for both. Change: bytes are fed to the parser up to each blank line. serving/framing decides whether an answer is whole; a body that ends with its connection waits for that connection's end, and a reset cuts it.

--- a/packages/burdockdeal/burdockdeal/serving/messages.py
+++ b/packages/burdockdeal/burdockdeal/serving/messages.py
@@ -5,7 +5,6 @@
 import dataclasses
 import typing
 
-import aiohttp
 import multidict
 
 from burdockdeal.bookings import messages as bookings
@@ -53,13 +52,6 @@
     content: Content
 
 
-def read_answer(response: aiohttp.ClientResponse) -> Answer:
-    """Make an answer of a response whose head has arrived."""
-    return Answer(
-        response.status, response.reason, response.headers, response.content
-    )
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class OwnerReport:
     """What an owner adds to each answer for the entry.
--- a/packages/burdockdeal/burdockdeal/serving/owner.py
+++ b/packages/burdockdeal/burdockdeal/serving/owner.py
@@ -58,20 +58,20 @@
 def _check_answer(
     speech: dialect.Dialect,
     send: messages.Send,
-    response: aiohttp.ClientResponse,
+    answer: messages.Answer,
 ) -> None:
     """Check that an answer belongs to a send that ran.
 
     :raises NotRunError: if the upstream says that it refused the request.
     :raises LostAnswerError: if the answer is that to another request.
     """
-    if not speech.is_answer_to(send, response.headers):
+    if not speech.is_answer_to(send, answer.headers):
         raise errors.LostAnswerError(
             verdict.Reason.BROKEN_CONNECTION,
             "the upstream answered another request",
         )
-    if speech.is_refusal(response.status, response.headers):
-        detail = f"the upstream answered {response.status}"
+    if speech.is_refusal(answer.status, answer.headers):
+        detail = f"the upstream answered {answer.status}"
         raise errors.NotRunError(verdict.Reason.UPSTREAM_REFUSED, detail)
 
 
@@ -182,12 +182,12 @@
                     speech.mark_send(send, announced.name, now),
                     remaining_s=send.request.deadline - now,
                     expect=False,
-                ) as response:
-                    head(response.status)
-                    _check_answer(speech, send, response)
-                    times.note_told(speech.read_load(response.headers))
-                    log_answer(send, response.status, clock() - now)
-                    yield messages.read_answer(response)
+                ) as answer:
+                    head(answer.status)
+                    _check_answer(speech, send, answer)
+                    times.note_told(speech.read_load(answer.headers))
+                    log_answer(send, answer.status, clock() - now)
+                    yield answer
 
     @contextlib.asynccontextmanager
     async def open_logged(
--- a/packages/burdockdeal/burdockdeal/serving/peers.py
+++ b/packages/burdockdeal/burdockdeal/serving/peers.py
@@ -31,8 +31,8 @@
     return _ERRORS[told.verdict](reason, told.detail)
 
 
-def _read_report(response: aiohttp.ClientResponse) -> messages.OwnerReport:
-    raw = response.headers.get(headers.REPORT)
+def _read_report(answer: messages.Answer) -> messages.OwnerReport:
+    raw = answer.headers.get(headers.REPORT)
     if raw is None:
         raise errors.LostAnswerError(
             verdict.Reason.BROKEN_CONNECTION, "the owner gave no verdict"
@@ -45,6 +45,12 @@
         ) from error
 
 
+async def _read_to_end(content: messages.Content) -> None:
+    """Read a body that nobody wants, so that its connection can be kept."""
+    while await content.readany():
+        pass
+
+
 def make_peer_opener(
     session: aiohttp.ClientSession,
     peer_token: str,
@@ -83,13 +89,13 @@
             },
             remaining_s=send.request.deadline - now,
             expect=send.outbound.body.streamed,
-        ) as response:
-            told = _read_report(response)
+        ) as answer:
+            told = _read_report(answer)
             on_report(send.daemon, send.incarnation, told.load)
             on_clock(send.daemon, told.incarnation, told.clock)
             if told.reason is not None:
-                await response.read()
+                await _read_to_end(answer.content)
                 raise _read_error(told, told.reason)
-            yield messages.read_answer(response)
+            yield answer
 
     return open_answer
--- a/packages/burdockdeal/burdockdeal/serving/pipeline.py
+++ b/packages/burdockdeal/burdockdeal/serving/pipeline.py
@@ -44,6 +44,8 @@
 _PROBE_PAUSES_S = (0.02, 0.1)
 _LAST_PROBE_PAUSE_S = 0.5
 
+_BLANK_LINE = b"\r\n\r\n"
+
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -137,15 +139,17 @@
         """Take in bytes of requests."""
         if self.closing and not self._has_open_body():
             return
-        try:
-            received, upgraded, _ = self._parser.feed_data(data)
-        except http_exceptions.HttpProcessingError as error:
-            self._refuse(error)
-            return
-        for message, payload in received:
-            self._accept(message, payload)
-        if upgraded:
-            self.closing = True
+        for piece in _split_after_heads(data):
+            try:
+                received, upgraded, _ = self._parser.feed_data(piece)
+            except http_exceptions.HttpProcessingError as error:
+                self._refuse(error)
+                return
+            for message, payload in received:
+                self._accept(message, payload)
+            if upgraded:
+                self.closing = True
+                return
 
     def eof_received(self) -> bool:
         """Keep a half-closed connection while an answer is due.
@@ -289,6 +293,21 @@
             self.idle_since = self._loop.time()
 
 
+def _split_after_heads(data: bytes) -> abc.Iterator[bytes]:
+    """Split bytes behind each blank line, where a request may be whole.
+
+    The parser drops the requests that it has read from the same bytes as
+    something that is no request.
+    """
+    start = 0
+    while end := data.find(_BLANK_LINE, start) + 1:
+        end += len(_BLANK_LINE) - 1
+        yield data[start:end]
+        start = end
+    if start < len(data):
+        yield data[start:]
+
+
 async def _read_rest(payload: streams.StreamReader) -> bool:
     """Read the rest of a body that nobody wants.
 
--- a/packages/burdockdeal/burdockdeal/serving/transfer.py
+++ b/packages/burdockdeal/burdockdeal/serving/transfer.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections import abc
 import contextlib
-import http
 import socket
 import typing
 
@@ -16,15 +15,13 @@
 from burdockdeal.core import headers
 from burdockdeal.core import verdict
 from burdockdeal.overload import pacing
+from burdockdeal.serving import framing
 from burdockdeal.serving import messages
 from burdockdeal.settings import model
 
 _CONNECT_TIMEOUT_S = 1.0
 _SOCKET_TAKEN = "is used by transport"
 _IDLE_CONNECTION_S = 60.0
-_BODILESS = frozenset(
-    {http.HTTPStatus.NO_CONTENT, http.HTTPStatus.NOT_MODIFIED}
-)
 _UNWANTED_DEFAULTS = (
     "Accept",
     "Accept-Encoding",
@@ -84,25 +81,6 @@
     return kept
 
 
-def _check_framing(response: aiohttp.ClientResponse, method: str) -> None:
-    """Refuse an answer of which it can't be told whether it is whole.
-
-    :raises RanError: if it ends with its connection, or switches protocols.
-    """
-    if response.status < http.HTTPStatus.OK:
-        detail = f"the answer's status is {response.status}"
-        raise errors.RanError(verdict.Reason.BROKEN_CONNECTION, detail)
-    framed = (
-        method == "HEAD"
-        or response.status in _BODILESS
-        or "Content-Length" in response.headers
-        or "chunked" in response.headers.get("Transfer-Encoding", "").lower()
-    )
-    if not framed:
-        detail = "the answer has neither a Content-Length nor chunks"
-        raise errors.RanError(verdict.Reason.BROKEN_CONNECTION, detail)
-
-
 @contextlib.asynccontextmanager
 async def open_response(
     session: aiohttp.ClientSession,
@@ -112,7 +90,7 @@
     *,
     remaining_s: float,
     expect: bool,
-) -> abc.AsyncIterator[aiohttp.ClientResponse]:
+) -> abc.AsyncIterator[messages.Answer]:
     """Send a request and wait for the head of its answer.
 
     :param base: scheme, address and port.
@@ -121,6 +99,7 @@
     :param expect: ask for 100 Continue before the body is sent.
     :raises NotRunError: if nothing was sent.
     :raises LostAnswerError: if something was sent and no head came back.
+    :raises RanError: if it can't be told whether the answer will be whole.
     """
     if remaining_s <= 0:
         raise errors.NotRunError(verdict.Reason.DEADLINE_PASSED)
@@ -159,8 +138,7 @@
             verdict.Reason.BROKEN_CONNECTION, repr(error)
         ) from error
     try:
-        _check_framing(response, outbound.method)
-        yield response
+        yield framing.read_answer(response, outbound.method)
     finally:
         # A response that was read to its end has given its connection
         # back; closing ends any other, and with it the upstream's work.
--- a/packages/standins/burdockdeal_standins/scripted.py
+++ b/packages/standins/burdockdeal_standins/scripted.py
@@ -4,6 +4,8 @@
 from collections import abc
 import contextlib
 import dataclasses
+import socket
+import struct
 
 from burdockdeal.announce import messages
 from burdockdeal_standins import upstream
@@ -44,6 +46,14 @@
     return Head(first, tuple(lines))
 
 
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection: closing it would end it in order."""
+    at_once = struct.pack("ii", 1, 0)
+    connection = writer.get_extra_info("socket")
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, at_once)
+    writer.transport.abort()
+
+
 class Scripted:
     """An upstream whose every connection is handled by a function.
 
