Knock at instances before waiting at one; start quicker, and let requests wait for a start

After kills a daemon took 0.35 s to its start, 0.2 s more until it asked its worker's name, and refused what came in between. Ruled out: using the slots that are left free beyond the knee (work that starts there takes 1.4 times as long, so no more gets done); refusing calls of workers later than clients' requests (nothing on the wire tells them apart: same address, same headers). Change: an instance that can't start a call at once says so (BUSY) as it says SLOWED; the call asks up to four, then waits at the one whose fresh report is best. The worker is asked as soon as its path is known.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -10,3 +10,5 @@
 fi
 rm -rf target/deps/burdockdeal
 cp -r packages/burdockdeal/burdockdeal target/deps/burdockdeal
+# Where the tree is read-only, a start could not keep what it compiles.
+python3 -m compileall -q target/deps/burdockdeal
--- a/packages/burdockdeal/burdockdeal/admission/decisions.py
+++ b/packages/burdockdeal/burdockdeal/admission/decisions.py
@@ -23,6 +23,7 @@
     REFUSE_LATE = "REFUSE_LATE"
     REFUSE_TARGET = "REFUSE_TARGET"
     REFUSE_SLOW = "REFUSE_SLOW"
+    REFUSE_BUSY = "REFUSE_BUSY"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -241,6 +242,8 @@
     fits = not ticket.streamed or upload_fits(gathering)
     if gathering.running < room.slots and fits and not room.slow:
         return Admission(Decision.RUN)
+    if not ticket.patient:
+        return Admission(Decision.REFUSE_BUSY)
     if expect_wait(ticket, gathering, now) > ticket.due - now:
         return Admission(Decision.REFUSE_TARGET)
     if gathering.waiting < room.queue_limit:
--- a/packages/burdockdeal/burdockdeal/admission/gate.py
+++ b/packages/burdockdeal/burdockdeal/admission/gate.py
@@ -18,6 +18,7 @@
     decisions.Decision.REFUSE_LATE: verdict.Reason.DEADLINE_PASSED,
     decisions.Decision.REFUSE_TARGET: verdict.Reason.TARGET_MISSED,
     decisions.Decision.REFUSE_SLOW: verdict.Reason.SLOWED,
+    decisions.Decision.REFUSE_BUSY: verdict.Reason.BUSY,
 }
 
 
@@ -52,6 +53,11 @@
         """Each rank's work at the gate."""
         return tuple(self._lines.values())
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a call that arrives now has to wait for a slot."""
+        return self.waiting > 0 or self.running >= self._room().slots
+
     @property
     def service_s(self) -> float:
         """How long a call that starts now is expected to take."""
@@ -69,13 +75,13 @@
         deadline: float,
         *,
         streamed: bool = False,
-        patient: bool = False,
+        patient: bool = True,
     ) -> abc.AsyncIterator[None]:
         """Hold a slot of the upstream while the block runs.
 
         :param deadline: monotonic time in seconds.
         :param streamed: whether the body is passed on as it comes.
-        :param patient: whether it waits for a slow machine.
+        :param patient: whether it waits if it can't start at once.
         :raises NotRunError: if the call is refused.
         """
         ticket = state.Ticket(
--- a/packages/burdockdeal/burdockdeal/admission/state.py
+++ b/packages/burdockdeal/burdockdeal/admission/state.py
@@ -49,8 +49,8 @@
     :param arrived: monotonic time in seconds.
     :param deadline: monotonic time in seconds.
     :param streamed: whether its body is passed on as it comes.
-    :param patient: whether it waits for a slow machine, as no other
-        instance is quick.
+    :param patient: whether it waits if it can't start at once, as no
+        other instance can start it either.
     """
 
     number: int
@@ -58,7 +58,7 @@
     arrived: float
     deadline: float
     streamed: bool = False
-    patient: bool = False
+    patient: bool = True
 
     @property
     def due(self) -> float:
--- a/packages/burdockdeal/burdockdeal/configuration/wiring.py
+++ b/packages/burdockdeal/burdockdeal/configuration/wiring.py
@@ -90,21 +90,6 @@
     return rates.Rate(calls_per_s, max(1.0, calls_per_s * _BURST_S))
 
 
-def make_platform(
-    settings: model.Settings,
-    chance: random.Random,
-    clock: abc.Callable[[], float],
-) -> store.Store:
-    """Make the store's client with the budget of the settings."""
-    budget = settings.store_budget
-    return store.Store(
-        settings.store,
-        rate=rates.Rate(budget.calls_per_s, budget.burst),
-        opens_at=clock() + chance.uniform(0, budget.start_spread_s),
-        clock=clock,
-    )
-
-
 def make_gauges(
     platform: store.Store, spreader: spread.Spreader, records: ledger.Ledger
 ) -> tuple[metrics.Gauge, ...]:
--- a/packages/burdockdeal/burdockdeal/core/call.py
+++ b/packages/burdockdeal/burdockdeal/core/call.py
@@ -49,7 +49,7 @@
         it.
     :param sent_at: the receiver's clock when it was sent, in seconds, at
         the least; None if the sender never heard that clock.
-    :param patient: whether it waits for a slow machine.
+    :param patient: whether it waits if it can't start at once.
     """
 
     request_id: str
--- a/packages/burdockdeal/burdockdeal/core/errors.py
+++ b/packages/burdockdeal/burdockdeal/core/errors.py
@@ -93,6 +93,7 @@
 #: a daemon that starts knows its configuration.
 RETRY_AFTER_S: dict[verdict.Reason, float] = {
     verdict.Reason.SLOWED: 0.1,
+    verdict.Reason.BUSY: 0.1,
     verdict.Reason.QUEUE_FULL: 0.15,
     verdict.Reason.SHED: 0.15,
     verdict.Reason.TARGET_MISSED: 0.15,
--- a/packages/burdockdeal/burdockdeal/core/verdict.py
+++ b/packages/burdockdeal/burdockdeal/core/verdict.py
@@ -29,6 +29,7 @@
     SHED = "SHED"
     TARGET_MISSED = "TARGET_MISSED"
     SLOWED = "SLOWED"
+    BUSY = "BUSY"
     DEADLINE_PASSED = "DEADLINE_PASSED"
     OVERLOADED = "OVERLOADED"
     SLOW_CALLER = "SLOW_CALLER"
@@ -68,6 +69,7 @@
     Reason.SHED: 503,
     Reason.TARGET_MISSED: 503,
     Reason.SLOWED: 503,
+    Reason.BUSY: 503,
     Reason.DEADLINE_PASSED: 504,
     Reason.OVERLOADED: 503,
     Reason.SLOW_CALLER: 408,
--- a/packages/burdockdeal/burdockdeal/daemon/assembly.py
+++ b/packages/burdockdeal/burdockdeal/daemon/assembly.py
@@ -3,17 +3,16 @@
 from collections import abc
 import contextlib
 import dataclasses
+import importlib
 
 import aiohttp
 from aiohttp import web
 
 from burdockdeal.bookings import assembly as bookings
-from burdockdeal.configuration import wiring as configuration
 from burdockdeal.daemon import gauges
 from burdockdeal.daemon import listening
 from burdockdeal.daemon import measuring
 from burdockdeal.daemon import metrics
-from burdockdeal.daemon import own
 from burdockdeal.daemon import parts
 from burdockdeal.daemon import path
 from burdockdeal.daemon import sockets
@@ -24,22 +23,44 @@
 from burdockdeal.membership import service as membership
 from burdockdeal.membership import transport
 from burdockdeal.overload import guard as guards
+from burdockdeal.platform import state as rates
 from burdockdeal.platform import store
-from burdockdeal.platform import surroundings as platform_side
 from burdockdeal.serving import front
 from burdockdeal.serving import pipeline
 from burdockdeal.serving import transfer
 from burdockdeal.settings import model
 from burdockdeal.shutdown import assembly as shutdown
 
-#: By whether the platform's own interfaces bring configuration and
-#: heartbeats.
-SURROUNDINGS = {False: own.OWN, True: platform_side.PLATFORM}
+#: The module of the surroundings, by whether the platform's own interfaces
+#: bring configuration and heartbeats. Only the one in use is imported, since
+#: a start waits for it.
+_SURROUNDINGS = {
+    False: "burdockdeal.daemon.own",
+    True: "burdockdeal.platform.surroundings",
+}
 
 #: Seconds that connections are given when all is done, or is cut off.
 _CUT_S = 0.1
 
 
+def _load_surroundings(
+    settings: model.Settings,
+) -> surroundings.Surroundings:
+    name = _SURROUNDINGS[settings.deployment is not None]
+    return importlib.import_module(name).SURROUNDINGS
+
+
+def _build_store(shared: parts.Parts) -> store.Store:
+    budget = shared.settings.store_budget
+    spread_s = shared.chance.uniform(0, budget.start_spread_s)
+    return store.Store(
+        shared.settings.store,
+        rate=rates.Rate(budget.calls_per_s, budget.burst),
+        opens_at=shared.clock() + spread_s,
+        clock=shared.clock,
+    )
+
+
 def _build_membership(
     shared: parts.Parts,
     platform: store.Store,
@@ -161,13 +182,11 @@
 
     :param settings: the daemon's settings.
     """
-    around = SURROUNDINGS[settings.deployment is not None]
+    around = _load_surroundings(settings)
     shared = parts.Parts(settings, around.speak(settings))
     limits = settings.limits
     async with contextlib.AsyncExitStack() as stack:
-        platform = await stack.enter_async_context(
-            configuration.make_platform(settings, shared.chance, shared.clock)
-        )
+        platform = await stack.enter_async_context(_build_store(shared))
         session = await stack.enter_async_context(
             transfer.build_session(
                 limits.header_bytes,
--- a/packages/burdockdeal/burdockdeal/daemon/main.py
+++ b/packages/burdockdeal/burdockdeal/daemon/main.py
@@ -36,8 +36,9 @@
             failure_domain=settings.failure_domain,
             caller=settings.listen.caller,
         )
-        gc.collect()
+        # What stands now stays; only what comes later may be garbage.
         gc.freeze()
+        gc.enable()
         while not parts.stopping.ended:
             parts.side.take(announce.Tick())
             crash = parts.find_crashed()
--- a/packages/burdockdeal/burdockdeal/daemon/own.py
+++ b/packages/burdockdeal/burdockdeal/daemon/own.py
@@ -59,6 +59,6 @@
     )
 
 
-OWN = surroundings.Surroundings(
+SURROUNDINGS = surroundings.Surroundings(
     speak=lambda settings: dialect.OWN, build_control=_build_control
 )
--- a/packages/burdockdeal/burdockdeal/daemon/parts.py
+++ b/packages/burdockdeal/burdockdeal/daemon/parts.py
@@ -23,6 +23,7 @@
 from burdockdeal.serving import classify
 from burdockdeal.serving import dialect
 from burdockdeal.serving import splits
+from burdockdeal.serving import startup
 from burdockdeal.settings import model
 from burdockdeal.shutdown import stopping
 
@@ -67,6 +68,7 @@
         self.budget = budgets.Budget(self._make_allowance())
         self.bounds = connections.bound_listeners(settings.limits, self.clock)
         self.splits = splits.Splits()
+        self.start = startup.Startup(self.clock)
         self.snapshot: classify.Snapshot | None = None
         self.stopping: stopping.Stopping
         self.services: tuple[mode.Service, ...] = ()
@@ -122,11 +124,13 @@
     def _take_member(
         self, known: membership.Member | None, stands: membership.Member
     ) -> None:
+        self.start.note_change()
         if known is not None:
             self.board.forget(known, stands)
 
     def _take_configuration(self) -> None:
         self.snapshot = classify.build_snapshot(self.standing.configuration)
+        self.start.note_change()
 
     def find_crashed(self) -> str | None:
         """Name a service that crashed and why, None if all run."""
--- a/packages/burdockdeal/burdockdeal/daemon/path.py
+++ b/packages/burdockdeal/burdockdeal/daemon/path.py
@@ -120,6 +120,8 @@
         limits=settings.limits,
         speech=shared.speech,
         choose_service=shared.splits.choose_service,
+        start=shared.start,
+        has_instance=lambda name: bool(shared.roster.list_serving(name)),
     )
     return Path(booked.answer_keys(handle_entry, choose), handle_call)
 
--- a/packages/burdockdeal/burdockdeal/platform/finder.py
+++ b/packages/burdockdeal/burdockdeal/platform/finder.py
@@ -81,13 +81,18 @@
         self._address = address
         self._beats = beats
         self._health_path = health_path
+        self._path_known = asyncio.Event()
+
+    def look(self) -> None:
+        """Ask at once if the path has become known."""
+        if self._health_path():
+            self._path_known.set()
 
     @mode.Service.task
     async def _ask_until_known(self) -> None:
+        await self._path_known.wait()
         while not self.should_stop and not self._beats.heard:
-            path = self._health_path()
-            if path:
-                await self._ask(path)
+            await self._ask(self._health_path())
             await self.sleep(PAUSE_S)
 
     async def _ask(self, path: str) -> None:
--- a/packages/burdockdeal/burdockdeal/platform/surroundings.py
+++ b/packages/burdockdeal/burdockdeal/platform/surroundings.py
@@ -55,6 +55,10 @@
         domain = settings.failure_domain
         return settings.daemon in shared.roster.first_of(domain, count)
 
+    seeker = finder.Finder(
+        control, deployment.upstream, beats, find_health_path
+    )
+    shared.standing.on_change(seeker.look)
     puller = peers.Puller(
         settings, shared.standing, control, clock=shared.clock
     )
@@ -84,9 +88,7 @@
                 is_reader=lambda: is_among(1),
                 read_s=deployment.read_s,
             ),
-            finder.Finder(
-                control, deployment.upstream, beats, find_health_path
-            ),
+            seeker,
         ),
         peer_handlers={
             peers.CHANGES_PATH: puller.handle_changes,
@@ -99,6 +101,6 @@
     )
 
 
-PLATFORM = surroundings.Surroundings(
+SURROUNDINGS = surroundings.Surroundings(
     speak=headers.make_dialect, build_control=_build_control
 )
--- a/packages/burdockdeal/burdockdeal/retry/attempts.py
+++ b/packages/burdockdeal/burdockdeal/retry/attempts.py
@@ -17,7 +17,7 @@
 from burdockdeal.serving import messages
 
 #: Open the answer of one send: call, request, instance, the send's number
-#: and whether it waits for a slow machine.
+#: and whether it waits for its turn.
 OpenTo = abc.Callable[
     [call.Call, messages.Outbound, membership.Member, int, bool],
     opening.Opened,
@@ -25,7 +25,7 @@
 
 
 #: Reasons for which nothing was sent to an upstream, nor waited at it.
-_UNSENT = frozenset({verdict.Reason.UNREACHABLE, verdict.Reason.SLOWED})
+_UNSENT = decisions.KNOCK_REASONS | {verdict.Reason.UNREACHABLE}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -132,8 +132,9 @@
     def _choose_next(self) -> membership.Member | None:
         """Choose where the call is sent next.
 
-        Where every instance was slow when it was asked, the call goes to
-        one of them once more, and waits there.
+        Where no instance could start the call when it was asked, it goes
+        to one of them once more, and waits there: by then it is known of
+        each how much waits there.
         """
         progress = self._progress
         if progress.knocks < decisions.MOST_KNOCKS:
@@ -142,7 +143,7 @@
                 return member
         if progress.patient:
             return self._choose(self._work, progress.tried)
-        self._progress = decisions.wait_for_slow(progress)
+        self._progress = decisions.wait_for_turn(progress)
         return self._choose(self._work, frozenset())
 
     def _pay_for_repeat(self) -> None:
--- a/packages/burdockdeal/burdockdeal/retry/decisions.py
+++ b/packages/burdockdeal/burdockdeal/retry/decisions.py
@@ -62,14 +62,17 @@
 
 #: Refusals at once, by which nothing has reached an upstream and nothing
 #: has waited: the call goes elsewhere at no cost.
-PASSING_REASONS = GONE_REASONS | {verdict.Reason.SLOWED}
+PASSING_REASONS = GONE_REASONS | {verdict.Reason.SLOWED, verdict.Reason.BUSY}
 
-#: Instances that a call asks in turn while each is slow at that moment;
-#: it then waits at one.
+#: Refusals by an instance that can't start a call at that moment.
+KNOCK_REASONS = frozenset({verdict.Reason.SLOWED, verdict.Reason.BUSY})
+
+#: Instances that a call asks in turn while none can start it at that
+#: moment; it then waits at one.
 MOST_KNOCKS = 4
 
-#: Bytes of a body from which on a call rather waits for a slow machine
-#: than goes on to another.
+#: Bytes of a body from which on a call rather waits where it is than goes
+#: on to another instance.
 PATIENT_BODY_BYTES = 16_384
 
 #: Seconds for which an entry passes over an instance that was gone, unless
@@ -160,12 +163,12 @@
     return dataclasses.replace(
         progress,
         left=progress.left + 1,
-        knocks=progress.knocks + (reason is verdict.Reason.SLOWED),
+        knocks=progress.knocks + (reason in KNOCK_REASONS),
     )
 
 
-def wait_for_slow(progress: state.Progress) -> state.Progress:
-    """Let a call wait at any instance, as none that it asked is quick."""
+def wait_for_turn(progress: state.Progress) -> state.Progress:
+    """Let a call wait at any instance, as none could start it at once."""
     return dataclasses.replace(progress, patient=True, tried=frozenset())
 
 
--- a/packages/burdockdeal/burdockdeal/retry/state.py
+++ b/packages/burdockdeal/burdockdeal/retry/state.py
@@ -48,7 +48,7 @@
     :param tried: the daemons that it was sent to.
     :param exposed: whether an earlier send may have run.
     :param refused: whether an earlier send met a full instance.
-    :param knocks: instances that were slow when they were asked.
+    :param knocks: instances that could not start it when they were asked.
     :param patient: whether it now waits where it is sent.
     """
 
--- a/packages/burdockdeal/burdockdeal/serving/entry.py
+++ b/packages/burdockdeal/burdockdeal/serving/entry.py
@@ -22,6 +22,7 @@
 from burdockdeal.serving import classify
 from burdockdeal.serving import dialect
 from burdockdeal.serving import messages
+from burdockdeal.serving import startup
 from burdockdeal.serving import transfer
 from burdockdeal.settings import model
 
@@ -44,11 +45,15 @@
     limits: model.Limits,
     speech: dialect.Dialect,
     choose_service: abc.Callable[[resources.Rule], str],
+    start: startup.Startup,
+    has_instance: abc.Callable[[str], bool],
 ) -> abc.Callable[[web.BaseRequest], abc.Awaitable[web.StreamResponse]]:
     """Make the handler of callers' requests.
 
     :param speech: the callers' headers.
     :param choose_service: chooses among the services of a rule.
+    :param start: lets requests wait just after the daemon's start.
+    :param has_instance: whether an instance of a service is known.
     """
 
     def log_send(send: messages.Send) -> None:
@@ -142,6 +147,7 @@
         try:
             terms = speech.read_terms(request.headers)
             request_id = terms.request_id or request_id
+            await start.wait_for(lambda: snapshot() is not None)
             standing = snapshot()
             if standing is None:
                 raise errors.NotRunError(verdict.Reason.NOT_CONFIGURED)
@@ -157,6 +163,7 @@
                 choose_service=choose_service,
             )
             rank = work.rank
+            await start.wait_for(lambda: has_instance(work.service))
             with guard.hold(work):
                 answer = await answer_call(request, work)
             count(rank, verdict.Verdict.RAN)
--- a/packages/burdockdeal/burdockdeal/serving/messages.py
+++ b/packages/burdockdeal/burdockdeal/serving/messages.py
@@ -83,7 +83,7 @@
     :param attempt: 1 for the first send.
     :param daemon_incarnation: the daemon's, as the sender knows it.
     :param sent_at: the daemon's clock when it is sent, at the least.
-    :param patient: whether it waits for a slow machine.
+    :param patient: whether it waits if it can't start at once.
     """
 
     request: call.Call
--- a/packages/burdockdeal/burdockdeal/serving/owner.py
+++ b/packages/burdockdeal/burdockdeal/serving/owner.py
@@ -153,6 +153,8 @@
         arrived = clock()
         check(send)
         terms = _terms(standing, send.request.rank)
+        if slots.is_busy and not send.patient:
+            raise errors.NotRunError(verdict.Reason.BUSY)
         await fresh.freshen()
         if times.is_slow and send.patient:
             fresh.watch(lambda: slots.waiting > 0 and times.is_slow)
--- /dev/null
+++ b/packages/burdockdeal/burdockdeal/serving/tests/test_startup.py
@@ -0,0 +1,52 @@
+"""Requests that come just after the start of a daemon."""
+
+import asyncio
+
+import pytest
+
+from burdockdeal.serving import startup
+
+
+class Clock:
+    """A clock that stands until it is set."""
+
+    def __init__(self) -> None:
+        self.now = 100.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+async def test_a_request_goes_on_as_soon_as_what_it_needs_is_known(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(startup, "PATIENCE_S", 1000.0)
+    known: list[str] = []
+    start = startup.Startup(Clock())
+    waiting = asyncio.create_task(start.wait_for(lambda: bool(known)))
+    await asyncio.sleep(0)
+    start.note_change()
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    assert not waiting.done()
+    known.append("instance")
+    start.note_change()
+    async with asyncio.timeout(20):
+        await waiting
+
+
+async def test_a_request_waits_no_longer_than_the_daemon_is_young() -> None:
+    clock = Clock()
+    start = startup.Startup(clock)
+    clock.now += startup.PATIENCE_S - 0.02
+    async with asyncio.timeout(20):
+        await start.wait_for(lambda: False)
+
+
+async def test_nothing_waits_once_the_daemon_is_no_longer_young() -> None:
+    clock = Clock()
+    start = startup.Startup(clock)
+    clock.now += startup.PATIENCE_S
+    # A coroutine that never waits ends at its first step.
+    with pytest.raises(StopIteration):
+        start.wait_for(lambda: False).send(None)
--- a/packages/standins/burdockdeal_standins/fleet.py
+++ b/packages/standins/burdockdeal_standins/fleet.py
@@ -186,7 +186,7 @@
         path = self.folder / f"{settings.daemon}.json5"
         path.write_bytes(codec.encode(settings))
         process = await self.start(
-            "burdockdeal.daemon.main", settings.daemon, settings=path
+            "burdockdeal.daemon", settings.daemon, settings=path
         )
         await self.wait_for_port(
             settings.listen.caller.port, process, settings.listen.caller.host
