Let overdue calls wait for a slot that none in time asks for

Cause: a call was refused once it had waited for half of its objective, also where its deadline was far off and a slot came free just after. Ruled out: a longer wait for all. In a flood the earliest target goes first, so each call would start just when it is too late for an answer in time. Change: a call in time goes before any overdue one, of whatever rank; an overdue one waits on for a share of the time to its deadline (late_share of its rank, 0 by default, 0.4 on the platform). The wait in time is 0.3 of the objective there (was 0.5): work itself takes half of it.

--- a/packages/burdockdeal/burdockdeal/admission/decisions.py
+++ b/packages/burdockdeal/burdockdeal/admission/decisions.py
@@ -137,8 +137,9 @@
 def pick(gathering: state.Gathering, now: float) -> state.Line | None:
     """Choose the rank whose first call starts next.
 
-    Ranks that are owed some of their floor go first, then all others; in
-    either the most urgent, and of equals the worthiest.
+    Calls in time go before overdue ones. Then ranks that are owed some of
+    their floor go first, then all others; in either the most urgent, and
+    of equals the worthiest.
 
     :returns: the line, None if nothing can start.
     """
@@ -151,6 +152,10 @@
     ]
     if not ready:
         return None
+    in_time = [
+        line for line in ready if line.terms.name not in gathering.overdue
+    ]
+    ready = in_time or ready
     service_s = gathering.pace.service_s
     owed = [
         line for line in ready if find_credit(line, slots, service_s, now) > 0
@@ -244,7 +249,7 @@
         return Admission(Decision.RUN)
     if not ticket.patient:
         return Admission(Decision.REFUSE_BUSY)
-    if expect_wait(ticket, gathering, now) > ticket.due - now:
+    if expect_wait(ticket, gathering, now) > ticket.ends - now:
         return Admission(Decision.REFUSE_TARGET)
     if gathering.waiting < room.queue_limit:
         return Admission(Decision.WAIT)
@@ -259,4 +264,4 @@
     """Decide on a call that waited and whose turn has come."""
     if now >= ticket.deadline:
         return Decision.REFUSE_LATE
-    return Decision.REFUSE_TARGET if now > ticket.due else Decision.RUN
+    return Decision.REFUSE_TARGET if now > ticket.ends else Decision.RUN
--- a/packages/burdockdeal/burdockdeal/admission/gate.py
+++ b/packages/burdockdeal/burdockdeal/admission/gate.py
@@ -112,7 +112,13 @@
             self._start_waiting()
 
     def _gather(self) -> state.Gathering:
-        return state.Gathering(self._lines, self._room(), self._pace)
+        now = self._clock()
+        overdue = frozenset(
+            name
+            for name, line in self._queues.items()
+            if len(line) and line.is_overdue(now)
+        )
+        return state.Gathering(self._lines, self._room(), self._pace, overdue)
 
     async def _enter(self, ticket: state.Ticket) -> None:
         self._know(ticket.terms)
@@ -144,7 +150,7 @@
         self._queues[ticket.terms.name].push(waiter)
         self._count_waiting(ticket, 1)
         try:
-            async with asyncio.timeout(ticket.due - self._clock()):
+            async with asyncio.timeout(ticket.ends - self._clock()):
                 await turn
             if self._clock() >= ticket.deadline:
                 reason = verdict.Reason.DEADLINE_PASSED
@@ -179,7 +185,8 @@
     def _start_waiting(self) -> None:
         while line := decisions.pick(self._gather(), self._clock()):
             waiter = self._queues[line.terms.name].pop_first(
-                uploads=decisions.upload_fits(self._gather())
+                uploads=decisions.upload_fits(self._gather()),
+                now=self._clock(),
             )
             ticket = waiter.ticket
             self._count_waiting(ticket, -1)
--- a/packages/burdockdeal/burdockdeal/admission/queue.py
+++ b/packages/burdockdeal/burdockdeal/admission/queue.py
@@ -36,6 +36,7 @@
     def __init__(self) -> None:
         self._waiters: dict[int, Waiter] = {}
         self._heaps: dict[bool, list[_Place]] = {False: [], True: []}
+        self._overdue: dict[bool, list[_Place]] = {False: [], True: []}
 
     def __len__(self) -> int:
         return len(self._waiters)
@@ -58,16 +59,34 @@
         """Take out the call that arrived last."""
         return self._waiters.popitem()[1]
 
-    def pop_first(self, *, uploads: bool) -> Waiter:
-        """Take out the call that is due first.
+    def is_overdue(self, now: float) -> bool:
+        """Tell whether every call that waits is overdue."""
+        self._sort_out(now)
+        return not any(self._heaps.values())
+
+    def pop_first(self, *, uploads: bool, now: float) -> Waiter:
+        """Take out the call that is due first, one in time if there is one.
 
         :param uploads: whether it may be one with a streamed body.
         """
-        heaps = [self._heaps[False]]
-        if uploads:
-            heaps.append(self._heaps[True])
-        for heap in heaps:
-            while heap and heap[0].number not in self._waiters:
-                heapq.heappop(heap)
+        self._sort_out(now)
+        kinds = (False, True) if uploads else (False,)
+        heaps = [self._heaps[kind] for kind in kinds]
+        if not any(heaps):
+            heaps = [self._overdue[kind] for kind in kinds]
         heap = min(filter(None, heaps), key=lambda places: places[0])
         return self._waiters.pop(heapq.heappop(heap).number)
+
+    def _sort_out(self, now: float) -> None:
+        """Drop the places of calls that left; set overdue ones apart."""
+        for kind, heap in self._heaps.items():
+            while heap and self._is_past(heap[0], now):
+                place = heapq.heappop(heap)
+                if place.number in self._waiters:
+                    heapq.heappush(self._overdue[kind], place)
+        for heap in self._overdue.values():
+            while heap and heap[0].number not in self._waiters:
+                heapq.heappop(heap)
+
+    def _is_past(self, place: _Place, now: float) -> bool:
+        return place.due < now or place.number not in self._waiters
--- a/packages/burdockdeal/burdockdeal/admission/state.py
+++ b/packages/burdockdeal/burdockdeal/admission/state.py
@@ -9,6 +9,9 @@
 
     :param target_s: the wait past which an answer is late, in seconds.
     :param floor: the share of slots that it keeps.
+    :param late_share: the share of the time to its deadline in which a call
+        goes on waiting when its target has passed, for a slot that no call
+        in time asks for.
     """
 
     name: str
@@ -16,6 +19,7 @@
     worth: float
     target_s: float
     floor: float
+    late_share: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -62,9 +66,15 @@
 
     @property
     def due(self) -> float:
-        """When its wait is too long: monotonic time in seconds."""
+        """When it is overdue: monotonic time in seconds."""
         return min(self.arrived + self.terms.target_s, self.deadline)
 
+    @property
+    def ends(self) -> float:
+        """When its wait is too long: monotonic time in seconds."""
+        allowed_s = self.terms.late_share * (self.deadline - self.arrived)
+        return max(self.due, min(self.arrived + allowed_s, self.deadline))
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Line:
@@ -114,11 +124,13 @@
     """All that the decisions at the gate look at.
 
     :param lines: by the rank's name.
+    :param overdue: the names of ranks whose waiting calls are all overdue.
     """
 
     lines: dict[str, Line]
     room: Room
     pace: Pace
+    overdue: frozenset[str] = frozenset()
 
     @property
     def running(self) -> int:
--- a/packages/burdockdeal/burdockdeal/configuration/resources.py
+++ b/packages/burdockdeal/burdockdeal/configuration/resources.py
@@ -41,12 +41,16 @@
         which an answer is late.
     :param floor: the share of an upstream's slots that the rank keeps in
         a flood of any other.
+    :param late_share: the share of the time to its deadline in which a call
+        goes on waiting when its target has passed, for a slot that no call
+        in time asks for; 0 to refuse it at its target.
     """
 
     urgency: checking.Count
     worth: checking.Positive
     target_ms: checking.Positive
     floor: Share = 0.0
+    late_share: Share = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/burdockdeal/burdockdeal/platform/configuration.py
+++ b/packages/burdockdeal/burdockdeal/platform/configuration.py
@@ -21,7 +21,11 @@
 
 #: Share of the time that an answer may take which it may wait beside the
 #: upstream; the rest is for the work itself.
-_WAIT_SHARE = 0.5
+_WAIT_SHARE = 0.3
+
+#: Share of the time to its deadline in which a call waits for a slot that
+#: no call in time asks for.
+_LATE_SHARE = 0.4
 
 _WRITER = "platform"
 
@@ -111,6 +115,7 @@
         urgency=route.priority,
         worth=_WORTH_STEP**height,
         target_ms=_WAIT_SHARE * (route.target_latency_ms or route.timeout_ms),
+        late_share=_LATE_SHARE,
     )
 
 
--- a/packages/burdockdeal/burdockdeal/serving/owner.py
+++ b/packages/burdockdeal/burdockdeal/serving/owner.py
@@ -44,6 +44,7 @@
         worth=spec.worth,
         target_s=spec.target_ms / 1000,
         floor=spec.floor,
+        late_share=spec.late_share,
     )
 
 
