Send again up to what the platform allows; count what reached an upstream

Cause: an entry sent again 0.08 of its requests and its part of 40 in ten seconds, whatever the platform allowed (0.2 and 56 to 196), and counted sends that the owner had refused, of which no upstream saw anything. Ruled out: the whole of what is allowed. The bound counts the calls that a worker makes for a repeated request as repeats of the service called, and nothing in a call says whose it is. Change: share and slack come from the platform's bounds, 0.7 of them is used; tokens earn as much. Only what may have reached an upstream counts, as first or repeat. The owner counts which of its running calls were sent before (retry/lineage); that share of the calls made beside it counts as repeats.

--- a/packages/burdockdeal/burdockdeal/core/call.py
+++ b/packages/burdockdeal/burdockdeal/core/call.py
@@ -20,6 +20,7 @@
     :param idempotency_key: the caller's key, None without one.
     :param most_sends: instances that it may be sent to at most.
     :param body_bytes: the length of its body, as far as it is known.
+    :param repeated: whether it had reached an upstream before this send.
     """
 
     request_id: str
@@ -32,6 +33,7 @@
     idempotency_key: str | None = None
     most_sends: int = 3
     body_bytes: int = 0
+    repeated: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,6 +52,7 @@
     :param sent_at: the receiver's clock when it was sent, in seconds, at
         the least; None if the sender never heard that clock.
     :param patient: whether it waits if it can't start at once.
+    :param repeated: whether it had reached an upstream before.
     """
 
     request_id: str
@@ -66,6 +69,7 @@
     daemon_incarnation: int = 0
     sent_at: float | None = None
     patient: bool = False
+    repeated: bool = False
 
 
 def seal(
@@ -99,6 +103,7 @@
         daemon_incarnation=daemon_incarnation,
         sent_at=sent_at,
         patient=patient,
+        repeated=call.repeated,
     )
 
 
@@ -121,4 +126,5 @@
         retry_tokens=envelope.retry_tokens,
         idempotent=envelope.idempotent,
         idempotency_key=envelope.idempotency_key,
+        repeated=envelope.repeated,
     )
--- a/packages/burdockdeal/burdockdeal/daemon/parts.py
+++ b/packages/burdockdeal/burdockdeal/daemon/parts.py
@@ -19,6 +19,7 @@
 from burdockdeal.overload import guard as guards
 from burdockdeal.retry import allowance
 from burdockdeal.retry import budget as budgets
+from burdockdeal.retry import lineage
 from burdockdeal.routing import board
 from burdockdeal.routing import state as routing
 from burdockdeal.serving import classify
@@ -67,7 +68,8 @@
         self.board = board.Board(
             settings.daemon, settings.failure_domain, self.clock, self.load
         )
-        self.budget = budgets.Budget(self._make_allowance())
+        self.lineage = lineage.Lineage()
+        self.budget = self._make_budget()
         self.bounds = connections.bound_listeners(settings.limits, self.clock)
         self.splits = splits.Splits()
         self.start = startup.Startup(self.clock)
@@ -83,13 +85,17 @@
         """Take in settings that may change while the daemon runs."""
         self.settings = settings
 
-    def _make_allowance(self) -> allowance.Allowance | None:
+    def _make_budget(self) -> budgets.Budget:
         if self.settings.fleet_retries is None:
-            return None
-        return allowance.Allowance(
-            lambda: self.settings.fleet_retries,
-            lambda: self.roster.size,
-            self.clock,
+            return budgets.Budget()
+        return budgets.Budget(
+            allowance.Allowance(
+                lambda: self.settings.fleet_retries,
+                lambda: self.roster.size,
+                self.clock,
+                lambda: self.lineage.repeated_share,
+            ),
+            lambda: allowance.USED_SHARE * self.settings.fleet_retries.share,
         )
 
     def _slots(self) -> int:
--- a/packages/burdockdeal/burdockdeal/daemon/path.py
+++ b/packages/burdockdeal/burdockdeal/daemon/path.py
@@ -88,6 +88,7 @@
             fresh,
             shared.speech,
             shared.circuit,
+            shared.lineage,
         )
     )
     remote = booked.guard_sends(
--- a/packages/burdockdeal/burdockdeal/retry/attempts.py
+++ b/packages/burdockdeal/burdockdeal/retry/attempts.py
@@ -70,6 +70,7 @@
         self._budget = budget
         self._clock = clock
         self._counted = False
+        self._arrived = False
         self._progress = decisions.begin(work)
 
     @contextlib.asynccontextmanager
@@ -228,8 +229,9 @@
             return progress
         self._budget.count_hedge()
         self._budget.count_send(self._work, first=False)
+        self._budget.count_arrival(self._work, first=False)
         # The first send may run as well.
-        progress = dataclasses.replace(progress, exposed=True)
+        progress = dataclasses.replace(progress, exposed=True, reached=True)
         openings.append(opening.Opening(self._open(member, progress)))
         return decisions.note_send(progress, member.daemon)
 
@@ -237,6 +239,9 @@
         if error is None or error.reason not in _UNSENT:
             self._budget.count_send(self._work, first=not self._counted)
             self._counted = True
+        if error is None or decisions.has_arrived(error.outcome, error.reason):
+            self._budget.count_arrival(self._work, first=not self._arrived)
+            self._arrived = True
 
     def _note_latency(self, started: float) -> None:
         if not self._outbound.body.streamed:
--- a/packages/burdockdeal/burdockdeal/retry/budget.py
+++ b/packages/burdockdeal/burdockdeal/retry/budget.py
@@ -1,5 +1,6 @@
 """The budget: what one entry has sent, and may send again."""
 
+from collections import abc
 import dataclasses
 
 from burdockdeal.core import call
@@ -13,10 +14,16 @@
 
     :param allowance: what the entry may add to the fleet's sends; None
         without a bound on the fleet.
+    :param earned_share: returns the tokens that a first send earns.
     """
 
-    def __init__(self, allowance: allowances.Allowance | None = None) -> None:
+    def __init__(
+        self,
+        allowance: allowances.Allowance | None = None,
+        earned_share: abc.Callable[[], float] = lambda: decisions.EARNED_SHARE,
+    ) -> None:
         self._allowance = allowance
+        self._earned_share = earned_share
         self._accounts: dict[tuple[str, str], state.Account] = {}
         self.tally = state.Tally()
 
@@ -34,8 +41,6 @@
         :param first: whether it is the call's first here.
         """
         tally = self.tally
-        if self._allowance is not None:
-            self._allowance.count(work.service, first=first)
         earns = first and decisions.is_first(work)
         self.tally = dataclasses.replace(
             tally,
@@ -43,7 +48,16 @@
             first_sends=tally.first_sends + earns,
         )
         if earns:
-            self._keep(work, decisions.earn(self.find(work)))
+            share = self._earned_share()
+            self._keep(work, decisions.earn(self.find(work), share))
+
+    def count_arrival(self, work: call.Call, *, first: bool) -> None:
+        """Count a send that may have reached an upstream.
+
+        :param first: whether it is the call's first that did.
+        """
+        if self._allowance is not None:
+            self._allowance.count(work.service, first=first)
 
     def pay(self, work: call.Call) -> bool:
         """Pay for one more send of a call.
--- a/packages/burdockdeal/burdockdeal/retry/decisions.py
+++ b/packages/burdockdeal/burdockdeal/retry/decisions.py
@@ -129,7 +129,9 @@
     """
     left = max(0, work.retry_tokens - LAYER_TOKENS)
     tokens = 0 if progress.exposed else left
-    return dataclasses.replace(work, retry_tokens=tokens)
+    return dataclasses.replace(
+        work, retry_tokens=tokens, repeated=progress.reached
+    )
 
 
 def note_send(progress: state.Progress, daemon: str) -> state.Progress:
@@ -142,6 +144,17 @@
     )
 
 
+def has_arrived(
+    outcome: verdict.Verdict, reason: verdict.Reason | None
+) -> bool:
+    """Tell whether a send that failed may have reached an upstream.
+
+    :param reason: None for an upstream's own answer.
+    """
+    ran = outcome is not verdict.Verdict.NOT_RUN
+    return ran or reason is verdict.Reason.UPSTREAM_REFUSED
+
+
 def note_failure(
     progress: state.Progress,
     outcome: verdict.Verdict,
@@ -154,6 +167,7 @@
     return dataclasses.replace(
         progress,
         exposed=progress.exposed or outcome is not verdict.Verdict.NOT_RUN,
+        reached=progress.reached or has_arrived(outcome, reason),
         refused=progress.refused or reason in FULL_REASONS,
     )
 
@@ -196,9 +210,12 @@
     )
 
 
-def earn(account: state.Account) -> state.Account:
-    """Take in a first send."""
-    tokens = min(MOST_TOKENS, account.tokens + EARNED_SHARE)
+def earn(account: state.Account, share: float = EARNED_SHARE) -> state.Account:
+    """Take in a first send.
+
+    :param share: the tokens that it earns.
+    """
+    tokens = min(MOST_TOKENS, account.tokens + share)
     return dataclasses.replace(account, tokens=tokens)
 
 
--- a/packages/burdockdeal/burdockdeal/retry/state.py
+++ b/packages/burdockdeal/burdockdeal/retry/state.py
@@ -47,6 +47,7 @@
     :param sends: how often it was sent.
     :param tried: the daemons that it was sent to.
     :param exposed: whether an earlier send may have run.
+    :param reached: whether an earlier send reached an upstream.
     :param refused: whether an earlier send met a full instance.
     :param knocks: instances that could not start it when they were asked.
     :param patient: whether it now waits where it is sent.
@@ -56,6 +57,7 @@
     sends: int = 0
     tried: frozenset[str] = frozenset()
     exposed: bool = False
+    reached: bool = False
     refused: bool = False
     knocks: int = 0
     patient: bool = False
--- a/packages/burdockdeal/burdockdeal/retry/tests/test_allowance.py
+++ b/packages/burdockdeal/burdockdeal/retry/tests/test_allowance.py
@@ -6,7 +6,12 @@
 from burdockdeal.retry import allowance
 from burdockdeal.settings import model
 
-TERMS = model.FleetRetries(share=0.1, slack=40.0, window_s=10.0)
+#: Of these, a share of 0.1 and 40 more are used.
+TERMS = model.FleetRetries(
+    share=0.1 / allowance.USED_SHARE,
+    slack=40.0 / allowance.USED_SHARE,
+    window_s=10.0,
+)
 
 
 class Clock:
