Let owners tell each other that their upstreams slow down when nearly full

Change: reports say whether an upstream was seen to slow down; an owner of the same service believes that for 60 s, unless it is just trying its own. Tests: test_knee.py, two more.

--- a/packages/burdockdeal/burdockdeal/admission/knee.py
+++ b/packages/burdockdeal/burdockdeal/admission/knee.py
@@ -6,6 +6,8 @@
 started with room to spare.
 """
 
+import math
+
 #: Share of the slots beyond which an upstream is nearly full.
 FULL_SHARE = 0.8
 
@@ -21,6 +23,9 @@
 #: Seconds after which it is filled again, to see whether that still holds.
 TRIAL_S = 30.0
 
+#: Seconds for which what the owners of the same service found is believed.
+TOLD_S = 60.0
+
 _SMOOTHING = 0.1
 _LEAST_SHARE = 0.02
 _MOST_RATIO = 4.0
@@ -43,6 +48,12 @@
         self._crowded_calls = 0
         self._ratio = 1.0
         self._found_at: float | None = None
+        self._trying = False
+
+    @property
+    def found(self) -> bool:
+        """Whether this upstream was seen to slow down when nearly full."""
+        return self._found_at is not None
 
     def note(
         self, rank: str, held_s: float, now: float, *, crowded: bool
@@ -68,12 +79,21 @@
         )
         if found and self._found_at is None:
             self._found_at = now
+            self._trying = False
 
-    def bound(self, slots: int, now: float) -> int:
-        """Tell how many of the slots to use."""
+    def bound(self, slots: int, now: float, told_s: float = math.inf) -> int:
+        """Tell how many of the slots to use.
+
+        :param told_s: seconds since the owner of another upstream of the
+            service told that its own slows down; believed until this one
+            has been tried.
+        """
         if self._found_at is None:
-            return slots
+            if told_s > TOLD_S or self._trying:
+                return slots
+            return max(1, int(FULL_SHARE * slots))
         if now - self._found_at > TRIAL_S:
+            self._trying = True
             self._found_at = None
             self._crowded_calls = 0
             self._ratio = 1.0
--- a/packages/burdockdeal/burdockdeal/admission/tests/test_knee.py
+++ b/packages/burdockdeal/burdockdeal/admission/tests/test_knee.py
@@ -37,6 +37,19 @@
     assert replay(3.0, 25, 1).bound(SLOTS, 1.0) == SLOTS
 
 
+def test_what_another_owner_found_is_believed_for_a_time() -> None:
+    assert knee.Knee().bound(SLOTS, 0.0, 1.0) == BOUND
+    assert knee.Knee().bound(SLOTS, 0.0, knee.TOLD_S + 1.0) == SLOTS
+
+
+def test_what_another_owner_found_is_not_believed_while_it_is_tried() -> None:
+    learned = replay(1.7, 300, 1)
+    tried_at = 4.0 + knee.TRIAL_S
+    assert learned.bound(SLOTS, tried_at, 1.0) == SLOTS
+    assert not learned.found
+    assert learned.bound(SLOTS, tried_at + 1.0, 1.0) == SLOTS
+
+
 def test_it_is_tried_again() -> None:
     learned = replay(1.7, 300, 1)
     assert learned.bound(SLOTS, 3.0 + knee.TRIAL_S) == SLOTS
--- a/packages/burdockdeal/burdockdeal/daemon/parts.py
+++ b/packages/burdockdeal/burdockdeal/daemon/parts.py
@@ -110,7 +110,9 @@
         services = self.snapshot.services if self.snapshot else {}
         spec = services.get(service, _DEFAULT_SERVICE)
         whole = self._slots()
-        slots = self.gate.knee.bound(whole, self.clock())
+        slots = self.gate.knee.bound(
+            whole, self.clock(), self.board.crowds_told_s(service)
+        )
         return admission.Room(
             slow=self.meter.is_slow,
             whole=whole,
@@ -172,6 +174,7 @@
             service_ms=self.meter.service_ms(),
             failed_share=self.meter.failed_share,
             slowdown=told.slowdown if told else 1.0,
+            crowds=self.gate.knee.found,
             slowdown_age_ms=round(min(60.0, self.meter.told_age_s) * 1000, 1),
         )
 
--- a/packages/burdockdeal/burdockdeal/routing/board.py
+++ b/packages/burdockdeal/burdockdeal/routing/board.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import abc
+import math
 import types
 
 from burdockdeal.core import errors
@@ -204,10 +205,20 @@
         if known is None:
             return
         known.note_report(key, report)
+        if report.crowds:
+            known.crowds_told_at = self.clock()
         fit = held.health.allowance is None
         if fit and decisions.is_slow(report.service_ms / 1000, known.norm):
             self._step(key, held.member.service, ejection.Lagged())
 
+    def crowds_told_s(self, service: str) -> float:
+        """Tell how long ago an instance told that it slows down when full.
+
+        :returns: seconds, infinity if none ever did.
+        """
+        known = self.groups.get(service)
+        return self.clock() - known.crowds_told_at if known else math.inf
+
     def note_round_trip(
         self, member: messages.Member, elapsed_s: float
     ) -> None:
--- a/packages/burdockdeal/burdockdeal/routing/state.py
+++ b/packages/burdockdeal/burdockdeal/routing/state.py
@@ -22,6 +22,8 @@
     :param slowdown: how many times as long as usual work takes on its
         machine, as it was last told.
     :param slowdown_age_ms: milliseconds since that was told.
+    :param crowds: whether the upstream was seen to slow down when nearly
+        full.
     """
 
     in_flight: int
@@ -32,6 +34,7 @@
     failed_share: float = 0.0
     slowdown: float = 1.0
     slowdown_age_ms: float = 60_000.0
+    crowds: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
