Pool what owners saw of nearly full upstreams, against busy ones

Calls on a nearly full upstream were compared with those on any other, idle ones too, and what an upstream calls is slower while all are loaded. Ruled out: two owners have to say so. Change: calls are compared with those that started on a busy upstream (over half of its slots); reports carry how many calls were seen and their ratio; an owner pools them with its own, 50 calls an owner at most. A line of the log says when slots are left free and when that is tried again. Tests: test_knee.py; test_slower_calls_of_its_own fails with the earlier comparison.

--- a/packages/burdockdeal/burdockdeal/admission/gate.py
+++ b/packages/burdockdeal/burdockdeal/admission/gate.py
@@ -94,13 +94,13 @@
         )
         await self._enter(ticket)
         started = self._clock()
-        crowded = knees.is_crowded(self.running, self._room().all_slots)
+        fill = self.running / max(1, self._room().all_slots)
         try:
             yield
         finally:
             now = self._clock()
             if not streamed:
-                self.knee.note(terms.name, now - started, now, crowded=crowded)
+                self.knee.note(terms.name, now - started, now, fill=fill)
             self._pace = pace.note_end(
                 self._pace, now - started, streamed=streamed, now=now
             )
--- a/packages/burdockdeal/burdockdeal/admission/knee.py
+++ b/packages/burdockdeal/burdockdeal/admission/knee.py
@@ -3,18 +3,26 @@
 Some upstreams do: what starts when most slots are taken is slower to its
 end, so that fewer calls at once get more done. Whether this one does shows
 in how long calls hold their slots, against calls of the same rank that
-started with room to spare.
+started on a busy upstream with some room left.
 """
 
-import math
+from collections import abc
+import dataclasses
+
+from burdockdeal.core import journal
 
 #: Share of the slots beyond which an upstream is nearly full.
 FULL_SHARE = 0.8
 
-#: Calls of a rank that must have started with room to spare, and calls that
-#: started without, before the two are compared.
+#: Share of the slots beyond which starts are compared with those on a nearly
+#: full upstream. On an idle one, the calls that an upstream itself makes are
+#: faster as well, whether it slows down or not.
+BUSY_SHARE = 0.5
+
+#: Calls of a rank that must have started on a busy upstream, and calls that
+#: started on a nearly full one, before the two are compared.
 LEAST_USUAL = 10
-LEAST_CROWDED = 20
+LEAST_CROWDED = 30
 
 #: How many times as long as usual a crowded start takes, at the mean, from
 #: which on the upstream is not filled.
@@ -28,15 +36,36 @@
 
 _SMOOTHING = 0.1
 _LEAST_SHARE = 0.02
+_MOST_WEIGHT = 50
 _MOST_RATIO = 4.0
 
 
-def is_crowded(running: int, slots: int) -> bool:
-    """Tell whether a call starts on an upstream that is nearly full.
+@dataclasses.dataclass(frozen=True, slots=True)
+class Evidence:
+    """What calls that started on nearly full upstreams show.
 
-    :param running: calls in flight, the one that starts among them.
+    :param calls: how many they are.
+    :param ratio: how many times as long as usual they took, at the mean.
     """
-    return running > FULL_SHARE * slots
+
+    calls: int = 0
+    ratio: float = 1.0
+
+
+def pool(all_evidence: abc.Iterable[Evidence]) -> Evidence:
+    """Pool what the owners of a service's upstreams saw."""
+    calls, taken = 0, 0.0
+    for evidence in all_evidence:
+        weight = min(evidence.calls, _MOST_WEIGHT)
+        calls += weight
+        taken += weight * evidence.ratio
+    return Evidence(calls, taken / calls) if calls else Evidence()
+
+
+def shows_crowding(evidence: Evidence) -> bool:
+    """Tell whether upstreams slow down when they are nearly full."""
+    enough = evidence.calls >= LEAST_CROWDED
+    return enough and evidence.ratio >= SLOWER_FACTOR
 
 
 class Knee:
@@ -45,24 +74,21 @@
     def __init__(self) -> None:
         self._usual_s: dict[str, float] = {}
         self._usual_calls: dict[str, int] = {}
-        self._crowded_calls = 0
-        self._ratio = 1.0
-        self._found_at: float | None = None
+        self._bound_since: float | None = None
         self._trying = False
-
-    @property
-    def found(self) -> bool:
-        """Whether this upstream was seen to slow down when nearly full."""
-        return self._found_at is not None
+        self.evidence = Evidence()
 
     def note(
-        self, rank: str, held_s: float, now: float, *, crowded: bool
+        self, rank: str, held_s: float, now: float, *, fill: float
     ) -> None:
         """Take in how long a call held its slot.
 
-        :param crowded: whether it started on a nearly full upstream.
+        :param fill: the share of the slots that were taken when it started,
+            its own among them.
         """
-        if not crowded:
+        if fill <= BUSY_SHARE:
+            return
+        if fill <= FULL_SHARE:
             before = self._usual_s.get(rank, held_s)
             self._usual_s[rank] = before + _SMOOTHING * (held_s - before)
             self._usual_calls[rank] = self._usual_calls.get(rank, 0) + 1
@@ -70,32 +96,41 @@
         if self._usual_calls.get(rank, 0) < LEAST_USUAL:
             return
         ratio = min(_MOST_RATIO, held_s / max(1e-6, self._usual_s[rank]))
-        self._crowded_calls += 1
-        share = max(1 / self._crowded_calls, _LEAST_SHARE)
-        self._ratio += share * (ratio - self._ratio)
-        found = (
-            self._crowded_calls >= LEAST_CROWDED
-            and self._ratio >= SLOWER_FACTOR
-        )
-        if found and self._found_at is None:
-            self._found_at = now
-            self._trying = False
-
-    def bound(self, slots: int, now: float, told_s: float = math.inf) -> int:
+        calls = self.evidence.calls + 1
+        share = max(1 / calls, _LEAST_SHARE)
+        before = self.evidence.ratio
+        self.evidence = Evidence(calls, before + share * (ratio - before))
+
+    def bound(
+        self, slots: int, now: float, others: abc.Iterable[Evidence] = ()
+    ) -> int:
         """Tell how many of the slots to use.
 
-        :param told_s: seconds since the owner of another upstream of the
-            service told that its own slows down; believed until this one
-            has been tried.
+        :param others: what the owners of the service's other upstreams saw;
+            left out while this one is tried again.
         """
-        if self._found_at is None:
-            if told_s > TOLD_S or self._trying:
-                return slots
-            return max(1, int(FULL_SHARE * slots))
-        if now - self._found_at > TRIAL_S:
-            self._trying = True
-            self._found_at = None
-            self._crowded_calls = 0
-            self._ratio = 1.0
+        known = () if self._trying else others
+        if not shows_crowding(pool((self.evidence, *known))):
+            self._bound_since = None
+            return slots
+        if self._bound_since is None:
+            self._begin(now)
+        elif now - self._bound_since > TRIAL_S:
+            self._try_again()
             return slots
         return max(1, int(FULL_SHARE * slots))
+
+    def _begin(self, now: float) -> None:
+        self._bound_since = now
+        self._trying = False
+        journal.record(
+            "upstream_crowds",
+            calls=self.evidence.calls,
+            ratio=round(self.evidence.ratio, 2),
+        )
+
+    def _try_again(self) -> None:
+        self._bound_since = None
+        self._trying = True
+        self.evidence = Evidence()
+        journal.record("upstream_crowds_tried_again")
--- a/packages/burdockdeal/burdockdeal/admission/tests/test_knee.py
+++ b/packages/burdockdeal/burdockdeal/admission/tests/test_knee.py
@@ -14,11 +14,11 @@
     learned = knee.Knee()
     for number in range(calls):
         running = chance.randint(1, SLOTS)
-        crowded = knee.is_crowded(running, SLOTS)
+        fill = running / SLOTS
         held_s = chance.lognormvariate(-1.6, 0.3) * (
-            factor if crowded else 1.0
+            factor if fill > knee.FULL_SHARE else 1.0
         )
-        learned.note("r", held_s, number / 100, crowded=crowded)
+        learned.note("r", held_s, number / 100, fill=fill)
     return learned
 
 
@@ -33,23 +33,47 @@
         assert replay(1.0, 300, seed).bound(SLOTS, 3.0) == SLOTS
 
 
+def test_slower_calls_of_its_own_under_load_are_no_slowdown() -> None:
+    """What an upstream calls is slower while all are loaded."""
+    for seed in range(20):
+        chance = random.Random(seed)
+        learned = knee.Knee()
+        for number in range(2000):
+            fill = chance.randint(1, SLOTS) / SLOTS
+            work_s = chance.lognormvariate(-1.8, 0.3)
+            calls_s = 0.02 + 0.25 * fill
+            learned.note("r", work_s + calls_s, number / 100, fill=fill)
+            assert learned.bound(SLOTS, number / 100) == SLOTS
+
+
 def test_too_few_calls_say_nothing() -> None:
     assert replay(3.0, 25, 1).bound(SLOTS, 1.0) == SLOTS
 
 
-def test_what_another_owner_found_is_believed_for_a_time() -> None:
-    assert knee.Knee().bound(SLOTS, 0.0, 1.0) == BOUND
-    assert knee.Knee().bound(SLOTS, 0.0, knee.TOLD_S + 1.0) == SLOTS
+SEEN = knee.Evidence(knee.LEAST_CROWDED, 1.7)
+
+
+def test_what_other_owners_saw_counts() -> None:
+    some = knee.Evidence(knee.LEAST_CROWDED // 3, 1.7)
+    assert knee.Knee().bound(SLOTS, 0.0, [SEEN]) == BOUND
+    assert knee.Knee().bound(SLOTS, 0.0, [some, some, some]) == BOUND
+    assert knee.Knee().bound(SLOTS, 0.0, [some, some]) == SLOTS
+
+
+def test_an_owner_that_saw_nothing_of_it_outweighs_a_few_calls() -> None:
+    none = knee.Evidence(1000, 1.0)
+    assert knee.Knee().bound(SLOTS, 0.0, [none, SEEN]) == SLOTS
 
 
-def test_what_another_owner_found_is_not_believed_while_it_is_tried() -> None:
+def test_what_other_owners_saw_is_left_out_while_it_is_tried() -> None:
     learned = replay(1.7, 300, 1)
+    assert learned.bound(SLOTS, 3.0, [SEEN]) == BOUND
     tried_at = 4.0 + knee.TRIAL_S
-    assert learned.bound(SLOTS, tried_at, 1.0) == SLOTS
-    assert not learned.found
-    assert learned.bound(SLOTS, tried_at + 1.0, 1.0) == SLOTS
+    assert learned.bound(SLOTS, tried_at, [SEEN]) == SLOTS
+    assert learned.bound(SLOTS, tried_at + 1.0, [SEEN]) == SLOTS
 
 
 def test_it_is_tried_again() -> None:
     learned = replay(1.7, 300, 1)
-    assert learned.bound(SLOTS, 3.0 + knee.TRIAL_S) == SLOTS
+    assert learned.bound(SLOTS, 3.0) == BOUND
+    assert learned.bound(SLOTS, 3.1 + knee.TRIAL_S) == SLOTS
--- a/packages/burdockdeal/burdockdeal/daemon/parts.py
+++ b/packages/burdockdeal/burdockdeal/daemon/parts.py
@@ -1,11 +1,13 @@
 """The parts of one daemon that its slices share."""
 
+from collections import abc
 import random
 import time
 
 import mode
 
 from burdockdeal.admission import gate
+from burdockdeal.admission import knee
 from burdockdeal.admission import state as admission
 from burdockdeal.announce import api as announce_api
 from burdockdeal.announce import decisions as announce
@@ -111,7 +113,7 @@
         spec = services.get(service, _DEFAULT_SERVICE)
         whole = self._slots()
         slots = self.gate.knee.bound(
-            whole, self.clock(), self.board.crowds_told_s(service)
+            whole, self.clock(), self._list_crowding(service)
         )
         return admission.Room(
             slow=self.meter.is_slow,
@@ -122,6 +124,10 @@
             warm=self._warm(),
         )
 
+    def _list_crowding(self, service: str) -> abc.Iterator[knee.Evidence]:
+        for report in self.board.list_reports(service):
+            yield knee.Evidence(report.crowded_calls, report.crowded_ratio)
+
     def _declare_upstream(self) -> None:
         upstream = self.side.upstream
         announced = upstream.announce
@@ -167,6 +173,7 @@
     def load(self) -> routing.Report:
         """Tell the load beside this daemon, as put on each answer."""
         told = self.meter.told
+        seen = self.gate.knee.evidence
         return routing.Report(
             in_flight=self.gate.running,
             waiting=self.gate.waiting,
@@ -174,7 +181,8 @@
             service_ms=self.meter.service_ms(),
             failed_share=self.meter.failed_share,
             slowdown=told.slowdown if told else 1.0,
-            crowds=self.gate.knee.found,
+            crowded_calls=seen.calls,
+            crowded_ratio=round(seen.ratio, 2),
             slowdown_age_ms=round(min(60.0, self.meter.told_age_s) * 1000, 1),
         )
 
--- a/packages/burdockdeal/burdockdeal/routing/board.py
+++ b/packages/burdockdeal/burdockdeal/routing/board.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections import abc
-import math
 import types
 
 from burdockdeal.core import errors
@@ -17,6 +16,9 @@
 
 _SERVER_ERROR = 500
 
+#: Instances of a service whose reports are listed at most.
+MOST_LISTED = 16
+
 #: Reasons that are the instance's own fault.
 _FAULTS = frozenset(
     {
@@ -205,19 +207,21 @@
         if known is None:
             return
         known.note_report(key, report)
-        if report.crowds:
-            known.crowds_told_at = self.clock()
         fit = held.health.allowance is None
         if fit and decisions.is_slow(report.service_ms / 1000, known.norm):
             self._step(key, held.member.service, ejection.Lagged())
 
-    def crowds_told_s(self, service: str) -> float:
-        """Tell how long ago an instance told that it slows down when full.
-
-        :returns: seconds, infinity if none ever did.
-        """
+    def list_reports(self, service: str) -> tuple[state.Report, ...]:
+        """List the newest reports of a service's other instances."""
         known = self.groups.get(service)
-        return self.clock() - known.crowds_told_at if known else math.inf
+        if known is None:
+            return ()
+        tallies = (
+            self._tallies.get(group.key_of(member))
+            for member in known.members[:MOST_LISTED]
+            if member.daemon != self._own
+        )
+        return tuple(held.report for held in tallies if held and held.report)
 
     def note_round_trip(
         self, member: messages.Member, elapsed_s: float
--- a/packages/burdockdeal/burdockdeal/routing/group.py
+++ b/packages/burdockdeal/burdockdeal/routing/group.py
@@ -2,7 +2,6 @@
 
 from collections import abc
 import dataclasses
-import math
 import random
 import statistics
 
@@ -63,8 +62,6 @@
         self.members: tuple[messages.Member, ...] = ()
         self.norm = state.Norm()
         self.asked_at = 0.0
-        #: When an instance last told that it slows down when nearly full.
-        self.crowds_told_at = -math.inf
         self.calls = 0
 
     def refresh(
--- a/packages/burdockdeal/burdockdeal/routing/state.py
+++ b/packages/burdockdeal/burdockdeal/routing/state.py
@@ -22,8 +22,9 @@
     :param slowdown: how many times as long as usual work takes on its
         machine, as it was last told.
     :param slowdown_age_ms: milliseconds since that was told.
-    :param crowds: whether the upstream was seen to slow down when nearly
-        full.
+    :param crowded_calls: calls that its owner saw start on it while it was
+        nearly full.
+    :param crowded_ratio: how many times as long as usual they took.
     """
 
     in_flight: int
@@ -34,7 +35,8 @@
     failed_share: float = 0.0
     slowdown: float = 1.0
     slowdown_age_ms: float = 60_000.0
-    crowds: bool = False
+    crowded_calls: int = 0
+    crowded_ratio: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
