Refuse bodies over the configuration's bound; give up a connect sooner; wait less when overdue

A connect to a machine without power was awaited for a second, more than most deadlines leave, though nothing was sent by then. Overdue calls held on for 0.4 of the time to their deadline, and were mostly refused in the end. Change: 413 for a longer body, at once where its length is told, else where it passes the bound; a connect is given up after 0.25 s; late_share is 0.2. Tests: test_bodies.py.

--- a/packages/burdockdeal/burdockdeal/core/verdict.py
+++ b/packages/burdockdeal/burdockdeal/core/verdict.py
@@ -16,6 +16,7 @@
 
     MALFORMED = "MALFORMED"
     HEADER_TOO_LARGE = "HEADER_TOO_LARGE"
+    BODY_TOO_LARGE = "BODY_TOO_LARGE"
     NO_RULE = "NO_RULE"
     UNKNOWN_SERVICE = "UNKNOWN_SERVICE"
     UNKNOWN_RANK = "UNKNOWN_RANK"
@@ -57,6 +58,7 @@
 HTTP_STATUS: dict[Reason, int] = {
     Reason.MALFORMED: 400,
     Reason.HEADER_TOO_LARGE: 431,
+    Reason.BODY_TOO_LARGE: 413,
     Reason.NO_RULE: 404,
     Reason.UNKNOWN_SERVICE: 404,
     Reason.UNKNOWN_RANK: 400,
--- a/packages/burdockdeal/burdockdeal/platform/configuration.py
+++ b/packages/burdockdeal/burdockdeal/platform/configuration.py
@@ -25,7 +25,7 @@
 
 #: Share of the time to its deadline in which a call waits for a slot that
 #: no call in time asks for.
-_LATE_SHARE = 0.4
+_LATE_SHARE = 0.2
 
 _WRITER = "platform"
 
--- a/packages/burdockdeal/burdockdeal/serving/bodies.py
+++ b/packages/burdockdeal/burdockdeal/serving/bodies.py
@@ -1,9 +1,12 @@
 """Bodies of requests: whole if small, else passed on as they come."""
 
 from collections import abc
+import math
 
 from aiohttp import web
 
+from burdockdeal.core import errors
+from burdockdeal.core import verdict
 from burdockdeal.overload import pacing
 from burdockdeal.settings import model
 
@@ -24,6 +27,7 @@
     :param request: the request it belongs to.
     :param whole: the bytes, if they were read whole; None to stream.
     :param limits: how slowly it may come.
+    :param most_bytes: how long it may be, as far as that is bounded.
     """
 
     def __init__(
@@ -31,7 +35,9 @@
         request: web.BaseRequest,
         whole: bytes | None,
         limits: model.Limits,
+        most_bytes: float = math.inf,
     ) -> None:
+        self._most_bytes = most_bytes
         self._request = request
         self._limits = limits
         self._whole = whole
@@ -62,23 +68,46 @@
         self._started = True
         await invite_body(self._request)
         content = self._request.content
+        size = 0
         async for chunk in pacing.read_steadily(content, self._limits):
+            size += len(chunk)
+            _check_size(size, self._most_bytes)
             yield chunk
 
 
-async def take_body(request: web.BaseRequest, limits: model.Limits) -> Body:
+def _check_size(size: int, most_bytes: float) -> None:
+    """Check how long a body is.
+
+    :raises NotRunError: if it is too long; where a part of it was sent on,
+        the verdict is the sender's to correct.
+    """
+    if size > most_bytes:
+        raise errors.NotRunError(
+            verdict.Reason.BODY_TOO_LARGE,
+            f"the body is longer than {most_bytes:.0f} bytes",
+        )
+
+
+async def take_body(
+    request: web.BaseRequest,
+    limits: model.Limits,
+    most_bytes: float = math.inf,
+) -> Body:
     """Take a request's body.
 
     :param limits: bodies up to its replay_bytes are read whole, so that
         they can be sent again; larger ones and those of unknown length
         are streamed, with at most two read buffers of 64 KiB held.
-    :raises NotRunError: if a body that is read whole comes too slowly.
+    :param most_bytes: how long a body may be.
+    :raises NotRunError: if it is too long, or is read whole and comes too
+        slowly.
     """
     if not request.body_exists:
         return Body(request, b"", limits)
     length = request.content_length
+    _check_size(length or 0, most_bytes)
     if length is None or length > limits.replay_bytes:
-        return Body(request, None, limits)
+        return Body(request, None, limits, most_bytes)
     await invite_body(request)
     chunks = [
         chunk async for chunk in pacing.read_steadily(request.content, limits)
--- a/packages/burdockdeal/burdockdeal/serving/entry.py
+++ b/packages/burdockdeal/burdockdeal/serving/entry.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import abc
 import contextlib
+import math
 
 from aiohttp import web
 
@@ -114,7 +115,9 @@
     )
 
     async def answer_call(
-        request: web.BaseRequest, work: call.Call
+        request: web.BaseRequest,
+        work: call.Call,
+        callers: resources.CallerLimits | None,
     ) -> web.StreamResponse:
         kept = transfer.keep_end_to_end(request.headers)
         kept.update(speech.mark_origin())
@@ -122,7 +125,11 @@
             method=request.method,
             target=request.raw_path,
             headers=kept,
-            body=await bodies.take_body(request, limits),
+            body=await bodies.take_body(
+                request,
+                limits,
+                callers.body_bytes if callers else math.inf,
+            ),
         )
         added = speech.mark_answer(work.request_id)
         async with dispatch(work, outbound) as answer:
@@ -165,7 +172,7 @@
             rank = work.rank
             await start.wait_for(lambda: has_instance(work.service))
             with guard.hold(work):
-                answer = await answer_call(request, work)
+                answer = await answer_call(request, work, standing.callers)
             count(rank, verdict.Verdict.RAN)
             log_end("request_answered", status=answer.status)
             return answer
--- a/packages/burdockdeal/burdockdeal/serving/transfer.py
+++ b/packages/burdockdeal/burdockdeal/serving/transfer.py
@@ -19,7 +19,9 @@
 from burdockdeal.serving import messages
 from burdockdeal.settings import model
 
-_CONNECT_TIMEOUT_S = 1.0
+#: Seconds until a connect is given up: several round trips between regions.
+#: Nothing was sent by then, so that the call can go elsewhere.
+_CONNECT_TIMEOUT_S = 0.25
 _SOCKET_TAKEN = "is used by transport"
 _IDLE_CONNECTION_S = 60.0
 _UNWANTED_DEFAULTS = (
