--- a/packages/burdockdeal/burdockdeal/serving/pipeline.py
+++ b/packages/burdockdeal/burdockdeal/serving/pipeline.py
@@ -20,6 +20,7 @@
 from burdockdeal.serving import dialect
 from burdockdeal.serving import front
 from burdockdeal.serving import lanes
+from burdockdeal.serving import reading
 from burdockdeal.serving import replies
 
 #: Requests of one connection that are handled at once.
@@ -32,10 +33,6 @@
 #: (RFC 9110, section 9.2.2); any other waits for its turn.
 _AHEAD_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 
-#: Seconds in which the rest of a body that nobody wants is read, so that
-#: the connection can be kept.
-LINGER_S = 2.0
-
 #: Seconds between two looks for idle connections.
 SWEEP_S = 0.5
 
@@ -44,8 +41,6 @@
 _PROBE_PAUSES_S = (0.02, 0.1)
 _LAST_PROBE_PAUSE_S = 0.5
 
-_BLANK_LINE = b"\r\n\r\n"
-
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -139,7 +134,7 @@
         """Take in bytes of requests."""
         if self.closing and not self._has_open_body():
             return
-        for piece in _split_after_heads(data):
+        for piece in reading.split_after_heads(data):
             try:
                 received, upgraded, _ = self._parser.feed_data(piece)
             except http_exceptions.HttpProcessingError as error:
@@ -272,7 +267,7 @@
         await lane.wait_turn()
         if not response.keep_alive:
             return False
-        return await _read_rest(lane.payload)
+        return await reading.read_rest(lane.payload)
 
     def _end(self, lane: lanes.Lane, kept: bool) -> None:
         if not self._exchanges or self.transport is None:
@@ -293,37 +288,6 @@
             self.idle_since = self._loop.time()
 
 
-def _split_after_heads(data: bytes) -> abc.Iterator[bytes]:
-    """Split bytes behind each blank line, where a request may be whole.
-
-    The parser drops the requests that it has read from the same bytes as
-    something that is no request.
-    """
-    start = 0
-    while end := data.find(_BLANK_LINE, start) + 1:
-        end += len(_BLANK_LINE) - 1
-        yield data[start:end]
-        start = end
-    if start < len(data):
-        yield data[start:]
-
-
-async def _read_rest(payload: streams.StreamReader) -> bool:
-    """Read the rest of a body that nobody wants.
-
-    :returns: whether all of it came in time.
-    """
-    if payload.is_eof():
-        return True
-    try:
-        async with asyncio.timeout(LINGER_S):
-            while not payload.is_eof():
-                await payload.readany()
-    except (TimeoutError, http_exceptions.HttpProcessingError, OSError):
-        return False
-    return True
-
-
 class PipelinedFront:
     """The server of callers' requests.
 
--- a/packages/standins/burdockdeal_standins/stage.py
+++ b/packages/standins/burdockdeal_standins/stage.py
@@ -103,6 +103,24 @@
 
         self.upstream.talk = talk
 
+    async def check_cut(self, node: str) -> None:
+        """Check that the answer to a booking is not taken for whole."""
+        post = (
+            b"POST /b HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+            b"Content-Length: 0\r\n\r\n"
+        )
+        async with self.call(post, node) as line:
+            try:
+                told = await line.read_all()
+            except ConnectionError:
+                told = b""
+        if b"200 OK" in told:
+            assert not told.endswith(b"0\r\n\r\n")
+            assert b"Content-Length: 4\r\n" not in told
+        elif told:
+            assert b'"reason":"BROKEN_CONNECTION"' in told
+            assert b'"verdict":"NOT_RUN"' not in told
+
     async def check_still_serves(self) -> None:
         """Check that the next request is answered as ever."""
         self.answer(OK)
