Open the breaker for broken connections only, and always try again; let pinned calls wait

Cause, found in reading the change: the breaker counted calls that outlasted their deadline, so that an upstream with nothing but long calls was barred. It risked only idempotent calls, so that one which gets none stayed barred for good, as did a new upstream at the same address for its predecessor's faults. Change: only BROKEN_CONNECTION before the head counts; another call than an idempotent one is tried after one pause more; a new incarnation starts with a closed circuit; a pinned call is patient. Opening and closing are logged. Tests: four, each seen to fail before.

--- a/packages/burdockdeal/burdockdeal/measurement/breaker.py
+++ b/packages/burdockdeal/burdockdeal/measurement/breaker.py
@@ -10,6 +10,8 @@
 import dataclasses
 
 from burdockdeal.core import errors
+from burdockdeal.core import journal
+from burdockdeal.core import verdict
 
 #: Connections in a row that break before any answer, after which no call
 #: is sent.
@@ -32,14 +34,17 @@
     open_until: float = 0.0
 
 
+def _find_pause_s(broken: int) -> float:
+    beyond = broken - BROKEN_TO_OPEN
+    if beyond < 0:
+        return 0.0
+    return min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2**beyond)
+
+
 def note_broken(circuit: Circuit, now: float) -> Circuit:
     """Take in that a connection broke before any answer."""
     broken = circuit.broken + 1
-    beyond = broken - BROKEN_TO_OPEN
-    if beyond < 0:
-        return Circuit(broken, circuit.open_until)
-    pause_s = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2**beyond)
-    return Circuit(broken, now + pause_s)
+    return Circuit(broken, now + _find_pause_s(broken))
 
 
 def may_send(
@@ -49,12 +54,13 @@
 
     :param trying: whether a call is under way to see whether the upstream
         answers again.
-    :param idempotent: whether the call may be run more than once; only
-        such a call is risked.
+    :param idempotent: whether the call may be run more than once; another
+        is risked only if none came in a pause more.
     """
     if circuit.broken < BROKEN_TO_OPEN:
         return True
-    return now >= circuit.open_until and idempotent and not trying
+    spared_s = 0.0 if idempotent else _find_pause_s(circuit.broken)
+    return now >= circuit.open_until + spared_s and not trying
 
 
 class Breaker:
@@ -66,10 +72,17 @@
     def __init__(self, clock: abc.Callable[[], float]) -> None:
         self._clock = clock
         self._under_way = 0
+        self._incarnation: int | None = None
         self.circuit = Circuit()
 
-    def may_send(self, *, idempotent: bool) -> bool:
-        """Tell whether a call may be sent now."""
+    def may_send(self, incarnation: int, *, idempotent: bool) -> bool:
+        """Tell whether a call may be sent now.
+
+        :param incarnation: of the upstream; a new one is held to nothing.
+        """
+        if self._incarnation not in (None, incarnation):
+            self.circuit = Circuit()
+        self._incarnation = incarnation
         return may_send(
             self.circuit,
             self._clock(),
@@ -77,6 +90,16 @@
             idempotent=idempotent,
         )
 
+    def _note_broken(self) -> None:
+        now = self._clock()
+        self.circuit = note_broken(self.circuit, now)
+        if self.circuit.broken >= BROKEN_TO_OPEN:
+            journal.warn(
+                "upstream_failing",
+                broken=self.circuit.broken,
+                pause_ms=round((self.circuit.open_until - now) * 1000),
+            )
+
     @contextlib.contextmanager
     def watch(self) -> abc.Iterator[abc.Callable[[], None]]:
         """Watch a call that is sent.
@@ -88,14 +111,17 @@
         def note_answer() -> None:
             nonlocal answered
             answered = True
+            if self.circuit.broken >= BROKEN_TO_OPEN:
+                journal.record("upstream_answers", broken=self.circuit.broken)
             self.circuit = Circuit()
 
         self._under_way += 1
         try:
             yield note_answer
-        except errors.LostAnswerError:
-            if not answered:
-                self.circuit = note_broken(self.circuit, self._clock())
+        except errors.LostAnswerError as error:
+            broke = error.reason is verdict.Reason.BROKEN_CONNECTION
+            if broke and not answered:
+                self._note_broken()
             raise
         finally:
             self._under_way -= 1
--- a/packages/burdockdeal/burdockdeal/measurement/tests/test_breaker.py
+++ b/packages/burdockdeal/burdockdeal/measurement/tests/test_breaker.py
@@ -17,9 +17,12 @@
         return self.now
 
 
-def break_once(circuit: breaker.Breaker) -> None:
+def break_once(
+    circuit: breaker.Breaker,
+    reason: verdict.Reason = verdict.Reason.BROKEN_CONNECTION,
+) -> None:
     with pytest.raises(errors.LostAnswerError), circuit.watch():
-        raise errors.LostAnswerError(verdict.Reason.BROKEN_CONNECTION)
+        raise errors.LostAnswerError(reason)
 
 
 def answer_once(circuit: breaker.Breaker) -> None:
@@ -35,9 +38,9 @@
     answer_once(circuit)
     for _ in range(breaker.BROKEN_TO_OPEN - 1):
         break_once(circuit)
-        assert circuit.may_send(idempotent=False)
+        assert circuit.may_send(1, idempotent=False)
     break_once(circuit)
-    assert not circuit.may_send(idempotent=True)
+    assert not circuit.may_send(1, idempotent=True)
 
 
 def test_one_idempotent_call_at_a_time_is_tried_after_a_pause() -> None:
@@ -46,13 +49,13 @@
     for _ in range(breaker.BROKEN_TO_OPEN):
         break_once(circuit)
     clock.now += breaker.FIRST_PAUSE_S
-    assert not circuit.may_send(idempotent=False)
-    assert circuit.may_send(idempotent=True)
+    assert not circuit.may_send(1, idempotent=False)
+    assert circuit.may_send(1, idempotent=True)
     with circuit.watch() as note_answer:
-        assert not circuit.may_send(idempotent=True)
+        assert not circuit.may_send(1, idempotent=True)
         note_answer()
-        assert circuit.may_send(idempotent=False)
-    assert circuit.may_send(idempotent=False)
+        assert circuit.may_send(1, idempotent=False)
+    assert circuit.may_send(1, idempotent=False)
 
 
 def test_the_pauses_grow_and_are_bounded() -> None:
@@ -77,4 +80,31 @@
         ):
             note_answer()
             raise errors.LostAnswerError(verdict.Reason.BROKEN_CONNECTION)
-    assert circuit.may_send(idempotent=False)
+    assert circuit.may_send(1, idempotent=False)
+
+
+def test_calls_that_last_longer_than_their_deadline_open_nothing() -> None:
+    circuit = breaker.Breaker(Clock())
+    for _ in range(2 * breaker.BROKEN_TO_OPEN):
+        break_once(circuit, verdict.Reason.TIMED_OUT)
+    assert circuit.may_send(1, idempotent=False)
+
+
+def test_it_closes_though_no_idempotent_call_ever_comes() -> None:
+    clock = Clock()
+    circuit = breaker.Breaker(clock)
+    for _ in range(breaker.BROKEN_TO_OPEN):
+        break_once(circuit)
+    clock.now += 2 * breaker.FIRST_PAUSE_S
+    assert circuit.may_send(1, idempotent=False)
+    answer_once(circuit)
+    assert circuit.may_send(1, idempotent=False)
+
+
+def test_a_new_upstream_is_held_to_nothing() -> None:
+    circuit = breaker.Breaker(Clock())
+    assert circuit.may_send(1, idempotent=True)
+    for _ in range(breaker.BROKEN_TO_OPEN):
+        break_once(circuit)
+    assert not circuit.may_send(1, idempotent=True)
+    assert circuit.may_send(2, idempotent=False)
--- a/packages/burdockdeal/burdockdeal/retry/attempts.py
+++ b/packages/burdockdeal/burdockdeal/retry/attempts.py
@@ -97,6 +97,7 @@
             # Only this instance can tell what became of the call, so it is
             # asked even if that can't be paid for.
             self._budget.pay(self._work)
+        self._progress = decisions.wait_for_turn(self._progress)
         outcome = await self._send(pin, self._progress)
         if outcome.opened is None:
             self._progress = self._note_failure(outcome)
--- a/packages/burdockdeal/burdockdeal/retry/tests/test_attempts.py
+++ b/packages/burdockdeal/burdockdeal/retry/tests/test_attempts.py
@@ -306,6 +306,27 @@
     assert world.patient.count(False) == 100 * DAEMONS
 
 
+async def test_work_that_only_one_instance_may_answer_waits_there() -> None:
+    asked: list[bool] = []
+
+    @contextlib.asynccontextmanager
+    async def open_to(work, outbound, member, attempt, patient):
+        asked.append(patient)
+        yield types.SimpleNamespace(status=200)
+
+    begin = attempts.make_begin(
+        choose=lambda work, tried: None,
+        open_to=open_to,
+        budget=budgets.Budget(),
+        clock=asyncio.get_running_loop().time,
+    )
+    work = call.Call("r", "s", "", asyncio.get_running_loop().time() + 9.0)
+    pin = types.SimpleNamespace(daemon="d0", upstream_incarnation=1)
+    async with begin(work, OUTBOUND).open(pin):
+        pass
+    assert asked == [True]
+
+
 def test_work_for_one_instance_only_may_still_pass_slow_ones() -> None:
     work = call.Call("r", "s", "", 10.0, most_sends=1, retry_tokens=16)
     progress = decisions.note_send(decisions.begin(work), "d0")
--- a/packages/burdockdeal/burdockdeal/serving/owner.py
+++ b/packages/burdockdeal/burdockdeal/serving/owner.py
@@ -114,7 +114,9 @@
             or announced.service != send.request.service
         ):
             raise errors.NotRunError(verdict.Reason.STALE_INSTANCE)
-        if not circuit.may_send(idempotent=send.request.idempotent):
+        if not circuit.may_send(
+            send.incarnation, idempotent=send.request.idempotent
+        ):
             raise errors.NotRunError(verdict.Reason.FAILING)
         if not send.request.idempotent:
             ledger.check(*_name_send(send))
