--- a/packages/burdockdeal/burdockdeal/admission/tests/test_overdue.py
+++ b/packages/burdockdeal/burdockdeal/admission/tests/test_overdue.py
@@ -95,37 +95,25 @@
     virtual.run(play())
 
 
-def test_its_wait_ends_with_its_share_of_the_time_to_its_deadline() -> None:
-    async def play() -> None:
-        session = Session()
-        holding = asyncio.ensure_future(
-            session.call("first", LOOKUP, 0.0, 5.0)
-        )
-        await asyncio.sleep(0.01)
-        began = session.loop.time()
-        ended = await session.call("overdue", LOOKUP, 0.0, 0.1)
-        assert ended == verdict.Reason.TARGET_MISSED
-        waited_s = session.loop.time() - began
-        assert waited_s == pytest.approx(0.5 * DEADLINE_S, abs=0.01)
-        holding.cancel()
+async def wait_in_vain(terms: state.RankTerms) -> float:
+    """Measure how long a call waits for a slot that never comes free."""
+    session = Session()
+    holding = asyncio.ensure_future(session.call("first", LOOKUP, 0.0, 5.0))
+    await asyncio.sleep(0.01)
+    began = session.loop.time()
+    ended = await session.call("waiting", terms, 0.0, 0.1)
+    assert ended == verdict.Reason.TARGET_MISSED
+    holding.cancel()
+    return session.loop.time() - began
 
-    virtual.run(play())
+
+def test_its_wait_ends_with_its_share_of_the_time_to_its_deadline() -> None:
+    waited_s = virtual.run(wait_in_vain(LOOKUP))
+    allowed_s = LOOKUP.late_share * DEADLINE_S
+    assert waited_s == pytest.approx(allowed_s, abs=0.01)
 
 
 def test_without_a_share_it_is_refused_at_its_target() -> None:
     strict = dataclasses.replace(LOOKUP, late_share=0.0)
-
-    async def play() -> None:
-        session = Session()
-        holding = asyncio.ensure_future(
-            session.call("first", LOOKUP, 0.0, 5.0)
-        )
-        await asyncio.sleep(0.01)
-        began = session.loop.time()
-        ended = await session.call("overdue", strict, 0.0, 0.1)
-        assert ended == verdict.Reason.TARGET_MISSED
-        waited_s = session.loop.time() - began
-        assert waited_s == pytest.approx(strict.target_s, abs=0.01)
-        holding.cancel()
-
-    virtual.run(play())
+    waited_s = virtual.run(wait_in_vain(strict))
+    assert waited_s == pytest.approx(strict.target_s, abs=0.01)
--- a/packages/burdockdeal/burdockdeal/bookings/tests/test_sessions.py
+++ b/packages/burdockdeal/burdockdeal/bookings/tests/test_sessions.py
@@ -20,20 +20,13 @@
 from burdockdeal.serving import bodies
 from burdockdeal.serving import messages as serving
 from burdockdeal.settings import model
+from burdockdeal_standins import clocks
 
 TOKEN = "a-token-of-the-tests"
 OWN = messages.Holder("d1", 7)
 PEER = model.Address("127.0.0.1", 1)
 
 
-class Clock:
-    def __init__(self) -> None:
-        self.now = 100.0
-
-    def __call__(self) -> float:
-        return self.now
-
-
 class Store:
     """The store's interface, in memory, with a fault to order."""
 
@@ -67,7 +60,7 @@
     """An owner whose upstream does what it is told."""
 
     def __init__(self, store: Store, own: messages.Holder = OWN) -> None:
-        self.clock = Clock()
+        self.clock = clocks.Clock()
         self.started: list[str] = []
         self.answer = b"soldered"
         self.failure: errors.CallError | None = None
@@ -245,7 +238,7 @@
 
 
 def test_a_session_of_the_ledger(snapshot) -> None:
-    clock = Clock()
+    clock = clocks.Clock()
     book = ledger.Ledger(7, clock, limit=3)
     lines: list[str] = []
 
--- a/packages/burdockdeal/burdockdeal/measurement/tests/test_breaker.py
+++ b/packages/burdockdeal/burdockdeal/measurement/tests/test_breaker.py
@@ -5,16 +5,7 @@
 from burdockdeal.core import errors
 from burdockdeal.core import verdict
 from burdockdeal.measurement import breaker
-
-
-class Clock:
-    """A clock that stands until it is set."""
-
-    def __init__(self) -> None:
-        self.now = 100.0
-
-    def __call__(self) -> float:
-        return self.now
+from burdockdeal_standins import clocks
 
 
 def break_once(
@@ -31,7 +22,7 @@
 
 
 def test_it_opens_after_some_broken_connections_in_a_row() -> None:
-    clock = Clock()
+    clock = clocks.Clock()
     circuit = breaker.Breaker(clock)
     for _ in range(breaker.BROKEN_TO_OPEN - 1):
         break_once(circuit)
@@ -44,7 +35,7 @@
 
 
 def test_one_idempotent_call_at_a_time_is_tried_after_a_pause() -> None:
-    clock = Clock()
+    clock = clocks.Clock()
     circuit = breaker.Breaker(clock)
     for _ in range(breaker.BROKEN_TO_OPEN):
         break_once(circuit)
@@ -59,7 +50,7 @@
 
 
 def test_the_pauses_grow_and_are_bounded() -> None:
-    clock = Clock()
+    clock = clocks.Clock()
     circuit = breaker.Breaker(clock)
     pauses = []
     for _ in range(breaker.BROKEN_TO_OPEN + 6):
@@ -72,7 +63,7 @@
 
 
 def test_an_answer_that_breaks_off_later_is_no_broken_connection() -> None:
-    circuit = breaker.Breaker(Clock())
+    circuit = breaker.Breaker(clocks.Clock())
     for _ in range(2 * breaker.BROKEN_TO_OPEN):
         with (
             pytest.raises(errors.LostAnswerError),
@@ -84,14 +75,14 @@
 
 
 def test_calls_that_last_longer_than_their_deadline_open_nothing() -> None:
-    circuit = breaker.Breaker(Clock())
+    circuit = breaker.Breaker(clocks.Clock())
     for _ in range(2 * breaker.BROKEN_TO_OPEN):
         break_once(circuit, verdict.Reason.TIMED_OUT)
     assert circuit.may_send(1, idempotent=False)
 
 
 def test_it_closes_though_no_idempotent_call_ever_comes() -> None:
-    clock = Clock()
+    clock = clocks.Clock()
     circuit = breaker.Breaker(clock)
     for _ in range(breaker.BROKEN_TO_OPEN):
         break_once(circuit)
@@ -102,7 +93,7 @@
 
 
 def test_a_new_upstream_is_held_to_nothing() -> None:
-    circuit = breaker.Breaker(Clock())
+    circuit = breaker.Breaker(clocks.Clock())
     assert circuit.may_send(1, idempotent=True)
     for _ in range(breaker.BROKEN_TO_OPEN):
         break_once(circuit)
--- a/packages/burdockdeal/burdockdeal/measurement/tests/test_meter.py
+++ b/packages/burdockdeal/burdockdeal/measurement/tests/test_meter.py
@@ -5,28 +5,21 @@
 import pytest
 
 from burdockdeal.measurement import meter
-
-
-class Clock:
-    def __init__(self) -> None:
-        self.now = 10.0
-
-    def __call__(self) -> float:
-        return self.now
+from burdockdeal_standins import clocks
 
 
 @pytest.fixture
-def clock() -> Clock:
-    return Clock()
+def clock() -> clocks.Clock:
+    return clocks.Clock(10.0)
 
 
 @pytest.fixture
-def times(clock: Clock) -> meter.Meter:
+def times(clock: clocks.Clock) -> meter.Meter:
     return meter.Meter(clock)
 
 
 def run(
-    times: meter.Meter, clock: Clock, spent_s: float, status: int = 200
+    times: meter.Meter, clock: clocks.Clock, spent_s: float, status: int = 200
 ) -> None:
     with times.watch(timed=True) as head:
         clock.now += spent_s
@@ -34,14 +27,16 @@
         clock.now += 5  # The answer's body takes long.
 
 
-def test_the_time_to_the_head_counts(times: meter.Meter, clock: Clock) -> None:
+def test_the_time_to_the_head_counts(
+    times: meter.Meter, clock: clocks.Clock
+) -> None:
     assert times.service_ms() == 0
     run(times, clock, 0.020)
     assert times.service_ms() == pytest.approx(20)
 
 
 def test_one_answer_after_a_pause_counts_almost_in_full(
-    times: meter.Meter, clock: Clock
+    times: meter.Meter, clock: clocks.Clock
 ) -> None:
     run(times, clock, 0.200)
     run(times, clock, 0.005)
@@ -49,7 +44,7 @@
 
 
 def test_two_that_wait_show_a_slowdown(
-    times: meter.Meter, clock: Clock
+    times: meter.Meter, clock: clocks.Clock
 ) -> None:
     run(times, clock, 0.005)
     with contextlib.ExitStack() as stack:
@@ -63,7 +58,7 @@
 
 
 def test_a_streamed_body_tells_nothing(
-    times: meter.Meter, clock: Clock
+    times: meter.Meter, clock: clocks.Clock
 ) -> None:
     with times.watch(timed=False), times.watch(timed=False) as head:
         clock.now += 9
@@ -73,7 +68,7 @@
 
 
 def test_server_errors_are_a_share_and_no_time(
-    times: meter.Meter, clock: Clock
+    times: meter.Meter, clock: clocks.Clock
 ) -> None:
     run(times, clock, 0.020)
     run(times, clock, 0.0001, 500)
--- a/packages/burdockdeal/burdockdeal/membership/tests/test_contacts.py
+++ b/packages/burdockdeal/burdockdeal/membership/tests/test_contacts.py
@@ -5,18 +5,11 @@
 from burdockdeal.membership import messages
 from burdockdeal.membership import roster
 from burdockdeal.settings import model
+from burdockdeal_standins import clocks
 from burdockdeal_standins import memory_store
 from burdockdeal_standins import virtual
 
 
-class Clock:
-    def __init__(self) -> None:
-        self.now = 100.0
-
-    def __call__(self) -> float:
-        return self.now
-
-
 def make_member(daemon: str, domain: str, port: int) -> messages.Member:
     peer = model.Address("10.0.0.1", port)
     return messages.Member(daemon, domain, "r", peer, 1)
@@ -34,7 +27,7 @@
 
 
 def test_domains_that_start_at_once_find_each_other() -> None:
-    store, clock = memory_store.MemoryStore(), Clock()
+    store, clock = memory_store.MemoryStore(), clocks.Clock()
     first = Place(store, clock, "a1", "a", 1)
     second = Place(store, clock, "a2", "a", 2)
     other = Place(store, clock, "b1", "b", 3)
@@ -50,7 +43,7 @@
 
 
 def test_contacts_that_can_not_be_read_harm_no_others() -> None:
-    store, clock = memory_store.MemoryStore(), Clock()
+    store, clock = memory_store.MemoryStore(), clocks.Clock()
     one = Place(store, clock, "a1", "a", 1)
     one.look(at_once=True)
     virtual.run(store.put(contacts.PREFIX + "z", "\ufffd{", version=0))
@@ -59,7 +52,7 @@
 
 
 def test_contacts_of_the_own_domain_are_written_anew() -> None:
-    store, clock = memory_store.MemoryStore(), Clock()
+    store, clock = memory_store.MemoryStore(), clocks.Clock()
     virtual.run(store.put(contacts.PREFIX + "a", "novelty", version=0))
     Place(store, clock, "a1", "a", 1).look(at_once=True)
     entry = virtual.run(store.get(contacts.PREFIX + "a"))
--- a/packages/burdockdeal/burdockdeal/platform/tests/test_heartbeats.py
+++ b/packages/burdockdeal/burdockdeal/platform/tests/test_heartbeats.py
@@ -7,6 +7,7 @@
 from burdockdeal.announce import state
 from burdockdeal.platform import heartbeats
 from burdockdeal.settings import model
+from burdockdeal_standins import clocks
 
 ADDRESS = model.Address("10.0.0.1", 80)
 DEPLOYMENT = model.Deployment(
@@ -25,17 +26,9 @@
 }
 
 
-class Clock:
-    def __init__(self) -> None:
-        self.now = 50.0
-
-    def __call__(self) -> float:
-        return self.now
-
-
 @pytest.fixture
 def side() -> announce.Side:
-    return announce.Side(Clock())
+    return announce.Side(clocks.Clock(50.0))
 
 
 @pytest.fixture
--- a/packages/burdockdeal/burdockdeal/retry/tests/test_allowance.py
+++ b/packages/burdockdeal/burdockdeal/retry/tests/test_allowance.py
@@ -5,6 +5,7 @@
 
 from burdockdeal.retry import allowance
 from burdockdeal.settings import model
+from burdockdeal_standins import clocks
 
 #: Of these, a share of 0.1 and 40 more are used.
 TERMS = model.FleetRetries(
@@ -14,16 +15,8 @@
 )
 
 
-class Clock:
-    def __init__(self) -> None:
-        self.now = 100.0
-
-    def __call__(self) -> float:
-        return self.now
-
-
 def test_a_part_of_the_slack_is_there_before_any_request() -> None:
-    part = allowance.Allowance(lambda: TERMS, lambda: 13, Clock())
+    part = allowance.Allowance(lambda: TERMS, lambda: 13, clocks.Clock())
     sent = 0
     while part.may_repeat("orders"):
         part.count("orders", first=False)
@@ -34,7 +27,7 @@
 
 def test_a_fleet_that_looks_smaller_allows_no_more() -> None:
     members = 40
-    part = allowance.Allowance(lambda: TERMS, lambda: members, Clock())
+    part = allowance.Allowance(lambda: TERMS, lambda: members, clocks.Clock())
     assert part.may_repeat("orders")
     members = 1
     part.count("orders", first=False)
@@ -48,7 +41,7 @@
     )
 )
 def test_any_window_keeps_to_the_part(steps: list[tuple[float, bool]]) -> None:
-    clock = Clock()
+    clock = clocks.Clock()
     part = allowance.Allowance(lambda: TERMS, lambda: 4, clock)
     firsts: list[float] = []
     repeats: list[float] = []
--- a/packages/burdockdeal/burdockdeal/routing/tests/test_board.py
+++ b/packages/burdockdeal/burdockdeal/routing/tests/test_board.py
@@ -12,24 +12,17 @@
 from burdockdeal.routing import board
 from burdockdeal.routing import links
 from burdockdeal.routing import state
+from burdockdeal_standins import clocks
 from burdockdeal_standins import play
 
 
-class Clock:
-    def __init__(self) -> None:
-        self.now = 10.0
-
-    def __call__(self) -> float:
-        return self.now
-
-
 @pytest.fixture
-def clock() -> Clock:
-    return Clock()
+def clock() -> clocks.Clock:
+    return clocks.Clock(10.0)
 
 
 @pytest.fixture
-def tallies(clock: Clock) -> board.Board:
+def tallies(clock: clocks.Clock) -> board.Board:
     made = board.Board(
         "own", "shotton", clock, lambda: state.Report(3, 0, 9, 5.0)
     )
@@ -56,7 +49,7 @@
 
 
 def test_silence_counts_from_the_oldest_call_not_overtaken(
-    tallies: board.Board, clock: Clock
+    tallies: board.Board, clock: clocks.Clock
 ) -> None:
     with watch(tallies) as first:
         clock.now += 0.1
@@ -75,7 +68,7 @@
 
 
 def test_a_slow_caller_is_not_a_slow_instance(
-    tallies: board.Board, clock: Clock
+    tallies: board.Board, clock: clocks.Clock
 ) -> None:
     with watch(tallies, timed=False):
         clock.now += 30
@@ -85,7 +78,7 @@
 
 
 def test_two_calls_without_an_answer_eject(
-    tallies: board.Board, clock: Clock
+    tallies: board.Board, clock: clocks.Clock
 ) -> None:
     with watch(tallies):
         clock.now += 1
@@ -136,7 +129,7 @@
 
 @pytest.mark.parametrize(("waited_s", "lags"), [(0.002, 0), (0.5, 1)])
 def test_a_cancelled_call_tells_how_long_it_waited(
-    tallies: board.Board, clock: Clock, waited_s: float, lags: int
+    tallies: board.Board, clock: clocks.Clock, waited_s: float, lags: int
 ) -> None:
     with pytest.raises(asyncio.CancelledError), watch(tallies):
         clock.now += waited_s
@@ -144,7 +137,7 @@
     assert tallies.view(MEMBERS[0]).health.lags == lags
 
 
-def test_failures_fade(tallies: board.Board, clock: Clock) -> None:
+def test_failures_fade(tallies: board.Board, clock: clocks.Clock) -> None:
     with watch(tallies) as seen:
         seen.answered(500)
     clock.now += 1
--- a/packages/burdockdeal/burdockdeal/serving/tests/test_startup.py
+++ b/packages/burdockdeal/burdockdeal/serving/tests/test_startup.py
@@ -5,16 +5,7 @@
 import pytest
 
 from burdockdeal.serving import startup
-
-
-class Clock:
-    """A clock that stands until it is set."""
-
-    def __init__(self) -> None:
-        self.now = 100.0
-
-    def __call__(self) -> float:
-        return self.now
+from burdockdeal_standins import clocks
 
 
 async def test_a_request_goes_on_as_soon_as_what_it_needs_is_known(
@@ -22,7 +13,7 @@
 ) -> None:
     monkeypatch.setattr(startup, "PATIENCE_S", 1000.0)
     known: list[str] = []
-    start = startup.Startup(Clock())
+    start = startup.Startup(clocks.Clock())
     waiting = asyncio.create_task(start.wait_for(lambda: bool(known)))
     await asyncio.sleep(0)
     start.note_change()
@@ -36,7 +27,7 @@
 
 
 async def test_a_request_waits_no_longer_than_the_daemon_is_young() -> None:
-    clock = Clock()
+    clock = clocks.Clock()
     start = startup.Startup(clock)
     clock.now += startup.PATIENCE_S - 0.02
     async with asyncio.timeout(20):
@@ -44,7 +35,7 @@
 
 
 async def test_nothing_waits_once_the_daemon_is_no_longer_young() -> None:
-    clock = Clock()
+    clock = clocks.Clock()
     start = startup.Startup(clock)
     clock.now += startup.PATIENCE_S
     # A coroutine that never waits ends at its first step.
--- a/packages/burdockdeal/burdockdeal/settings/tests/test_reload.py
+++ b/packages/burdockdeal/burdockdeal/settings/tests/test_reload.py
@@ -6,6 +6,7 @@
 
 from burdockdeal.settings import model
 from burdockdeal.settings import reload
+from burdockdeal_standins import clocks
 
 TEXT = """{
   daemon: "d1", failure_domain: "here", store: "127.0.0.1:1",
@@ -18,14 +19,6 @@
 }"""
 
 
-class Clock:
-    def __init__(self) -> None:
-        self.now = 0.0
-
-    def __call__(self) -> float:
-        return self.now
-
-
 @pytest.fixture
 def path(tmp_path: pathlib.Path) -> pathlib.Path:
     file = tmp_path / "d1.json5"
@@ -34,14 +27,14 @@
 
 
 def watch(
-    path: pathlib.Path, clock: Clock, taken: list[model.Settings]
+    path: pathlib.Path, clock: clocks.Clock, taken: list[model.Settings]
 ) -> reload.Reload:
     settings = reload.loader.load(path)
     return reload.Reload(str(path), settings, taken.append, clock)
 
 
 def test_a_change_without_a_signal_is_taken_in(path: pathlib.Path) -> None:
-    clock, taken = Clock(), []
+    clock, taken = clocks.Clock(0.0), []
     watching = watch(path, clock, taken)
     path.write_text(TEXT % (5, "a"))
     watching.tick()
@@ -52,7 +45,7 @@
 
 
 def test_wrong_settings_change_nothing(path: pathlib.Path) -> None:
-    clock, taken = Clock(), []
+    clock, taken = clocks.Clock(0.0), []
     watching = watch(path, clock, taken)
     path.write_text("{daemon: 1")
     watching.ask()
@@ -63,7 +56,7 @@
 
 def test_what_needs_a_start_stays(path: pathlib.Path) -> None:
     taken: list[model.Settings] = []
-    watching = watch(path, Clock(), taken)
+    watching = watch(path, clocks.Clock(0.0), taken)
     path.write_text(TEXT % (7, "b"))
     watching.ask()
     assert taken[0].region == "a"
