--- a/packages/burdockdeal/burdockdeal/platform/tests/test_headers.py
+++ b/packages/burdockdeal/burdockdeal/platform/tests/test_headers.py
@@ -24,7 +24,7 @@
 
 
 @pytest.mark.parametrize(
-    ("kind", "reason"), itertools.product(_ERRORS, verdict.Reason)
+    ("kind", "reason"), list(itertools.product(_ERRORS, verdict.Reason))
 )
 def test_only_a_request_that_did_not_run_is_told_so(
     kind: type[errors.CallError], reason: verdict.Reason
