Drop connections on which an upstream misbehaves

Operators of similar systems reported a late copy of an answer, or of an earlier refusal, on a kept connection, and bytes without end that are no answer.

Cause, shown by tests that failed on the code before: a copy that arrives while a connection is idle, or after the next request was written, was taken for the next request's response. A refused call that is sent to the same upstream again has the same id, so the copy of its refusal passed the check of ids, and the caller was told "not run" of a request that ran. A response without an id was taken for the pending one. A response's head, interim responses, chunk extensions and trailers had no bound in bytes, and the relay of a body had an idle time and no end.

Change: bytes after a complete response close the connection; a connection whose response belongs to another request, or which brought a refusal without an id, is not used again; a refused call that comes again gets a connection of its own; framing that brings no byte of a body is bounded by 256 KiB; a body is broken off 0.2 s after the call's deadline.

Ruled out: aiohttp's own protection; it keeps a pooled connection on which bytes arrive until the next request.

--- a/packages/burdockdeal/burdockdeal/daemon/assembly.py
+++ b/packages/burdockdeal/burdockdeal/daemon/assembly.py
@@ -27,6 +27,7 @@
 from burdockdeal.platform import store
 from burdockdeal.serving import forwarding
 from burdockdeal.serving import http_server
+from burdockdeal.serving import owner
 from burdockdeal.serving import pipelined_server
 from burdockdeal.settings import model
 from burdockdeal.shutdown import assembly as shutdown
@@ -171,6 +172,26 @@
     )
 
 
+async def _open_upstream_sessions(
+    stack: contextlib.AsyncExitStack, settings: model.Settings
+) -> owner.UpstreamSessions:
+    """Open the HTTP clients for calls to upstreams and other daemons."""
+
+    async def open_session(*, single_use: bool) -> aiohttp.ClientSession:
+        return await stack.enter_async_context(
+            forwarding.build_session(
+                settings.limits.header_bytes,
+                sockets.make_socket_factory(settings.listen.peer.host),
+                single_use=single_use,
+            )
+        )
+
+    return owner.UpstreamSessions(
+        pooled=await open_session(single_use=False),
+        single_use=await open_session(single_use=True),
+    )
+
+
 async def _open_peer_session(
     stack: contextlib.AsyncExitStack, settings: model.Settings
 ) -> aiohttp.ClientSession:
@@ -199,15 +220,9 @@
     shared = components.Components(
         settings, adapter.build_header_codec(settings)
     )
-    limits = settings.limits
     async with contextlib.AsyncExitStack() as stack:
         platform = await stack.enter_async_context(_build_store(shared))
-        call_session = await stack.enter_async_context(
-            forwarding.build_session(
-                limits.header_bytes,
-                sockets.make_socket_factory(settings.listen.peer.host),
-            )
-        )
+        sessions = await _open_upstream_sessions(stack, settings)
         peer_session = await _open_peer_session(stack, settings)
         shedder = await stack.enter_async_context(shared.build_load_shedder())
         control_plane = adapter.build_control_plane(
@@ -234,7 +249,7 @@
         )
         handlers = request_handlers.build_request_handlers(
             shared,
-            call_session,
+            sessions,
             at_most_once,
             shedder,
             refresher,
--- a/packages/burdockdeal/burdockdeal/daemon/request_handlers.py
+++ b/packages/burdockdeal/burdockdeal/daemon/request_handlers.py
@@ -5,7 +5,6 @@
 import dataclasses
 import secrets
 
-import aiohttp
 from aiohttp import web
 
 from burdockdeal.bookings import assembly as bookings
@@ -72,7 +71,7 @@
 
 def build_request_handlers(
     shared: components.Components,
-    session: aiohttp.ClientSession,
+    sessions: owner.UpstreamSessions,
     at_most_once: bookings.AtMostOnceExecution,
     shedder: load_shedder.LoadShedder,
     refresher: load_refresher.LoadRefresher,
@@ -80,7 +79,8 @@
 ) -> RequestHandlers:
     """Build the handlers for callers and for the calls of other daemons.
 
-    :param session: the HTTP client for upstreams and other daemons.
+    :param sessions: the HTTP clients for the upstream; the one that keeps
+        its connections is also used for other daemons.
     :param at_most_once: keeps a call from running more than once.
     :param shedder: sheds requests at the entry under overload.
     :param refresher: queries the upstream for its load when the known one
@@ -93,7 +93,7 @@
         owner.make_upstream_opener(
             shared.upstream_tracker,
             shared.admission,
-            session,
+            sessions,
             lambda: shared.compiled_configuration,
             shared.clock,
             at_most_once.send_registry,
@@ -107,7 +107,7 @@
     )
     open_remote = at_most_once.fence_lost_sends(
         peers.make_peer_opener(
-            session,
+            sessions.pooled,
             settings.peer_token,
             shared.clock,
             shared.instance_tracker.record_report,
--- a/packages/burdockdeal/burdockdeal/platform/headers.py
+++ b/packages/burdockdeal/burdockdeal/platform/headers.py
@@ -72,8 +72,11 @@
 
 
 def _is_answer_to(send: messages.Send, received: header_codec.Headers) -> bool:
-    echoed_id = received.get(ATTEMPT_ID)
-    return echoed_id is None or echoed_id == send.request.request_id
+    """Return whether a response echoes the id of a request.
+
+    A response without an id can't be told from a late copy of another one.
+    """
+    return received.get(ATTEMPT_ID) == send.request.request_id
 
 
 def read_load(
@@ -115,4 +118,5 @@
         is_refusal=_is_refusal,
         is_response_to=_is_answer_to,
         read_load=read_load,
+        has_response_ids=True,
     )
--- a/packages/burdockdeal/burdockdeal/platform/tests/test_headers.py
+++ b/packages/burdockdeal/burdockdeal/platform/tests/test_headers.py
@@ -93,6 +93,7 @@
     send = make_send(deadline=12.5)
     assert DIALECT.is_response_to(send, {"Attempt-Id": "a1"})
     assert not DIALECT.is_response_to(send, {"Attempt-Id": "a2"})
+    assert not DIALECT.is_response_to(send, {"Not-Executed": "1"})
 
 
 @pytest.mark.parametrize(
--- /dev/null
+++ b/packages/burdockdeal/burdockdeal/serving/connection_guard.py
@@ -0,0 +1,105 @@
+"""Connections to upstreams that are dropped when the upstream misbehaves.
+
+A faulty upstream may send bytes that belong to no request, or bytes without
+end that never become a response.
+"""
+
+import functools
+
+import aiohttp
+from aiohttp import client_proto
+from aiohttp import http_exceptions
+
+from burdockdeal.core import event_log
+
+#: Maximum number of bytes received in a row that bring no byte of a body:
+#: heads, interim responses, chunk extensions and trailers.
+MAX_FRAMING_BYTES = 262_144
+
+_FIRST_FINAL_STATUS = 200
+
+
+class GuardedConnection(client_proto.ResponseHandler):
+    """Client side of a connection that carries one response at a time.
+
+    Bytes that arrive after a complete response close the connection, so that
+    the next request on it can't receive them as its response.
+    """
+
+    def __init__(self, *args: object, **kwargs: object) -> None:
+        super().__init__(*args, **kwargs)
+        self._final_body: aiohttp.StreamReader | None = None
+        self._framing_bytes = 0
+        self._body_bytes = 0
+
+    @property
+    def is_response_complete(self) -> bool:
+        """Whether the response to the last request was received whole."""
+        return self._final_body is not None and self._final_body.is_eof()
+
+    def set_response_params(self, **kwargs: object) -> None:
+        """Prepare for the response to a new request."""
+        self._final_body = None
+        self._framing_bytes = self._body_bytes = 0
+        super().set_response_params(**kwargs)
+
+    def feed_data(self, data: object, size: int = 0) -> None:
+        """Pass on the head of a response."""
+        message, body = data
+        if message.code >= _FIRST_FINAL_STATUS and self._final_body is None:
+            self._final_body = body
+        super().feed_data(data, size)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes, or close the connection."""
+        if data and self.is_response_complete:
+            event_log.record("unsolicited_bytes", size=len(data))
+            self.force_close()
+            self._close_transport()
+            return
+        super().data_received(data)
+        self._check_progress(len(data))
+
+    def _check_progress(self, size: int) -> None:
+        body = self._final_body
+        body_bytes = body.total_bytes if body is not None else 0
+        if body_bytes > self._body_bytes:
+            self._framing_bytes = 0
+        self._body_bytes = body_bytes
+        self._framing_bytes += size
+        if self._framing_bytes <= MAX_FRAMING_BYTES:
+            return
+        event_log.record("endless_framing", size=self._framing_bytes)
+        error = http_exceptions.PayloadEncodingError(
+            f"no byte of a body in {self._framing_bytes} bytes"
+        )
+        self.set_exception(error)
+        if body is not None and not body.is_eof():
+            body.set_exception(aiohttp.ClientPayloadError(error.message))
+        self._close_transport()
+
+    def discard(self) -> None:
+        """Close the connection once the response was received."""
+        self.force_close()
+        if self.is_response_complete:
+            # The connection may be back in the pool already.
+            self._close_transport()
+
+    def _close_transport(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+
+def guard_connections(connector: aiohttp.BaseConnector) -> None:
+    """Make a connector use guarded connections from now on."""
+    # aiohttp has no public way to set the protocol of its connections.
+    connector._factory = functools.partial(
+        GuardedConnection, loop=connector._loop
+    )
+
+
+def discard(response: aiohttp.ClientResponse) -> None:
+    """Keep the connection of a response from being used again."""
+    # The response gives up its public reference to the connection as soon as
+    # its body was received.
+    response._protocol.discard()
--- a/packages/burdockdeal/burdockdeal/serving/entry.py
+++ b/packages/burdockdeal/burdockdeal/serving/entry.py
@@ -150,7 +150,11 @@
         )
         async with dispatch(inbound, outbound) as response:
             return await forwarding.relay_response(
-                request, response, response_headers, limits
+                request,
+                response,
+                response_headers,
+                limits,
+                remaining_s=inbound.deadline - clock(),
             )
 
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
--- a/packages/burdockdeal/burdockdeal/serving/forwarding.py
+++ b/packages/burdockdeal/burdockdeal/serving/forwarding.py
@@ -15,6 +15,7 @@
 from burdockdeal.core import headers
 from burdockdeal.core import verdict
 from burdockdeal.overload import body_io
+from burdockdeal.serving import connection_guard
 from burdockdeal.serving import framing
 from burdockdeal.serving import messages
 from burdockdeal.settings import model
@@ -25,6 +26,8 @@
 #: Part of the error that uvloop raises for a socket still in use.
 _SOCKET_IN_USE_TEXT = "is used by transport"
 _KEEPALIVE_TIMEOUT_S = 60.0
+#: Seconds after a call's deadline for which its response is still relayed.
+_RELAY_GRACE_S = 0.2
 _SKIPPED_DEFAULT_HEADERS = (
     "Accept",
     "Accept-Encoding",
@@ -38,7 +41,10 @@
 
 
 def build_session(
-    header_bytes: int, socket_factory: SocketFactory | None = None
+    header_bytes: int,
+    socket_factory: SocketFactory | None = None,
+    *,
+    single_use: bool = False,
 ) -> aiohttp.ClientSession:
     """Build a client session that forwards requests unchanged.
 
@@ -48,14 +54,18 @@
     :param header_bytes: maximum length in bytes of a response's status line
         or field.
     :param socket_factory: creates the connections' sockets.
+    :param single_use: whether each connection carries one request only.
     """
+    connector = aiohttp.TCPConnector(
+        limit=0,
+        keepalive_timeout=None if single_use else _KEEPALIVE_TIMEOUT_S,
+        force_close=single_use,
+        use_dns_cache=False,
+        socket_factory=socket_factory,
+    )
+    connection_guard.guard_connections(connector)
     session = aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(
-            limit=0,
-            keepalive_timeout=_KEEPALIVE_TIMEOUT_S,
-            use_dns_cache=False,
-            socket_factory=socket_factory,
-        ),
+        connector=connector,
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
         skip_auto_headers=_SKIPPED_DEFAULT_HEADERS,
@@ -88,6 +98,10 @@
     return kept
 
 
+def _keep(response: messages.Response) -> bool:
+    return True
+
+
 @contextlib.asynccontextmanager
 async def open_response(
     session: aiohttp.ClientSession,
@@ -97,6 +111,7 @@
     *,
     remaining_s: float,
     expect: bool,
+    keeps_connection: abc.Callable[[messages.Response], bool] = _keep,
 ) -> abc.AsyncIterator[messages.Response]:
     """Send a request and wait for the head of its response.
 
@@ -104,6 +119,8 @@
     :param added: headers for this hop.
     :param remaining_s: seconds within which the head must arrive.
     :param expect: whether to wait for 100 Continue before sending the body.
+    :param keeps_connection: returns whether the connection may be used again
+        after a response.
     :raises NotRunError: if nothing was sent.
     :raises LostResponseError: if something was sent and no head arrived.
     :raises RanError: if the end of the response could not be detected.
@@ -145,7 +162,10 @@
             verdict.Reason.BROKEN_CONNECTION, repr(error)
         ) from error
     try:
-        yield framing.build_response(response, outbound.method)
+        built = framing.build_response(response, outbound.method)
+        if not keeps_connection(built):
+            connection_guard.discard(response)
+        yield built
     finally:
         # A response that was read to its end has released its connection.
         # Any other connection is closed, which cancels the upstream's work.
@@ -161,12 +181,16 @@
     response: messages.Response,
     added: abc.Mapping[str, str],
     limits: model.Limits,
+    *,
+    remaining_s: float,
 ) -> web.StreamResponse:
     """Relay a response to the client while it arrives.
 
     :param response: the response to relay.
     :param added: headers of burdockdeal's own.
     :param limits: how long a read or a write may stall.
+    :param remaining_s: seconds until the call's deadline. A body that has no
+        end by then is broken off a little later.
     :returns: the response to the client, fully written or ready to be
         written.
     :raises RanError: if the response broke off before any of it was
@@ -177,32 +201,39 @@
     """
     kept = copy_end_to_end_headers(response.headers)
     kept.update(added)
+    relay_timeout = asyncio.timeout(max(0.0, remaining_s) + _RELAY_GRACE_S)
+    relayed: web.StreamResponse | None = None
     try:
-        chunk = await body_io.read_response_chunk(response.content, limits)
-    except (aiohttp.ClientError, OSError) as error:
-        # Nothing was relayed yet, so the client can get an error response.
-        raise errors.RanError(
-            verdict.Reason.BROKEN_CONNECTION, repr(error)
-        ) from error
-    if chunk and response.content.at_eof():
-        kept.popall("Content-Length", None)
-        return web.Response(
-            status=response.status,
-            reason=response.reason,
-            headers=kept,
-            body=chunk,
-        )
-    relayed = web.StreamResponse(
-        status=response.status, reason=response.reason, headers=kept
-    )
-    await relayed.prepare(request)
-    try:
-        while chunk:
-            await body_io.write_response_chunk(relayed, chunk, limits)
+        async with relay_timeout:
             chunk = await body_io.read_response_chunk(response.content, limits)
+            if chunk and response.content.at_eof():
+                kept.popall("Content-Length", None)
+                return web.Response(
+                    status=response.status,
+                    reason=response.reason,
+                    headers=kept,
+                    body=chunk,
+                )
+            relayed = web.StreamResponse(
+                status=response.status, reason=response.reason, headers=kept
+            )
+            await relayed.prepare(request)
+            while chunk:
+                await body_io.write_response_chunk(relayed, chunk, limits)
+                chunk = await body_io.read_response_chunk(
+                    response.content, limits
+                )
+            await relayed.write_eof()
+            return relayed
     except (aiohttp.ClientError, OSError) as error:
+        reason = (
+            verdict.Reason.TIMED_OUT
+            if relay_timeout.expired()
+            else verdict.Reason.BROKEN_CONNECTION
+        )
+        if relayed is None:
+            # Nothing was relayed yet, so the client can get an error response.
+            raise errors.RanError(reason, repr(error)) from error
         if request.transport is not None:
             request.transport.abort()
         raise TruncatedResponseError(repr(error)) from error
-    await relayed.write_eof()
-    return relayed
--- a/packages/burdockdeal/burdockdeal/serving/header_codec.py
+++ b/packages/burdockdeal/burdockdeal/serving/header_codec.py
@@ -71,6 +71,8 @@
     :param is_response_to: whether a response's headers belong to a send.
     :param read_load: reads the load that an upstream's headers report, None
         if they report none.
+    :param has_response_ids: whether an upstream's responses name the request,
+        so that a copy of another response is recognized.
     """
 
     read_metadata: abc.Callable[[Headers], RequestMetadata]
@@ -81,6 +83,7 @@
     is_refusal: abc.Callable[[int, Headers], bool]
     is_response_to: abc.Callable[[messages.Send, Headers], bool]
     read_load: abc.Callable[[Headers], measurement.UpstreamLoad | None]
+    has_response_ids: bool = False
 
 
 def choose_status(error: errors.CallError) -> int:
--- a/packages/burdockdeal/burdockdeal/serving/owner.py
+++ b/packages/burdockdeal/burdockdeal/serving/owner.py
@@ -31,11 +31,24 @@
 from burdockdeal.serving import forwarding
 from burdockdeal.serving import header_codec
 from burdockdeal.serving import messages
+from burdockdeal.serving import refused_calls as refusals
 from burdockdeal.settings import model
 
 Clock = abc.Callable[[], float]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamSessions:
+    """The HTTP clients for the upstream.
+
+    :param pooled: keeps its connections open for further requests.
+    :param single_use: uses a new connection for each request.
+    """
+
+    pooled: aiohttp.ClientSession
+    single_use: aiohttp.ClientSession
+
+
 def _build_rank_policy(
     configuration: classification.CompiledConfiguration, rank: str
 ) -> admission.RankPolicy:
@@ -83,7 +96,7 @@
 def make_upstream_opener(
     tracker: announce_api.UpstreamTracker,
     slots: controller.AdmissionController,
-    session: aiohttp.ClientSession,
+    sessions: UpstreamSessions,
     configuration: abc.Callable[
         [], classification.CompiledConfiguration | None
     ],
@@ -100,7 +113,7 @@
 
     :param tracker: the state of the upstream beside this daemon.
     :param slots: the upstream's concurrency slots and the queue for them.
-    :param session: HTTP client for the upstream.
+    :param sessions: HTTP clients for the upstream.
     :param configuration: returns the configuration in force, None before
         the first has arrived.
     :param clock: returns monotonic time in seconds.
@@ -114,6 +127,8 @@
         among them.
     """
 
+    refused_calls = refusals.RefusedCalls(clock)
+
     def check(send: messages.Send) -> None:
         if not tracker.may_start_call():
             raise errors.NotRunError(verdict.Reason.DRAINING)
@@ -157,6 +172,26 @@
             spent_ms=round(spent_s * 1000, 1),
         )
 
+    def make_connection_check(
+        send: messages.Send,
+    ) -> abc.Callable[[messages.Response], bool]:
+        def keeps_connection(response: messages.Response) -> bool:
+            # After the response to another request, that to this one may
+            # follow. Without ids, a copy of a refusal would be taken for the
+            # response to the next send, which then runs although its caller
+            # is told that it did not.
+            received = response.headers
+            return upstream_headers.is_response_to(send, received) and (
+                upstream_headers.has_response_ids
+                or not upstream_headers.is_refusal(response.status, received)
+            )
+
+        return keeps_connection
+
+    def choose_session(send: messages.Send) -> aiohttp.ClientSession:
+        is_repeat = send.request.request_id in refused_calls
+        return sessions.single_use if is_repeat else sessions.pooled
+
     @contextlib.contextmanager
     def report_unreachable() -> abc.Iterator[None]:
         try:
@@ -207,7 +242,7 @@
                 ) as record_head,
             ):
                 async with forwarding.open_response(
-                    session,
+                    choose_session(send),
                     f"http://{announced.host}:{announced.port}",
                     send.outbound,
                     upstream_headers.build_send_headers(
@@ -215,9 +250,16 @@
                     ),
                     remaining_s=send.request.deadline - now,
                     expect=False,
+                    keeps_connection=make_connection_check(send),
                 ) as response:
                     record_response()
                     record_head(response.status)
+                    if upstream_headers.is_refusal(
+                        response.status, response.headers
+                    ):
+                        refused_calls.record(
+                            send.request.request_id, send.request.deadline
+                        )
                     _check_response(upstream_headers, send, response)
                     response_times.record_upstream_load(
                         upstream_headers.read_load(response.headers)
@@ -328,6 +370,7 @@
                     response,
                     {headers.REPORT: build_report(started)},
                     limits,
+                    remaining_s=send.request.deadline - clock(),
                 )
         except errors.CallError as error:
             return web.Response(
