Make the calls to the store independent of the fleet's size

Change: a starting daemon reads contacts and configuration in one listing and registers only if it finds no other daemon. The first store reader of the fleet keeps the lists up to date: at once while one has room, else every 10 s with stale reads. Three daemons of the fleet, in different failure domains, watch the configuration and one polls it; if its poll fails it asks two others to read, since the store may refuse this daemon alone.

Ruled out: a poller a failure domain (grows with the domains); polling only while a watch was cut or silent, since a watch can leave out a change without a sign (seen with a discarded history).

--- a/packages/bench/burdockdeal_bench/testbed.py
+++ b/packages/bench/burdockdeal_bench/testbed.py
@@ -19,6 +19,9 @@
 
 Action = scenarios.Action
 
+#: Seconds without a write to the store after which a start is complete.
+_QUIET_S = 1.5
+
 
 class Testbed:
     """The running processes of a deployment and their injected faults.
@@ -81,6 +84,16 @@
         )
         revision = await self._declare(first)
         await self.fleet.wait_until_ready(revision)
+        await self._wait_until_writes_cease()
+
+    async def _wait_until_writes_cease(self) -> None:
+        """Wait until the contacts of the new fleet are listed."""
+        before = -1
+        counts = await self.fleet.read_store_counts()
+        while counts.writes != before:
+            before = counts.writes
+            await asyncio.sleep(_QUIET_S)
+            counts = await self.fleet.read_store_counts()
 
     def _host_of(self, place: deployments.Place) -> str:
         domains = self.deployment.failure_domains
--- a/packages/burdockdeal/burdockdeal/daemon/assembly.py
+++ b/packages/burdockdeal/burdockdeal/daemon/assembly.py
@@ -67,17 +67,22 @@
     shared: components.Components,
     platform: store.StoreClient,
     peer_session: aiohttp.ClientSession,
-    on_newer: abc.Callable[[model.Address], None],
+    control_plane: deployment_adapter.ControlPlane,
 ) -> membership.Membership:
     return membership.Membership(
         shared.settings,
         shared.roster,
         transport.make_post(peer_session, shared.settings.peer_token),
-        contacts.make_contact_finder(shared.roster, platform, shared.clock),
+        contacts.ContactDirectory(
+            control_plane.contact_source,
+            shared.roster,
+            platform,
+            shared.clock,
+        ),
         shared.rng,
         shared.clock,
         revision=lambda: shared.active_configuration.revision,
-        on_newer=on_newer,
+        on_newer=control_plane.on_newer_configuration,
     )
 
 
@@ -229,10 +234,7 @@
             shared, platform, peer_session
         )
         membership_service = _build_membership(
-            shared,
-            platform,
-            peer_session,
-            control_plane.on_newer_configuration,
+            shared, platform, peer_session, control_plane
         )
         shared.active_configuration.on_change(membership_service.request_push)
         load_probing = _build_probing(shared, peer_session)
--- a/packages/burdockdeal/burdockdeal/daemon/deployment_adapter.py
+++ b/packages/burdockdeal/burdockdeal/daemon/deployment_adapter.py
@@ -10,6 +10,7 @@
 from burdockdeal.daemon import components
 from burdockdeal.daemon import metrics
 from burdockdeal.measurement import load_refresher
+from burdockdeal.membership import contacts
 from burdockdeal.overload import connections
 from burdockdeal.platform import store
 from burdockdeal.serving import header_codec
@@ -42,6 +43,7 @@
     :param build_applications: builds the web applications to host, given
         the daemon's metrics.
     :param query_upstream_load: queries the upstream for its load.
+    :param contact_source: where the store has the contacts.
     """
 
     services: tuple[mode.Service, ...]
@@ -52,6 +54,7 @@
         [metrics.Metrics], tuple[HostedApplication, ...]
     ]
     query_upstream_load: load_refresher.QueryLoad
+    contact_source: contacts.Source = contacts.DEFAULT_SOURCE
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/burdockdeal/burdockdeal/membership/contacts.py
+++ b/packages/burdockdeal/burdockdeal/membership/contacts.py
@@ -1,6 +1,7 @@
 """Discovery through the store, which lists contacts per failure domain."""
 
 from collections import abc
+import dataclasses
 
 from burdockdeal.core import codec
 from burdockdeal.core import errors
@@ -10,112 +11,190 @@
 from burdockdeal.membership import roster
 from burdockdeal.platform import messages as platform_messages
 from burdockdeal.platform import store
-from burdockdeal.settings import model
 
-#: Prefix of the keys in the store; a failure domain's name follows.
-KEY_PREFIX = "members/"
+#: Seconds between two reviews of the contacts by the first store reader.
+REVIEW_INTERVAL_S = 10.0
 
-#: Seconds between two reads of the contacts by a daemon that has peers.
-REFRESH_INTERVAL_S = 10.0
+#: Seconds before the first review, when daemons that started at the same time
+#: may not have found each other yet; the interval doubles with each review.
+#: Also the interval while a list has room for a daemon that is active.
+FIRST_REVIEW_INTERVAL_S = 0.5
 
-#: A shorter interval for the first seconds after the daemon's start. When all
-#: daemons start at the same time, each initially finds only those that
-#: registered before it.
-STARTUP_REFRESH_INTERVAL_S = 0.5
-STARTUP_PERIOD_S = 5.0
 
-#: Returns addresses of contacts that the roster does not list as active.
-#: With True, reads the store without waiting for the interval.
-FindContacts = abc.Callable[[bool], abc.Awaitable[list[model.Address]]]
+def _ignore_listing(listing: platform_messages.Listing) -> None:
+    """Ignore a listing that holds contacts only."""
 
 
-def make_contact_finder(
-    local_roster: roster.Roster,
-    platform: store.StoreClient,
-    clock: abc.Callable[[], float],
-) -> FindContacts:
-    """Make the function that reads the contacts from the store.
+@dataclasses.dataclass(frozen=True, slots=True)
+class Source:
+    """Where the contacts are in the store.
 
-    The function also registers this daemon as a contact of its failure
-    domain if it is listed with another address or if, without it, the list
-    is not full or names daemons that are not active. A daemon that knows no
-    other one always registers.
+    :param key_prefix: prefix of the contacts' keys; a failure domain's name
+        follows.
+    :param startup_prefix: prefix of the keys that a starting daemon reads.
+        If it also covers the configuration, a start takes a single call.
+    :param on_startup_listing: called with the entries read at startup.
     """
-    refreshed_at = -REFRESH_INTERVAL_S
-    startup_until = clock() + STARTUP_PERIOD_S
-
-    def needs_registration(listed: messages.Contacts) -> bool:
-        own = local_roster.own
-        if any(contact.daemon == own.daemon for contact in listed.contacts):
-            return messages.Contact(own.daemon, own.peer) not in (
-                listed.contacts
-            )
-        is_full = len(listed.contacts) >= decisions.CONTACTS_PER_DOMAIN
-        known = local_roster.map_active_in_domain(own.failure_domain)
-        has_stale = any(
-            contact.daemon not in known for contact in listed.contacts
-        )
-        return not is_full or has_stale or local_roster.active_count == 1
-
-    async def register() -> None:
-        own = local_roster.own
-        key = KEY_PREFIX + own.failure_domain
-        entry = await platform.get(key)
-        listed = messages.Contacts(())
-        if entry is not None:
-            listed = _decode_contacts(entry)
-        if not needs_registration(listed):
-            return
+
+    key_prefix: str = "members/"
+    startup_prefix: str = "members/"
+    on_startup_listing: abc.Callable[[platform_messages.Listing], None] = (
+        _ignore_listing
+    )
+
+
+#: Used where the store holds nothing else that a starting daemon needs.
+DEFAULT_SOURCE = Source()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Listed:
+    """The contacts of a failure domain as they were last read or written.
+
+    :param version: version of the entry in the store, 0 if there is none.
+    """
+
+    contacts: messages.Contacts
+    version: int
+
+
+_NOT_LISTED = _Listed(messages.Contacts(()), 0)
+
+
+class ContactDirectory:
+    """Reads and maintains the contacts in the store.
+
+    A starting daemon reads them once. It registers itself only if it finds
+    no other daemon; apart from that, the first store reader of the fleet
+    keeps the lists up to date on behalf of all daemons, so that the number
+    of calls does not depend on the size of the fleet.
+
+    :param source: where the contacts are.
+    :param clock: returns monotonic time in seconds.
+    """
+
+    def __init__(
+        self,
+        source: Source,
+        local_roster: roster.Roster,
+        platform: store.StoreClient,
+        clock: abc.Callable[[], float],
+    ) -> None:
+        self._source = source
+        self._roster = local_roster
+        self._store = platform
+        self._clock = clock
+        self._reviewed_at = clock()
+        self._review_interval_s = FIRST_REVIEW_INTERVAL_S
+        self._listed: dict[str, _Listed] = {}
+
+    async def find_contacts(self) -> tuple[messages.Contact, ...]:
+        """Read the contacts of all failure domains from the store."""
+        listing = await self._store.list(self._source.startup_prefix)
+        self._source.on_startup_listing(listing)
+        return self._read_listing(listing)
+
+    async def register(self) -> None:
+        """Add this daemon to the contacts of its failure domain.
+
+        The write is conditional on what ``find_contacts`` read. If another
+        daemon was faster, nothing is written, and the next read finds it.
+        """
+        own = self._roster.own
+        listed = self._get_contacts(own.failure_domain)
         contact = messages.Contact(own.daemon, own.peer)
-        updated = decisions.add_contact(listed, contact)
-        value = codec.encode(updated).decode()
-        try:
-            await platform.put(
-                key, value, version=entry.version if entry else 0
+        if contact not in listed.contacts:
+            await self._write(
+                own.failure_domain, decisions.add_contact(listed, contact)
             )
-        except errors.StoreConflictError:
-            # Another daemon wrote the key first; the next read tries again.
-            return
 
-    async def find_contacts(force_refresh: bool) -> list[model.Address]:
-        nonlocal refreshed_at
+    async def review(self) -> tuple[messages.Contact, ...]:
+        """Update the lists from the roster, at most once per interval.
+
+        :returns: the listed contacts that the roster does not list as
+            active: they belong to a part of the fleet from which this part
+            is separated, or they have left.
+        """
+        now = self._clock()
+        is_incomplete = self._has_incomplete_list()
         interval_s = (
-            STARTUP_REFRESH_INTERVAL_S
-            if clock() < startup_until
-            else REFRESH_INTERVAL_S
+            FIRST_REVIEW_INTERVAL_S
+            if is_incomplete
+            else self._review_interval_s
+        )
+        if now - self._reviewed_at < interval_s:
+            return ()
+        self._reviewed_at = now
+        self._review_interval_s = min(
+            REVIEW_INTERVAL_S, 2 * self._review_interval_s
         )
-        if not force_refresh and clock() - refreshed_at < interval_s:
-            return []
-        refreshed_at = clock()
-        # A response that is a few seconds stale suffices for a periodic read,
-        # at a tenth of the cost. A daemon without peers needs the newest.
-        listing = await platform.list(KEY_PREFIX, stale=not force_refresh)
-        own_contacts = _find_contacts_of(
-            listing, local_roster.own.failure_domain
+        # Unless a list is about to be written, entries that are a few seconds
+        # stale suffice, at a tenth of the cost.
+        listing = await self._store.list(
+            self._source.key_prefix, stale=not is_incomplete
         )
-        if needs_registration(own_contacts):
-            await register()
-        listed = [
+        listed = self._read_listing(listing)
+        for domain in self._roster.active_domains:
+            await self._update_domain(domain)
+        return tuple(
             contact
-            for entry in listing.entries
-            for contact in _decode_contacts(entry).contacts
-        ]
-        return [
-            contact.peer
             for contact in listed
-            if not _is_known(local_roster, contact.daemon)
-        ]
+            if not _is_active(self._roster, contact.daemon)
+        )
 
-    return find_contacts
+    def _has_incomplete_list(self) -> bool:
+        """Return whether an active daemon is missing from a list."""
+        return any(
+            sum(
+                _is_active(self._roster, contact.daemon)
+                for contact in self._get_contacts(domain).contacts
+            )
+            < min(
+                decisions.CONTACTS_PER_DOMAIN,
+                len(self._roster.map_active_in_domain(domain)),
+            )
+            for domain in self._roster.active_domains
+        )
 
+    def _get_contacts(self, domain: str) -> messages.Contacts:
+        return self._listed.get(domain, _NOT_LISTED).contacts
 
-def _find_contacts_of(
-    listing: platform_messages.Listing, domain: str
-) -> messages.Contacts:
-    for entry in listing.entries:
-        if entry.key == KEY_PREFIX + domain:
-            return _decode_contacts(entry)
-    return messages.Contacts(())
+    async def _update_domain(self, domain: str) -> None:
+        listed = self._get_contacts(domain)
+        updated = decisions.refresh_contacts(
+            listed, self._roster.map_active_in_domain(domain)
+        )
+        if updated != listed:
+            await self._write(domain, updated)
+
+    async def _write(self, domain: str, updated: messages.Contacts) -> None:
+        try:
+            version = await self._store.put(
+                self._source.key_prefix + domain,
+                codec.encode(updated).decode(),
+                version=self._listed.get(domain, _NOT_LISTED).version,
+            )
+        except errors.StoreConflictError:
+            # Another daemon wrote the key first; the next read tries again.
+            return
+        self._listed[domain] = _Listed(updated, version)
+
+    def _read_listing(
+        self, listing: platform_messages.Listing
+    ) -> tuple[messages.Contact, ...]:
+        prefix = self._source.key_prefix
+        self._listed = {
+            entry.key.removeprefix(prefix): _Listed(
+                _decode_contacts(entry), entry.version
+            )
+            for entry in listing.entries
+            if entry.key.startswith(prefix)
+        }
+        return tuple(
+            contact
+            for listed in self._listed.values()
+            for contact in listed.contacts.contacts
+        )
 
 
 def _decode_contacts(entry: platform_messages.Entry) -> messages.Contacts:
@@ -127,7 +206,7 @@
         return messages.Contacts(())
 
 
-def _is_known(local_roster: roster.Roster, daemon: str) -> bool:
+def _is_active(local_roster: roster.Roster, daemon: str) -> bool:
     member = local_roster.find(daemon)
     return (
         member is not None and member.health not in messages.INACTIVE_HEALTHS
--- a/packages/burdockdeal/burdockdeal/membership/decisions.py
+++ b/packages/burdockdeal/burdockdeal/membership/decisions.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 import dataclasses
+import itertools
 import math
 import typing
 import zlib
@@ -196,6 +197,50 @@
     return messages.Contacts((contact, *others)[:CONTACTS_PER_DOMAIN])
 
 
+def refresh_contacts(
+    contacts: messages.Contacts,
+    active: abc.Mapping[str, messages.Member],
+) -> messages.Contacts:
+    """Replace a domain's contacts that are not active by active daemons.
+
+    Contacts that are active stay, so that a list changes only as the fleet
+    does. Lists that would become empty are kept, since those listed may only
+    be out of reach.
+
+    :param active: the active daemons of the domain, by name.
+    """
+    kept = tuple(
+        contact
+        for contact in contacts.contacts
+        if contact.daemon in active
+        and active[contact.daemon].peer == contact.peer
+    )
+    listed = {contact.daemon for contact in kept}
+    added = tuple(
+        messages.Contact(name, active[name].peer)
+        for name in sorted(active)
+        if name not in listed and active[name].health is Health.ALIVE
+    )
+    refreshed = (*kept, *added)[:CONTACTS_PER_DOMAIN]
+    return messages.Contacts(refreshed) if refreshed else contacts
+
+
+def interleave(
+    domains: abc.Iterable[abc.Sequence[str]], count: int
+) -> tuple[str, ...]:
+    """Take the first daemons of each domain, then the second ones, and so on.
+
+    Used to choose daemons that do something on behalf of the whole fleet in
+    different failure domains.
+
+    :param domains: the candidates of each domain, in order of preference.
+    :param count: maximum number of daemons to take.
+    """
+    rounds = itertools.zip_longest(*domains)
+    chosen = (name for each in rounds for name in each if name is not None)
+    return tuple(itertools.islice(chosen, count))
+
+
 def choose_first_alive(
     members: abc.Iterable[messages.Member], failure_domain: str, count: int
 ) -> tuple[str, ...]:
--- a/packages/burdockdeal/burdockdeal/membership/roster.py
+++ b/packages/burdockdeal/burdockdeal/membership/roster.py
@@ -60,6 +60,11 @@
             if member.daemon != self.own.daemon
         )
 
+    @property
+    def active_domains(self) -> tuple[str, ...]:
+        """The failure domains with active daemons."""
+        return tuple(self._domains)
+
     @property
     def active_count(self) -> int:
         """Number of active daemons, this one included."""
@@ -116,15 +121,16 @@
             )
         return self._relays[domain]
 
-    def choose_first_alive(self, domain: str, count: int) -> tuple[str, ...]:
-        """Choose the first alive daemons of a failure domain, by name.
+    def choose_store_readers(self, count: int) -> tuple[str, ...]:
+        """Choose the daemons that read the store on behalf of the fleet.
 
-        Every daemon with the same roster chooses the same ones.
+        Every daemon with the same roster chooses the same ones. They are in
+        different failure domains as far as there are enough domains.
 
         :param count: maximum number of daemons to choose.
         """
-        return decisions.choose_first_alive(
-            self.map_active_in_domain(domain).values(), domain, count
+        return decisions.interleave(
+            map(self.choose_relays, sorted(self._domains)), count
         )
 
     def list_in_buckets(
--- a/packages/burdockdeal/burdockdeal/membership/service.py
+++ b/packages/burdockdeal/burdockdeal/membership/service.py
@@ -42,7 +42,7 @@
     """Discovers the other daemons, probes them and spreads updates.
 
     :param post: posts a message to another daemon.
-    :param find_contacts: returns addresses from the contacts in the store.
+    :param directory: the contacts in the store.
     :param clock: returns monotonic time in seconds.
     :param revision: returns the configuration revision in force here.
     :param on_newer: called with the address of a peer whose configuration
@@ -54,7 +54,7 @@
         settings: model.Settings,
         local_roster: roster.Roster,
         post: transport.Post,
-        find_contacts: contacts.FindContacts,
+        directory: contacts.ContactDirectory,
         rng: random.Random,
         clock: abc.Callable[[], float],
         *,
@@ -66,7 +66,7 @@
         self._timing = settings.membership
         self._roster = local_roster
         self._post = post
-        self._find_contacts = find_contacts
+        self._directory = directory
         self._rng = rng
         self._clock = clock
         self._revision = revision
@@ -121,28 +121,48 @@
 
     async def _join(self) -> None:
         if self._roster.active_count == 1:
-            addresses = list(self._settings.peers)
-            try:
-                addresses += await self._find_contacts(True)
-            finally:
-                for address in addresses:
-                    if await self._sync_roster(address):
-                        break
+            await self._find_peers()
             return
         self._roster.has_joined = True
-        if self._is_relay():
-            # A contact that is unknown here belongs to a part of the fleet
-            # from which this part is separated.
-            for address in await self._find_contacts(False):
-                await self._sync_roster(address)
+        if self._is_first_store_reader():
+            for contact in await self._directory.review():
+                await self._sync_roster(contact.peer)
         if self._clock() - self._synced_at > SYNC_INTERVAL_S:
             self._synced_at = self._clock()
             selected = self._rng.choice(self._roster.active_peers)
             await self._sync_roster(selected.peer)
 
-    def _is_relay(self) -> bool:
+    async def _find_peers(self) -> None:
+        """Fetch the roster of one daemon that is listed as a contact."""
+        contacts: list[messages.Contact] = []
+        try:
+            contacts += await self._directory.find_contacts()
+        finally:
+            addresses = [contact.peer for contact in contacts]
+            self._rng.shuffle(addresses)
+            has_peers = await self._sync_with_any(
+                [*self._settings.peers, *addresses]
+            )
+        if not has_peers:
+            await self._directory.register()
+            return
+        # The daemon that responded may not know the other contacts yet.
+        for contact in contacts:
+            if self._roster.find(contact.daemon) is None:
+                self.add_future(self._ping(contact.peer, contact.daemon))
+
+    async def _sync_with_any(
+        self, addresses: abc.Iterable[model.Address]
+    ) -> bool:
+        """Synchronize the roster with the first daemon that responds."""
+        for address in addresses:
+            if await self._sync_roster(address):
+                return True
+        return False
+
+    def _is_first_store_reader(self) -> bool:
         own = self._roster.own
-        return own.daemon in self._roster.choose_relays(own.failure_domain)
+        return own.daemon in self._roster.choose_store_readers(1)
 
     async def _sync_roster(self, address: model.Address) -> bool:
         """Fetch the records in which a peer's roster differs, then probe it.
--- a/packages/burdockdeal/burdockdeal/platform/assembly.py
+++ b/packages/burdockdeal/burdockdeal/platform/assembly.py
@@ -9,14 +9,22 @@
 from burdockdeal.daemon import deployment_adapter
 from burdockdeal.daemon import metrics
 from burdockdeal.measurement import state as measurement
+from burdockdeal.membership import contacts
+from burdockdeal.membership import transport
 from burdockdeal.platform import discovery
 from burdockdeal.platform import headers
 from burdockdeal.platform import heartbeats
+from burdockdeal.platform import indirect_reads
 from burdockdeal.platform import store
 from burdockdeal.platform import watcher
 
 _NO_SERVICE = resources.Service()
 
+#: Prefix of the keys that a starting daemon reads in one call: the contacts
+#: and the operator's configuration. Daemons may not write below "op/".
+_STARTUP_PREFIX = "op"
+_CONTACT_PREFIX = "op-members/"
+
 
 def _build_readiness_app(shared: components.Components) -> web.Application:
     async def handle_readiness(request: web.Request) -> web.Response:
@@ -61,11 +69,8 @@
         )
         return health.load if health else None
 
-    def is_among_first(count: int) -> bool:
-        domain = settings.failure_domain
-        return settings.daemon in shared.roster.choose_first_alive(
-            domain, count
-        )
+    def is_store_reader(count: int) -> bool:
+        return settings.daemon in shared.roster.choose_store_readers(count)
 
     upstream_discovery = discovery.UpstreamDiscovery(
         session, deployment.upstream, receiver, get_health_path
@@ -75,6 +80,20 @@
         settings, shared.active_configuration, session, clock=shared.clock
     )
 
+    store_watcher = watcher.Watcher(
+        platform.derive_unlimited_client(),
+        shared.active_configuration,
+        shared.rng,
+        is_watcher=lambda: is_store_reader(deployment.watchers),
+        is_poller=lambda: is_store_reader(1),
+        ask_to_read=indirect_reads.make_requester(
+            shared.roster,
+            transport.make_post(session, settings.peer_token),
+            shared.rng,
+        ),
+        poll_interval_s=deployment.read_s,
+    )
+
     def build_applications(
         daemon_metrics: metrics.Metrics,
     ) -> tuple[deployment_adapter.HostedApplication, ...]:
@@ -98,24 +117,25 @@
     return deployment_adapter.ControlPlane(
         services=(
             puller,
-            watcher.Watcher(
-                platform.derive_unlimited_client(),
-                shared.active_configuration,
-                shared.rng,
-                is_watcher=lambda: is_among_first(deployment.watchers),
-                is_poller=lambda: is_among_first(1),
-                poll_interval_s=deployment.read_s,
-            ),
+            store_watcher,
             upstream_discovery,
         ),
         peer_handlers={
             peers.CHANGES_PATH: puller.handle_changes,
             peers.SNAPSHOT_PATH: puller.handle_snapshot,
+            indirect_reads.PATH: indirect_reads.make_handler(
+                store_watcher.read
+            ),
         },
         gauges=(),
         on_newer_configuration=puller.pull_from,
         build_applications=build_applications,
         query_upstream_load=query_upstream_load,
+        contact_source=contacts.Source(
+            key_prefix=_CONTACT_PREFIX,
+            startup_prefix=_STARTUP_PREFIX,
+            on_startup_listing=store_watcher.apply_listing,
+        ),
     )
 
 
--- a/packages/burdockdeal/burdockdeal/platform/messages.py
+++ b/packages/burdockdeal/burdockdeal/platform/messages.py
@@ -1,4 +1,4 @@
-"""Results that the client of the platform's store returns."""
+"""Results of the store's client, and messages about reads of the store."""
 
 import dataclasses
 
@@ -36,3 +36,18 @@
 
     lease_id: int
     ttl_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadRequest:
+    """Asks a daemon to read the configuration from the store."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadResult:
+    """Result of a read on behalf of another daemon.
+
+    :param read: whether the store answered.
+    """
+
+    read: bool
--- a/packages/burdockdeal/burdockdeal/platform/store.py
+++ b/packages/burdockdeal/burdockdeal/platform/store.py
@@ -258,14 +258,20 @@
             raise errors.StoreUncertainError(detail)
         return answer
 
-    async def get(self, key: str) -> messages.Entry | None:
+    async def get(
+        self, key: str, *, timeout_s: float | None = None
+    ) -> messages.Entry | None:
         """Read a key.
 
+        :param timeout_s: seconds to wait for the answer, None for the
+            default.
         :returns: the entry, or None if the key does not exist.
         :raises PlatformError: if the store did not answer.
         """
         query = parse.urlencode({"key": key})
-        answer = await self._send("GET", f"/api/kv-key?{query}")
+        answer = await self._send(
+            "GET", f"/api/kv-key?{query}", timeout_s=timeout_s or _TIMEOUT_S
+        )
         if answer.status == _NOT_FOUND:
             return None
         return wire.decode_item(_decode(answer.body, wire.Item))
--- a/packages/burdockdeal/burdockdeal/platform/tests/test_watcher.py
+++ b/packages/burdockdeal/burdockdeal/platform/tests/test_watcher.py
@@ -1,6 +1,7 @@
 """Watching the configuration although watches can miss changes."""
 
 import asyncio
+from collections import abc
 import json
 import random
 
@@ -32,7 +33,9 @@
         if not self.watches_lose_events:
             self.event.set()
 
-    async def get(self, key: str) -> messages.Entry:
+    async def get(
+        self, key: str, *, timeout_s: float | None = None
+    ) -> messages.Entry:
         self.read_count += 1
         if self.is_down:
             raise errors.StoreUnavailableError("down")
@@ -51,19 +54,28 @@
         return messages.Listing((entry,), self.revision)
 
 
+async def ask_nobody() -> None:
+    """Ask no other daemon to read."""
+
+
 def build_watcher(
     store: FakeStore,
     in_force: active_configuration.ActiveConfiguration,
     *,
     polls: bool,
+    watches: bool = True,
+    ask_to_read: abc.Callable[[], abc.Awaitable[None]] = ask_nobody,
+    settling_s: float = 0.0,
 ) -> watcher.Watcher:
     return watcher.Watcher(
         store,
         in_force,
         random.Random(1),
-        is_watcher=lambda: True,
+        is_watcher=lambda: watches,
         is_poller=lambda: polls,
+        ask_to_read=ask_to_read,
         poll_interval_s=0.05,
+        settling_s=settling_s,
     )
 
 
@@ -129,3 +141,43 @@
         await wait_for_revision(in_force, 1)
     assert 2 <= store.read_count < 20
     assert configuration.KEY
+
+
+async def test_a_daemon_that_is_no_reader_makes_no_calls() -> None:
+    store, in_force = FakeStore(), active_configuration.ActiveConfiguration()
+    async with build_watcher(store, in_force, polls=False, watches=False):
+        await asyncio.sleep(0.3)
+    assert not store.read_count
+
+
+async def test_the_configuration_of_the_first_listing_is_applied() -> None:
+    """A start takes one call: the listing with contacts and configuration."""
+    store, in_force = FakeStore(), active_configuration.ActiveConfiguration()
+    entry = messages.Entry(configuration.KEY, encode_document(3), 10)
+    other = messages.Entry("op-members/a", "{}", 11)
+    async with build_watcher(
+        store, in_force, polls=True, settling_s=5.0
+    ) as service:
+        service.apply_listing(messages.Listing((other, entry), 11))
+        assert in_force.revision == 3
+        await asyncio.sleep(0.2)
+    assert not store.read_count
+
+
+async def test_other_daemons_are_asked_to_read_if_a_poll_fails() -> None:
+    """The store refuses the poller alone, and no watch reports the change."""
+    store, in_force = FakeStore(), active_configuration.ActiveConfiguration()
+    reachable = FakeStore()
+    helper_in_force = active_configuration.ActiveConfiguration()
+    helper = build_watcher(
+        reachable, helper_in_force, polls=False, watches=False
+    )
+    store.is_down = True
+    reachable.put(8)
+    async with (
+        helper,
+        build_watcher(
+            store, in_force, polls=True, watches=False, ask_to_read=helper.read
+        ),
+    ):
+        await wait_for_revision(helper_in_force, 8)
--- a/packages/burdockdeal/burdockdeal/platform/watcher.py
+++ b/packages/burdockdeal/burdockdeal/platform/watcher.py
@@ -23,31 +23,44 @@
 #: changes costs only a few calls.
 MIN_WATCH_INTERVAL_S = 0.2
 
-#: Bounds of the exponential backoff after a failed call, in seconds.
+#: Bounds of the exponential backoff after a failed call, in seconds. A daemon
+#: without a configuration serves nothing, so it retries sooner.
 INITIAL_BACKOFF_S = 0.1
-MAX_BACKOFF_S = 0.5
+MAX_BACKOFF_S = 2.0
+MAX_UNCONFIGURED_BACKOFF_S = 0.5
+
+#: Seconds after the start for which a daemon leaves reading to others. It has
+#: then read the store once and received the roster from a peer, so that it
+#: knows whether it is one of the readers.
+SETTLING_S = 2.0
 
 #: Interval in seconds at which a daemon that does not watch checks whether
 #: it has become a watcher.
 _ROLE_CHECK_INTERVAL_S = 0.5
 
+#: Timeout of a poll in seconds, after which other daemons are asked to read.
+POLL_TIMEOUT_S = 0.5
+
 
 class Watcher(mode.Service):
     """Puts the latest configuration of the store in force.
 
-    A watch can miss a change without any indication, so one daemon per
-    failure domain also polls the store. Daemons that neither watch nor poll
-    learn of a newer configuration from their peers. A daemon that has no
-    configuration yet always watches.
+    A few daemons of the fleet watch the store on behalf of all; the others
+    learn of a newer configuration from their peers. A watch can miss a change
+    without any indication, so one of the watchers also polls the store. If
+    its poll fails, it asks other daemons to read, since the store may be out
+    of reach or refuse calls from this daemon alone.
 
     :param platform: the client of the store.
     :param in_force: holds the configuration in force in this daemon.
     :param rng: draws the jitter of the backoff.
-    :param is_watcher: tells whether this daemon watches the store for its
-        failure domain.
-    :param is_poller: tells whether this daemon polls the store for its
-        failure domain.
+    :param is_watcher: returns whether this daemon watches the store for the
+        fleet.
+    :param is_poller: returns whether this daemon polls the store for the
+        fleet.
+    :param ask_to_read: asks other daemons to read the configuration.
     :param poll_interval_s: seconds between two polls.
+    :param settling_s: seconds before this daemon first reads by itself.
     """
 
     def __init__(
@@ -58,15 +71,19 @@
         *,
         is_watcher: abc.Callable[[], bool],
         is_poller: abc.Callable[[], bool],
+        ask_to_read: abc.Callable[[], abc.Awaitable[None]],
         poll_interval_s: float,
+        settling_s: float = SETTLING_S,
     ) -> None:
         super().__init__()
         self._store = platform
-        self._standing = in_force
+        self._in_force = in_force
         self._rng = rng
         self._is_watcher = is_watcher
         self._is_poller = is_poller
+        self._ask_to_read = ask_to_read
         self._poll_interval_s = poll_interval_s
+        self._settling_s = settling_s
         self._failures = 0
         self._is_stopping = False
         self._pending_watch: asyncio.Future[messages.Listing] | None = None
@@ -80,8 +97,9 @@
     @mode.Service.task
     async def _watch_forever(self) -> None:
         known_revision: int | None = None
+        await self.sleep(self._settling_s)
         while not self._is_stopping:
-            if self._standing.revision and not self._is_watcher():
+            if not self._is_watcher():
                 known_revision = None
                 await self.sleep(_ROLE_CHECK_INTERVAL_S)
                 continue
@@ -94,16 +112,31 @@
 
     @mode.Service.task
     async def _poll_forever(self) -> None:
+        await self.sleep(self._settling_s)
         while not self.should_stop:
             await self.sleep(self._poll_interval_s)
-            if not self._standing.revision or not self._is_poller():
+            if not self._is_poller():
                 continue
             try:
-                entry = await self._store.get(configuration.KEY)
+                await self.read(POLL_TIMEOUT_S)
             except errors.PlatformError as error:
                 event_log.debug("configuration_poll_failed", error=error)
-                continue
-            if entry is not None:
+                self.add_future(self._ask_to_read())
+
+    async def read(self, timeout_s: float | None = None) -> None:
+        """Read the configuration once and put it in force if it is newer.
+
+        :param timeout_s: seconds to wait for the store, None for the default.
+        :raises PlatformError: if the store did not answer.
+        """
+        entry = await self._store.get(configuration.KEY, timeout_s=timeout_s)
+        if entry is not None:
+            self._apply(entry)
+
+    def apply_listing(self, listing: messages.Listing) -> None:
+        """Put the configuration in force that a listing contains."""
+        for entry in listing.entries:
+            if entry.key == configuration.KEY:
                 self._apply(entry)
 
     async def _read_or_watch(self, known_revision: int | None) -> int | None:
@@ -144,14 +177,12 @@
             if self._is_stopping:
                 return known_revision
             raise
-        for entry in listing.entries:
-            if entry.key == configuration.KEY:
-                self._apply(entry)
+        self.apply_listing(listing)
         return listing.revision if listing.entries else None
 
     def _apply(self, entry: messages.Entry) -> None:
         try:
-            self._standing.apply_snapshot(configuration.parse(entry.value))
+            self._in_force.apply_snapshot(configuration.parse(entry.value))
         except codec.MalformedError as error:
             event_log.warn(
                 "configuration_unreadable",
@@ -173,6 +204,8 @@
                 self._failures,
                 self._rng,
                 initial_s=INITIAL_BACKOFF_S,
-                max_s=MAX_BACKOFF_S,
+                max_s=MAX_BACKOFF_S
+                if self._in_force.revision
+                else MAX_UNCONFIGURED_BACKOFF_S,
             )
         )
--- a/packages/burdockdeal/burdockdeal/settings/model.py
+++ b/packages/burdockdeal/burdockdeal/settings/model.py
@@ -181,10 +181,9 @@
         belongs.
     :param upstream: the address at which that upstream accepts requests.
     :param metrics: the address at which the daemon serves its metrics.
-    :param watchers: the number of daemons per failure domain that watch
-        the store.
-    :param read_s: seconds between two polls of the configuration. One
-        daemon per failure domain polls, since a watch can miss a change.
+    :param watchers: the number of daemons of the fleet that watch the store.
+    :param read_s: seconds between two polls of the configuration. One daemon
+        of the fleet polls, since a watch can miss a change.
     :param lease_s: seconds without a heartbeat after which the upstream
         gets no new calls.
     """
@@ -192,8 +191,8 @@
     service: str
     upstream: Address
     metrics: Address
-    watchers: validation.PositiveInt = 2
-    read_s: validation.PositiveFloat = 0.7
+    watchers: validation.PositiveInt = 3
+    read_s: validation.PositiveFloat = 1.3
     lease_s: validation.PositiveFloat = 10.0
 
 
