Keep the messages between daemons few, small and in their domain

Of an ask of about 1.2 KB the envelope and the owner's report took 650 bytes, mostly names of fields; probes and notifications went to random daemons, most of them in other domains, with whole records and aiohttp's own headers; a starting daemon fetched the roster from any domain. A daemon that started among others that start waited up to a second between two attempts, and behind each contact that was out of reach.

Change: envelopes, reports and membership messages are arrays of values. Rosters come from the own domain first, compressed, as do configurations. Contacts are all asked at once, and again every 0.1 s for a second before the store is read again. Lines on single daemons are rate-limited, dropped lines counted in a metric; a line's values are checked by one regular expression.

Ruled out: names for single fields cut short by hand (a second set of names); a binary encoding (the users ask for HTTP and JSON).

The test of a raw entry sends and reads the new form; its checks are the same.

--- a/packages/burdockdeal/burdockdeal/configuration/peers.py
+++ b/packages/burdockdeal/burdockdeal/configuration/peers.py
@@ -159,6 +159,8 @@
 
 
 def _reply(message: object) -> web.Response:
-    return web.Response(
+    response = web.Response(
         body=codec.encode(message), content_type="application/json"
     )
+    response.enable_compression()
+    return response
--- a/packages/burdockdeal/burdockdeal/core/event_log.py
+++ b/packages/burdockdeal/burdockdeal/core/event_log.py
@@ -1,9 +1,9 @@
 """Structured logging: each event is one line of key=value pairs.
 
 Lines go to standard output through a bounded buffer that never blocks the
-event loop. Lines about single requests are rate-limited as well. Dropped
-lines are counted, and those dropped by the rate limit are reported in a
-line of their own.
+event loop. Lines about single requests and about single daemons are
+rate-limited as well. Dropped lines are counted, and those dropped by a rate
+limit are reported in a line of their own.
 """
 
 import asyncio
@@ -13,6 +13,7 @@
 import logging as standard_logging
 import os
 import pathlib
+import re
 import sys
 import time
 import traceback
@@ -22,6 +23,10 @@
 
 _TRACE_FRAMES = 4
 
+#: A value that is written without quotes: printable ASCII without spaces,
+#: quotation marks and equals signs.
+_PLAIN = re.compile("[!#-<>-~]+")
+
 #: Maximum number of buffered lines; further lines are dropped.
 MAX_BUFFERED_LINES = 4096
 
@@ -32,6 +37,11 @@
 REQUEST_LINES_PER_S = 300.0
 REQUEST_LINES_BURST = 900.0
 
+#: The same for lines about single daemons, of which a large fleet writes
+#: many when it starts or loses a failure domain.
+MEMBER_LINES_PER_S = 10.0
+MEMBER_LINES_BURST = 40.0
+
 #: Seconds until the next write to a descriptor that would block.
 _RETRY_INTERVAL_S = 0.05
 
@@ -131,11 +141,19 @@
         return b"".join(lines)
 
 
-class _RequestRateLimiter:
-    """Token bucket for lines about single requests."""
+class RateLimiter:
+    """Token bucket for lines of one kind.
 
-    def __init__(self) -> None:
-        self._tokens = REQUEST_LINES_BURST
+    :param kind: names the kind in reports of dropped lines.
+    :param lines_per_s: the maximum rate.
+    :param burst: the maximum number of lines at once.
+    """
+
+    def __init__(self, kind: str, lines_per_s: float, burst: float) -> None:
+        self._kind = kind
+        self._lines_per_s = lines_per_s
+        self._burst = burst
+        self._tokens = burst
         self._refilled_at = time.monotonic()
         self._reported_at = self._refilled_at
         self._dropped = 0
@@ -144,10 +162,11 @@
     def try_acquire(self) -> bool:
         """Return whether one more line may be written."""
         now = time.monotonic()
-        refill = (now - self._refilled_at) * REQUEST_LINES_PER_S
-        self._tokens = min(REQUEST_LINES_BURST, self._tokens + refill)
+        refill = (now - self._refilled_at) * self._lines_per_s
+        self._tokens = min(self._burst, self._tokens + refill)
         self._refilled_at = now
-        self._report_dropped(now)
+        for limiter in _limiters:
+            limiter.report_dropped(now)
         if self._tokens < 1:
             self._dropped += 1
             self.dropped_total += 1
@@ -155,19 +174,24 @@
         self._tokens -= 1
         return True
 
-    def _report_dropped(self, now: float) -> None:
+    def report_dropped(self, now: float) -> None:
+        """Report the dropped lines, at most once per interval."""
         if self._dropped and now - self._reported_at >= _REPORT_INTERVAL_S:
-            warn("lines_dropped", lines=self._dropped)
+            warn("lines_dropped", kind=self._kind, lines=self._dropped)
             self._dropped = 0
             self._reported_at = now
 
 
-_request_limiter = _RequestRateLimiter()
+_request_limiter = RateLimiter(
+    "request", REQUEST_LINES_PER_S, REQUEST_LINES_BURST
+)
+_member_limiter = RateLimiter("member", MEMBER_LINES_PER_S, MEMBER_LINES_BURST)
+_limiters = (_request_limiter, _member_limiter)
 
 
 def count_dropped_lines() -> int:
     """Return the number of lines dropped since the process started."""
-    return _request_limiter.dropped_total + sum(
+    return sum(limiter.dropped_total for limiter in _limiters) + sum(
         handler.dropped
         for handler in standard_logging.getLogger("absl").handlers
         if isinstance(handler, NonBlockingHandler)
@@ -191,15 +215,9 @@
         standard_logging.getLogger(name).setLevel(standard_logging.WARNING)
 
 
-def _is_plain(char: str) -> bool:
-    return " " < char <= "~" and char not in '"='
-
-
 def _quote(value: object) -> str:
     text = str(value)
-    if text and all(map(_is_plain, text)):
-        return text
-    return json.dumps(text)
+    return text if _PLAIN.fullmatch(text) else json.dumps(text)
 
 
 def format_event(event: str, **fields: object) -> str:
@@ -242,6 +260,12 @@
         logging.info(format_event(event, **fields))
 
 
+def record_member(event: str, **fields: object) -> None:
+    """Log an event about a single daemon at level INFO, rate-limited."""
+    if logging.level_info() and _member_limiter.try_acquire():
+        logging.info(format_event(event, **fields))
+
+
 def warn(event: str, **fields: object) -> None:
     """Log an event that needs an operator's attention, at level WARNING."""
     logging.warning(format_event(event, **fields))
--- a/packages/burdockdeal/burdockdeal/daemon/assembly.py
+++ b/packages/burdockdeal/burdockdeal/daemon/assembly.py
@@ -236,7 +236,9 @@
         membership_service = _build_membership(
             shared, platform, peer_session, control_plane
         )
-        shared.active_configuration.on_change(membership_service.request_push)
+        shared.active_configuration.on_change(
+            membership_service.notify_configuration
+        )
         load_probing = _build_probing(shared, peer_session)
         daemon_metrics = metrics.Metrics(
             _make_gauges(shared, control_plane, load_probing, shedder)
--- a/packages/burdockdeal/burdockdeal/daemon/gauges.py
+++ b/packages/burdockdeal/burdockdeal/daemon/gauges.py
@@ -1,7 +1,8 @@
-"""Gauges of calls, members and the configuration of a daemon."""
+"""Gauges of calls, members, the configuration and the log of a daemon."""
 
 from burdockdeal.admission import controller
 from burdockdeal.configuration import active_configuration as configuration
+from burdockdeal.core import event_log
 from burdockdeal.daemon import metrics
 from burdockdeal.membership import roster
 
@@ -11,7 +12,7 @@
     members: roster.Roster,
     active_configuration: configuration.ActiveConfiguration,
 ) -> tuple[metrics.Gauge, ...]:
-    """Make the gauges of calls, members and the configuration.
+    """Make the gauges of calls, members, the configuration and the log.
 
     :param admission: admits calls to the upstream.
     :param members: all daemons that are known.
@@ -37,4 +38,9 @@
             "The revision of the configuration in force here.",
             lambda: active_configuration.revision,
         ),
+        metrics.Gauge(
+            "burdockdeal_log_lines_dropped_total",
+            "Lines of the log that were not written.",
+            event_log.count_dropped_lines,
+        ),
     )
--- a/packages/burdockdeal/burdockdeal/membership/contacts.py
+++ b/packages/burdockdeal/burdockdeal/membership/contacts.py
@@ -94,6 +94,10 @@
         self._source.on_startup_listing(listing)
         return self._read_listing(listing)
 
+    def get_own_domain_contacts(self) -> tuple[messages.Contact, ...]:
+        """Return the contacts of the own failure domain, as last read."""
+        return self._get_contacts(self._roster.own.failure_domain).contacts
+
     async def register(self) -> None:
         """Add this daemon to the contacts of its failure domain.
 
--- a/packages/burdockdeal/burdockdeal/membership/decisions.py
+++ b/packages/burdockdeal/burdockdeal/membership/decisions.py
@@ -24,11 +24,6 @@
 #: size.
 TRANSMIT_MULTIPLIER = 3
 
-#: Number of daemons that are notified at once when a daemon's own record
-#: changes or a newer configuration arrives. The others learn of it from
-#: these or from updates piggybacked on probes.
-PUSH_FANOUT = 12
-
 #: Number of buckets whose checksums are compared to find how two rosters
 #: differ.
 BUCKET_COUNT = 1024
@@ -40,6 +35,8 @@
 
 Health = messages.Health
 
+T = typing.TypeVar("T")
+
 _SEVERITY = {
     Health.ALIVE: 0,
     Health.SUSPECT: 1,
@@ -226,8 +223,8 @@
 
 
 def interleave(
-    domains: abc.Iterable[abc.Sequence[str]], count: int
-) -> tuple[str, ...]:
+    domains: abc.Iterable[abc.Sequence[T]], count: int
+) -> tuple[T, ...]:
     """Take the first daemons of each domain, then the second ones, and so on.
 
     Used to choose daemons that do something on behalf of the whole fleet in
--- a/packages/burdockdeal/burdockdeal/membership/roster.py
+++ b/packages/burdockdeal/burdockdeal/membership/roster.py
@@ -229,7 +229,7 @@
         self._index(current)
         self.gossip_queue.enqueue(known, current)
         if known is None or known.health is not current.health:
-            event_log.record(
+            event_log.record_member(
                 "member_health",
                 daemon=current.daemon,
                 health=current.health,
--- a/packages/burdockdeal/burdockdeal/membership/service.py
+++ b/packages/burdockdeal/burdockdeal/membership/service.py
@@ -12,18 +12,18 @@
 from burdockdeal.core import event_log
 from burdockdeal.membership import contacts
 from burdockdeal.membership import decisions
+from burdockdeal.membership import joining
 from burdockdeal.membership import messages
+from burdockdeal.membership import notification
 from burdockdeal.membership import pages
 from burdockdeal.membership import roster
+from burdockdeal.membership import targets
 from burdockdeal.membership import transport
 from burdockdeal.settings import model
 
 #: Seconds for which the record of a dead daemon, or one that left, is kept.
 INACTIVE_RETENTION_S = 86_400.0
 
-#: Seconds between two synchronizations of the whole roster with a peer.
-SYNC_INTERVAL_S = 60.0
-
 #: Probe periods between two probes of a daemon that is considered dead.
 _PERIODS_BETWEEN_DEAD_PROBES = 5
 
@@ -31,8 +31,6 @@
 #: taken to have been paused.
 _PAUSE_THRESHOLD_PERIODS = 3.0
 
-_JOIN_TIMEOUT_S = 5.0
-
 
 #: Handles a message of another daemon.
 Handler = abc.Callable[[web.BaseRequest], abc.Awaitable[web.Response]]
@@ -66,16 +64,28 @@
         self._timing = settings.membership
         self._roster = local_roster
         self._post = post
-        self._directory = directory
+        self._joiner = joining.Joiner(
+            settings.peers,
+            local_roster,
+            directory,
+            self._ping,
+            post,
+            rng,
+            clock,
+        )
         self._rng = rng
         self._clock = clock
         self._revision = revision
         self._on_newer = on_newer
-        self._probe_order: list[str] = []
+        self._probe_order = targets.ProbeOrder(local_roster, rng)
+        self._notifier = notification.ChangeNotifier(self._send_notifications)
+        #: Number of changes of records that were known before.
+        self._known_changes = 0
+        #: Whether a newer configuration comes from another failure domain or
+        #: from the store.
+        self._has_remote_revision = True
         self._suspects: dict[str, float] = {}
         self._inactive_since: dict[str, float] = {}
-        self._synced_at = clock()
-        self._is_push_scheduled = False
         local_roster.on_change(self._handle_change)
 
     @property
@@ -84,7 +94,7 @@
         return {
             "/v1/peer/ping": self.handle_ping,
             "/v1/peer/ping-request": self.handle_ping_request,
-            "/v1/peer/page": self.handle_page,
+            joining.PAGE_PATH: self.handle_page,
         }
 
     @mode.Service.task
@@ -103,7 +113,7 @@
                 self._extend_suspicions(late_s)
             tick_count += 1
             self._expire_suspicions()
-            target = self._next_probe_target()
+            target = self._probe_order.take_next()
             if target is not None:
                 self.add_future(self._probe(target))
             if tick_count % _PERIODS_BETWEEN_DEAD_PROBES == 0:
@@ -121,87 +131,17 @@
 
     async def _join(self) -> None:
         if self._roster.active_count == 1:
-            await self._find_peers()
-            return
-        self._roster.has_joined = True
-        if self._is_first_store_reader():
-            for contact in await self._directory.review():
-                await self._sync_roster(contact.peer)
-        if self._clock() - self._synced_at > SYNC_INTERVAL_S:
-            self._synced_at = self._clock()
-            selected = self._rng.choice(self._roster.active_peers)
-            await self._sync_roster(selected.peer)
-
-    async def _find_peers(self) -> None:
-        """Fetch the roster of one daemon that is listed as a contact."""
-        contacts: list[messages.Contact] = []
-        try:
-            contacts += await self._directory.find_contacts()
-        finally:
-            addresses = [contact.peer for contact in contacts]
-            self._rng.shuffle(addresses)
-            has_peers = await self._sync_with_any(
-                [*self._settings.peers, *addresses]
-            )
-        if not has_peers:
-            await self._directory.register()
-            return
-        # The daemon that responded may not know the other contacts yet.
-        for contact in contacts:
-            if self._roster.find(contact.daemon) is None:
-                self.add_future(self._ping(contact.peer, contact.daemon))
-
-    async def _sync_with_any(
-        self, addresses: abc.Iterable[model.Address]
-    ) -> bool:
-        """Synchronize the roster with the first daemon that responds."""
-        for address in addresses:
-            if await self._sync_roster(address):
-                return True
-        return False
-
-    def _is_first_store_reader(self) -> bool:
-        own = self._roster.own
-        return own.daemon in self._roster.choose_store_readers(1)
-
-    async def _sync_roster(self, address: model.Address) -> bool:
-        """Fetch the records in which a peer's roster differs, then probe it.
-
-        :returns: whether the peer sent all of its records.
-        """
-        if address == self._roster.own.peer:
-            return False
-        first: int | None = 0
-        while first is not None:
-            request = messages.PageRequest(first, self._roster.checksums)
-            page = await self._post(
-                address,
-                "/v1/peer/page",
-                request,
-                messages.Page,
-                _JOIN_TIMEOUT_S,
+            await self._joiner.join()
+        if self._roster.active_count > 1:
+            self._roster.has_joined = True
+            own = self._roster.own
+            await self._joiner.maintain(
+                reviews_contacts=own.daemon
+                in self._roster.choose_store_readers(1)
             )
-            if page is None:
-                return False
-            self._roster.merge_members(page.members)
-            first = page.following
-        return await self._ping(address, "") is not None
-
-    def _next_probe_target(self) -> messages.Member | None:
-        while True:
-            if not self._probe_order:
-                self._probe_order = [
-                    peer.daemon for peer in self._roster.active_peers
-                ]
-                self._rng.shuffle(self._probe_order)
-            if not self._probe_order:
-                return None
-            member = self._roster.find(self._probe_order.pop())
-            if member and member.health not in messages.INACTIVE_HEALTHS:
-                return member
 
     async def _probe(self, target: messages.Member) -> None:
-        if await self._ping(target.peer, target.daemon):
+        if await self._ping(target.peer, target.daemon) is not None:
             return
         peers = [
             peer
@@ -236,11 +176,13 @@
             )
             self._roster.apply_claims([suspect])
 
-    async def _ping(self, address: model.Address, daemon: str) -> bool:
+    async def _ping(
+        self, address: model.Address, daemon: str = ""
+    ) -> messages.Member | None:
         """Probe the daemon at an address.
 
         :param daemon: name of the daemon that must respond, empty for any.
-        :returns: whether it responded within the timeout.
+        :returns: its record, None if it did not respond within the timeout.
         """
         response = await self._post(
             address,
@@ -250,9 +192,10 @@
             self._timing.timeout_s,
         )
         if response is None:
-            return False
+            return None
         self._apply_ping(response)
-        return daemon in ("", response.sender.daemon)
+        sender = response.sender
+        return sender if daemon in ("", sender.daemon) else None
 
     def _make_ping(self, daemon: str = "") -> messages.Ping:
         own_roster = self._roster
@@ -275,39 +218,45 @@
         )
 
     def _apply_ping(self, ping: messages.Ping) -> None:
+        changes = self._known_changes
         self._roster.merge_members((ping.sender, *ping.members))
         self._roster.apply_claims(ping.claims)
+        is_local = (
+            ping.sender.failure_domain == self._roster.own.failure_domain
+        )
+        if self._known_changes != changes and not is_local:
+            # Few probes cross from one domain to another, so this daemon may
+            # be the first of its domain to learn of the change.
+            self._notifier.request(includes_remote=False)
         if ping.revision > self._revision():
+            self._has_remote_revision = not is_local
             self._on_newer(ping.sender.peer)
 
-    def request_push(self) -> None:
-        """Notify some daemons of a change here at once.
+    def notify_configuration(self) -> None:
+        """Notify other daemons that a newer configuration is in force here.
 
-        Otherwise they would learn of it only from the next probes.
+        Those of other failure domains are left to the daemon from which this
+        one learned of it, unless that one is in another domain or it came
+        from the store.
         """
-        self._schedule_push()
-
-    def _push_change(self) -> None:
-        self._is_push_scheduled = False
-        peers = self._roster.active_peers
-        selected = self._rng.sample(
-            peers, min(decisions.PUSH_FANOUT, len(peers))
-        )
-        for peer in selected:
+        if self.started:
+            self._notifier.request(includes_remote=self._has_remote_revision)
+        self._has_remote_revision = True
+
+    def _send_notifications(self, includes_remote: bool) -> None:
+        for peer in targets.choose_push_targets(
+            self._roster, self._rng, includes_remote=includes_remote
+        ):
             self.add_future(self._ping(peer.peer, peer.daemon))
 
-    def _schedule_push(self) -> None:
-        if self._is_push_scheduled or not self.started:
-            return
-        self._is_push_scheduled = True
-        asyncio.get_running_loop().call_soon(self._push_change)
-
     def _handle_change(
         self, known: messages.Member | None, current: messages.Member
     ) -> None:
         daemon = current.daemon
-        if daemon == self._roster.own.daemon:
-            self._schedule_push()
+        if daemon != self._roster.own.daemon:
+            self._known_changes += known is not None
+        elif self.started:
+            self._notifier.request(includes_remote=True)
         if current.health is not messages.Health.SUSPECT:
             self._suspects.pop(daemon, None)
         elif known is None or known.health is not messages.Health.SUSPECT:
@@ -356,7 +305,7 @@
 
     async def handle_ping(self, request: web.BaseRequest) -> web.Response:
         """Respond to a probe."""
-        ping = codec.decode(await request.read(), messages.Ping)
+        ping = codec.decode_compact(await request.read(), messages.Ping)
         self._apply_ping(ping)
         return _reply(self._make_ping())
 
@@ -364,20 +313,27 @@
         self, request: web.BaseRequest
     ) -> web.Response:
         """Probe a daemon on behalf of another one."""
-        message = codec.decode(await request.read(), messages.PingRequest)
+        message = codec.decode_compact(
+            await request.read(), messages.PingRequest
+        )
         member = self._roster.find(message.daemon)
-        answered = member is not None and await self._ping(
-            member.peer, member.daemon
+        answered = (
+            member is not None
+            and await self._ping(member.peer, member.daemon) is not None
         )
-        return _reply(messages.PingResult(bool(answered)))
+        return _reply(messages.PingResult(answered))
 
     async def handle_page(self, request: web.BaseRequest) -> web.Response:
         """Send a page of records to a daemon that synchronizes its roster."""
-        message = codec.decode(await request.read(), messages.PageRequest)
-        return _reply(pages.make_page(self._roster, message))
+        message = codec.decode_compact(
+            await request.read(), messages.PageRequest
+        )
+        response = _reply(pages.make_page(self._roster, message))
+        response.enable_compression()
+        return response
 
 
 def _reply(message: object) -> web.Response:
     return web.Response(
-        body=codec.encode(message), content_type="application/json"
+        body=codec.encode_compact(message), content_type="application/json"
     )
--- /dev/null
+++ b/packages/burdockdeal/burdockdeal/membership/tests/test_joining.py
@@ -0,0 +1,136 @@
+"""How a daemon finds the others after its start."""
+
+import asyncio
+import random
+
+from burdockdeal.membership import contacts
+from burdockdeal.membership import joining
+from burdockdeal.membership import messages
+from burdockdeal.membership import roster
+from burdockdeal.settings import model
+from burdockdeal_standins import clocks
+from burdockdeal_standins import memory_store
+from burdockdeal_standins import virtual_time
+
+_PROBE_TIMEOUT_S = 0.25
+
+
+def make_member(daemon: str, domain: str, port: int) -> messages.Member:
+    peer = model.Address("10.0.0.1", port)
+    return messages.Member(daemon, domain, "r", peer, 1)
+
+
+class Fleet:
+    """Daemons by port, with the time from which each one responds."""
+
+    def __init__(self) -> None:
+        self.store = memory_store.MemoryStore()
+        self.up_at: dict[int, float] = {}
+        self.members: dict[int, messages.Member] = {}
+        self.dark: set[int] = set()
+        self.pages: list[int] = []
+
+    def add(
+        self, daemon: str, domain: str, port: int, *, up_at: float = 0.0
+    ) -> None:
+        self.members[port] = make_member(daemon, domain, port)
+        self.up_at[port] = up_at
+
+    def list_contacts(self, *ports: int) -> None:
+        for port in ports:
+            member = self.members[port]
+            directory = contacts.ContactDirectory(
+                contacts.DEFAULT_SOURCE,
+                roster.Roster(member),
+                self.store,
+                clocks.Clock(),
+            )
+            virtual_time.run(directory.find_contacts())
+            virtual_time.run(directory.register())
+        self.store.calls.clear()
+
+    def _is_up(self, port: int) -> bool:
+        now = asyncio.get_running_loop().time()
+        return port in self.members and now >= self.up_at[port]
+
+    def build_joiner(self, port: int) -> joining.Joiner:
+        own = roster.Roster(self.members[port])
+        self.own = own
+
+        async def probe(address: model.Address) -> messages.Member | None:
+            if address.port in self.dark:
+                await asyncio.sleep(_PROBE_TIMEOUT_S)
+                return None
+            if not self._is_up(address.port):
+                return None
+            member = self.members[address.port]
+            own.merge_members([member])
+            return member
+
+        async def post(address, path, message, kind, timeout_s):
+            self.pages.append(address.port)
+            return messages.Page(tuple(self.members.values()))
+
+        return joining.Joiner(
+            (),
+            own,
+            contacts.ContactDirectory(
+                contacts.DEFAULT_SOURCE, own, self.store, clocks.Clock()
+            ),
+            probe,
+            post,
+            random.Random(1),
+            clocks.Clock(),
+        )
+
+    def join(self, port: int) -> float:
+        """Let a daemon join; return the seconds that it took."""
+
+        async def join() -> float:
+            loop = asyncio.get_running_loop()
+            started = loop.time()
+            await self.build_joiner(port).join()
+            return loop.time() - started
+
+        return virtual_time.run(join())
+
+
+def make_fleet() -> Fleet:
+    fleet = Fleet()
+    for port, daemon in enumerate(("a1", "a2", "b1", "b2", "a3"), 1):
+        fleet.add(daemon, daemon[0], port)
+    fleet.list_contacts(1, 2, 3, 4)
+    return fleet
+
+
+def test_the_roster_comes_from_the_own_failure_domain() -> None:
+    fleet = make_fleet()
+    fleet.join(5)
+    assert fleet.own.active_count == 5
+    assert fleet.pages[0] in (1, 2)
+    assert len(fleet.pages) == 1
+
+
+def test_contacts_that_start_later_are_found_without_another_read() -> None:
+    """All daemons were killed at once; the contacts come back last."""
+    fleet = make_fleet()
+    for port in (1, 2, 3, 4):
+        fleet.up_at[port] = 0.35
+    assert fleet.join(5) < 0.5
+    assert fleet.own.active_count == 5
+    assert len(fleet.store.calls) == 1
+
+
+def test_a_contact_out_of_reach_does_not_delay_the_others() -> None:
+    fleet = make_fleet()
+    fleet.dark = {1, 2}
+    assert fleet.join(5) < _PROBE_TIMEOUT_S / 2
+    assert fleet.own.active_count == 5
+
+
+def test_a_daemon_that_reaches_nobody_registers() -> None:
+    fleet = make_fleet()
+    fleet.dark = {1, 2, 3, 4}
+    fleet.join(5)
+    entry = virtual_time.run(fleet.store.get("members/a"))
+    assert '"a3"' in entry.value
--- a/packages/burdockdeal/burdockdeal/membership/transport.py
+++ b/packages/burdockdeal/burdockdeal/membership/transport.py
@@ -12,6 +12,9 @@
 
 T = typing.TypeVar("T")
 
+#: Headers that aiohttp would add; leaving them out keeps a message small.
+_SKIPPED_HEADERS = ("Accept", "Content-Type", "User-Agent")
+
 #: Posts a message to a path of another daemon and returns the decoded
 #: response, or None if no valid one arrives within the timeout.
 Post = abc.Callable[..., abc.Awaitable[typing.Any]]
@@ -31,13 +34,14 @@
         try:
             async with session.post(
                 f"http://{address}{path}",
-                data=codec.encode(message),
+                data=codec.encode_compact(message),
                 headers=request_headers,
+                skip_auto_headers=_SKIPPED_HEADERS,
                 timeout=aiohttp.ClientTimeout(total=timeout_s),
             ) as response:
                 if response.status != 200:
                     return None
-                return codec.decode(await response.read(), kind)
+                return codec.decode_compact(await response.read(), kind)
         except (
             aiohttp.ClientError,
             asyncio.TimeoutError,
--- a/packages/burdockdeal/burdockdeal/platform/indirect_reads.py
+++ b/packages/burdockdeal/burdockdeal/platform/indirect_reads.py
@@ -65,7 +65,7 @@
     """
 
     async def handle(request: web.BaseRequest) -> web.Response:
-        codec.decode(await request.read(), messages.ReadRequest)
+        codec.decode_compact(await request.read(), messages.ReadRequest)
         try:
             await read()
             result = messages.ReadResult(True)
@@ -73,7 +73,7 @@
             event_log.debug("configuration_poll_failed", error=error)
             result = messages.ReadResult(False)
         return web.Response(
-            body=codec.encode(result), content_type="application/json"
+            body=codec.encode_compact(result), content_type="application/json"
         )
 
     return handle
--- a/packages/burdockdeal/burdockdeal/serving/owner.py
+++ b/packages/burdockdeal/burdockdeal/serving/owner.py
@@ -340,11 +340,11 @@
             settled=isinstance(error, errors.NotRunError) and error.settled,
             holder=_read_holder(error),
         )
-        return codec.encode(owner_report).decode()
+        return codec.encode_compact(owner_report).decode()
 
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
         started = clock()
-        envelope = codec.decode(
+        envelope = codec.decode_compact(
             request.headers[headers.ENVELOPE], call.Envelope
         )
         outbound = messages.OutboundRequest(
--- a/packages/burdockdeal/burdockdeal/serving/peers.py
+++ b/packages/burdockdeal/burdockdeal/serving/peers.py
@@ -40,7 +40,7 @@
             verdict.Reason.BROKEN_CONNECTION, "the owner gave no verdict"
         )
     try:
-        return codec.decode(raw, messages.OwnerReport)
+        return codec.decode_compact(raw, messages.OwnerReport)
     except codec.MalformedError as error:
         raise errors.LostResponseError(
             verdict.Reason.BROKEN_CONNECTION, str(error)
@@ -91,7 +91,7 @@
             f"http://{send.peer}",
             send.outbound,
             {
-                headers.ENVELOPE: codec.encode(envelope).decode(),
+                headers.ENVELOPE: codec.encode_compact(envelope).decode(),
                 headers.PEER_TOKEN: peer_token,
             },
             remaining_s=send.request.deadline - now,
--- a/tests/test_bookings.py
+++ b/tests/test_bookings.py
@@ -320,14 +320,14 @@
         daemon_incarnation=clock.incarnation,
         sent_at=clock.now,
     )
-    headers["Burdockdeal-Envelope"] = codec.encode(envelope).decode()
+    headers["Burdockdeal-Envelope"] = codec.encode_compact(envelope).decode()
 
     async def send() -> messages.OwnerReport:
         async with fleet.session.post(
             f"{peer}/bookings", data=b"two rims", headers=headers
         ) as response:
             raw = response.headers["Burdockdeal-Report"]
-            return codec.decode(raw, messages.OwnerReport)
+            return codec.decode_compact(raw, messages.OwnerReport)
 
     return send
 
