Compare service times by rank

Cause: an instance's report gave the smoothed time of its last calls, whatever their kind. On a service whose kinds take 40 to 400 ms, an instance that had just run a long one looked ten times slower than the others, so calls went to other failure domains for nothing.

Change: the meter compares each call with the usual time of its rank and reports the usual time of all calls times how much slower the last were.

The new tests of the meter fail without the comparison.

--- a/packages/burdockdeal/burdockdeal/measurement/meter.py
+++ b/packages/burdockdeal/burdockdeal/measurement/meter.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 import contextlib
+import dataclasses
 import itertools
 import math
 import statistics
@@ -12,6 +13,11 @@
 _SERVER_ERROR = 500
 _SMOOTHING = 0.2
 
+#: The weight of the next answer in the usual time of a rank, and the maximum
+#: number of ranks whose usual time is kept.
+_USUAL_SMOOTHING = 0.02
+_MAX_RANKS = 1000
+
 #: The time constant, in seconds, with which the weight of the next answer
 #: rises towards 1 while no answer arrives.
 _IDLE_WEIGHT_S = 1.0
@@ -21,20 +27,51 @@
 RecordStatus = abc.Callable[[int], None]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class UsualTime:
+    """The usual service time of a kind of call.
+
+    :param calls: the number of calls that were measured.
+    :param mean_s: their smoothed mean, in seconds.
+    """
+
+    calls: int = 0
+    mean_s: float = 0.0
+
+
+def record_usual(usual: UsualTime, spent_s: float) -> UsualTime:
+    """Return the usual time after one more call."""
+    calls = usual.calls + 1
+    weight = max(1 / calls, _USUAL_SMOOTHING)
+    return UsualTime(calls, usual.mean_s + weight * (spent_s - usual.mean_s))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Unanswered:
+    rank: str
+    started: float
+
+
 class Meter:
     """Measures the service time and failures of one upstream.
 
     The time a call waits for its slot is left out. The meter also holds the
     load that the upstream last reported of itself.
 
+    The calls of one service may differ widely in the time that they take, so
+    each is compared with the usual time of its rank. Otherwise an instance
+    that has just run a long kind of call would look slower than the others.
+
     :param clock: returns monotonic time in seconds.
     """
 
     def __init__(self, clock: abc.Callable[[], float]) -> None:
         self._clock = clock
         self._numbers = itertools.count()
-        self._unanswered: dict[int, float] = {}
-        self._smoothed_s = 0.0
+        self._unanswered: dict[int, _Unanswered] = {}
+        self._usual_by_rank: dict[str, UsualTime] = {}
+        self._usual = UsualTime()
+        self._slowness = 0.0
         self._answered_at = 0.0
         self._failed_share = 0.0
         self._upstream_load: state.UpstreamLoad | None = None
@@ -81,25 +118,28 @@
         return self._clock() - self._upstream_load_at
 
     @contextlib.contextmanager
-    def track_call(self, *, timed: bool) -> abc.Iterator[RecordStatus]:
+    def track_call(
+        self, *, timed: bool, rank: str = ""
+    ) -> abc.Iterator[RecordStatus]:
         """Track a call from its start to the head of its response.
 
         :param timed: whether the time measures the upstream. It doesn't if
             the upstream waits for a body that the caller still sends.
+        :param rank: the call's rank.
         :returns: the function to call with the status when the head of the
             response has arrived.
         """
         number = next(self._numbers)
         if timed:
-            self._unanswered[number] = self._clock()
+            self._unanswered[number] = _Unanswered(rank, self._clock())
 
         def record_status(status: int) -> None:
-            started = self._unanswered.pop(number, None)
+            timed_call = self._unanswered.pop(number, None)
             failed = status >= _SERVER_ERROR
             weight = self._compute_weight()
             self._failed_share += weight * (failed - self._failed_share)
-            if started is not None and not failed:
-                self._record_duration(started, weight)
+            if timed_call is not None and not failed:
+                self._record_duration(timed_call, weight)
             self._answered_at = self._clock()
 
         try:
@@ -111,10 +151,21 @@
         idle_s = self._clock() - self._answered_at
         return max(_SMOOTHING, 1 - math.exp(-idle_s / _IDLE_WEIGHT_S))
 
-    def _record_duration(self, started: float, weight: float) -> None:
-        spent_s = self._clock() - started
-        before = self._smoothed_s or spent_s
-        self._smoothed_s = before + weight * (spent_s - before)
+    def _record_duration(self, answered: _Unanswered, weight: float) -> None:
+        spent_s = self._clock() - answered.started
+        if len(self._usual_by_rank) > _MAX_RANKS:
+            self._usual_by_rank.clear()
+        known = self._usual_by_rank.get(answered.rank, UsualTime())
+        self._usual_by_rank[answered.rank] = record_usual(known, spent_s)
+        self._usual = record_usual(self._usual, spent_s)
+        slowness = self._compare(answered.rank, spent_s)
+        before = self._slowness or slowness
+        self._slowness = before + weight * (slowness - before)
+
+    def _compare(self, rank: str, spent_s: float) -> float:
+        """Compare a time with the usual time of a rank."""
+        usual = self._usual_by_rank.get(rank, self._usual)
+        return spent_s / (usual.mean_s or 1.0)
 
     @property
     def failed_share(self) -> float:
@@ -122,14 +173,21 @@
         return round(self._failed_share, 3)
 
     def service_ms(self) -> float:
-        """Estimate the service time of a call, in milliseconds.
+        """Estimate the service time of a usual call, in milliseconds.
 
-        If two or more calls are unanswered, the estimate is at least their
-        median age, so that a sudden slowdown shows before the first slow
-        response. A single one is ignored: it may just be a long call.
+        If two or more calls are unanswered, the estimate is at least what
+        the median of their ages suggests, so that a sudden slowdown shows
+        before the first slow response. A single one is ignored: it may just
+        be a long call.
         """
-        if len(self._unanswered) < 2:
-            return round(self._smoothed_s * 1000, 3)
-        median_start = statistics.median_high(self._unanswered.values())
-        age_s = self._clock() - median_start
-        return round(max(self._smoothed_s, age_s) * 1000, 3)
+        slowness = self._slowness
+        # Before the first answer, the age itself is all that is known.
+        usual_s = self._usual.mean_s or 1.0
+        if len(self._unanswered) >= 2:
+            now = self._clock()
+            overdue = statistics.median_low(
+                self._compare(waiting.rank, now - waiting.started)
+                for waiting in self._unanswered.values()
+            )
+            slowness = max(slowness, overdue)
+        return round(slowness * usual_s * 1000, 3)
--- a/packages/burdockdeal/burdockdeal/measurement/tests/test_meter.py
+++ b/packages/burdockdeal/burdockdeal/measurement/tests/test_meter.py
@@ -23,8 +23,9 @@
     clock: clocks.Clock,
     head_after_s: float,
     status: int = 200,
+    rank: str = "",
 ) -> None:
-    with times.track_call(timed=True) as record_status:
+    with times.track_call(timed=True, rank=rank) as record_status:
         clock.now += head_after_s
         record_status(status)
         clock.now += 5  # The body of the response takes long.
@@ -82,3 +83,25 @@
     assert times.failed_share > 0.9
     run(times, clock, 0.020)
     assert times.failed_share < 0.1
+
+
+def test_a_long_kind_of_call_does_not_look_like_a_slow_upstream(
+    times: meter.Meter, clock: clocks.Clock
+) -> None:
+    for _ in range(100):
+        run(times, clock, 0.040, rank="short")
+        run(times, clock, 0.400, rank="long")
+    after_long = times.service_ms()
+    run(times, clock, 0.040, rank="short")
+    assert times.service_ms() == pytest.approx(after_long, rel=0.05)
+
+
+def test_a_slow_upstream_shows_in_any_kind_of_call(
+    times: meter.Meter, clock: clocks.Clock
+) -> None:
+    for _ in range(100):
+        run(times, clock, 0.040, rank="short")
+        run(times, clock, 0.400, rank="long")
+    usual_ms = times.service_ms()
+    run(times, clock, 0.200, rank="short")
+    assert times.service_ms() > 3 * usual_ms
--- a/packages/burdockdeal/burdockdeal/serving/owner.py
+++ b/packages/burdockdeal/burdockdeal/serving/owner.py
@@ -238,7 +238,8 @@
                 circuit_breaker.track_call() as record_response,
                 running_calls.track(repeated=send.request.repeated),
                 response_times.track_call(
-                    timed=not send.outbound.body.is_streamed
+                    timed=not send.outbound.body.is_streamed,
+                    rank=send.request.rank,
                 ) as record_head,
             ):
                 async with forwarding.open_response(
