Start no call in a slow spell, and weigh responses against distance

The report gives the median of the latest five service times, so that a single long call changes nothing. The penalty of another failure domain counts the expected response, by kind of call, like the request's body, and is 15 ms in place of 10.

--- a/packages/burdockdeal/burdockdeal/measurement/decisions.py
+++ b/packages/burdockdeal/burdockdeal/measurement/decisions.py
@@ -23,16 +23,6 @@
 #: Seconds between two probes of one instance.
 MIN_INTERVAL_S = 0.2
 
-#: How many times as long as usual work takes on a slow machine, at least.
-SLOW_FACTOR = 2.5
-
-#: Seconds for which the load that an upstream reported is used to tell
-#: whether its machine is slow.
-UPSTREAM_LOAD_TTL_S = 0.06
-
-#: Seconds of slowness after which calls no longer wait for its end.
-MAX_SLOW_SPELL_S = 0.6
-
 _BUDGET = configuration.Key("Budget", resources.BUDGET_NAME)
 
 
@@ -147,22 +137,3 @@
         names.append(candidate.name)
         credit -= 0 if candidate.is_suspect else 1
     return ProbePlan(tuple(names), window, credit)
-
-
-def is_briefly_slow(
-    slow_since: float | None, load_age_s: float, now: float
-) -> bool:
-    """Tell whether a call should wait rather than start on a slow machine.
-
-    A call that starts on a slow machine stays slow until it ends, while the
-    machine mostly recovers within a fraction of a second. If it stays slow
-    for longer, calls no longer wait for it.
-
-    :param slow_since: when the machine was first reported slow, monotonic
-        time in seconds; None if it was not slow in the last report.
-    :param load_age_s: seconds since the last report.
-    :param now: monotonic time in seconds.
-    """
-    if slow_since is None or load_age_s > UPSTREAM_LOAD_TTL_S:
-        return False
-    return now - slow_since < MAX_SLOW_SPELL_S
--- a/packages/burdockdeal/burdockdeal/measurement/meter.py
+++ b/packages/burdockdeal/burdockdeal/measurement/meter.py
@@ -1,5 +1,6 @@
 """Measurement of the upstream beside this daemon from the calls to it."""
 
+import collections
 from collections import abc
 import contextlib
 import dataclasses
@@ -7,17 +8,26 @@
 import math
 import statistics
 
-from burdockdeal.measurement import decisions
+from burdockdeal.measurement import slowness
 from burdockdeal.measurement import state
 
 _SERVER_ERROR = 500
 _SMOOTHING = 0.2
 
+#: Seconds for which the load that an upstream reported is used to decide
+#: whether its machine is slow.
+UPSTREAM_LOAD_TTL_S = 0.06
+
 #: The weight of the next answer in the usual time of a rank, and the maximum
 #: number of ranks whose usual time is kept.
 _USUAL_SMOOTHING = 0.02
 _MAX_RANKS = 1000
 
+#: The number of latest answers whose median is reported, so that a single
+#: long call changes nothing, and the seconds for which an answer counts.
+_RECENT_ANSWERS = 5
+_RECENT_S = 2.0
+
 #: The time constant, in seconds, with which the weight of the next answer
 #: rises towards 1 while no answer arrives.
 _IDLE_WEIGHT_S = 1.0
@@ -46,6 +56,14 @@
     return UsualTime(calls, usual.mean_s + weight * (spent_s - usual.mean_s))
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Comparison:
+    """How many times as long as usual for its rank a call took."""
+
+    at: float
+    factor: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Unanswered:
     rank: str
@@ -71,12 +89,14 @@
         self._unanswered: dict[int, _Unanswered] = {}
         self._usual_by_rank: dict[str, UsualTime] = {}
         self._usual = UsualTime()
-        self._slowness = 0.0
+        self._recent: collections.deque[_Comparison] = collections.deque(
+            maxlen=_RECENT_ANSWERS
+        )
         self._answered_at = 0.0
         self._failed_share = 0.0
         self._upstream_load: state.UpstreamLoad | None = None
         self._upstream_load_at = -math.inf
-        self._slow_since: float | None = None
+        self._speeds: tuple[slowness.Observation, ...] = ()
         self._listeners: list[abc.Callable[[], None]] = []
 
     def record_upstream_load(self, load: state.UpstreamLoad | None) -> None:
@@ -87,10 +107,7 @@
         if load is None:
             return
         now = self._clock()
-        if load.slowdown < decisions.SLOW_FACTOR:
-            self._slow_since = None
-        elif self._slow_since is None:
-            self._slow_since = now
+        self._speeds = slowness.record(self._speeds, load.slowdown, now)
         self._upstream_load = load
         self._upstream_load_at = now
         for listener in self._listeners:
@@ -102,10 +119,11 @@
 
     @property
     def is_slow(self) -> bool:
-        """Whether the upstream's machine became slow only a short time ago."""
-        return decisions.is_briefly_slow(
-            self._slow_since, self.upstream_load_age_s, self._clock()
-        )
+        """Whether the upstream's machine is slow for a moment."""
+        load = self._upstream_load
+        if load is None or self.upstream_load_age_s > UPSTREAM_LOAD_TTL_S:
+            return False
+        return slowness.is_slow(self._speeds, load.slowdown)
 
     @property
     def upstream_load(self) -> state.UpstreamLoad | None:
@@ -139,7 +157,7 @@
             weight = self._compute_weight()
             self._failed_share += weight * (failed - self._failed_share)
             if timed_call is not None and not failed:
-                self._record_duration(timed_call, weight)
+                self._record_duration(timed_call)
             self._answered_at = self._clock()
 
         try:
@@ -151,16 +169,19 @@
         idle_s = self._clock() - self._answered_at
         return max(_SMOOTHING, 1 - math.exp(-idle_s / _IDLE_WEIGHT_S))
 
-    def _record_duration(self, answered: _Unanswered, weight: float) -> None:
-        spent_s = self._clock() - answered.started
+    def _record_duration(self, answered: _Unanswered) -> None:
+        now = self._clock()
+        spent_s = now - answered.started
         if len(self._usual_by_rank) > _MAX_RANKS:
             self._usual_by_rank.clear()
         known = self._usual_by_rank.get(answered.rank, UsualTime())
         self._usual_by_rank[answered.rank] = record_usual(known, spent_s)
         self._usual = record_usual(self._usual, spent_s)
-        slowness = self._compare(answered.rank, spent_s)
-        before = self._slowness or slowness
-        self._slowness = before + weight * (slowness - before)
+        while self._recent and now - self._recent[0].at > _RECENT_S:
+            self._recent.popleft()
+        self._recent.append(
+            _Comparison(now, self._compare(answered.rank, spent_s))
+        )
 
     def _compare(self, rank: str, spent_s: float) -> float:
         """Compare a time with the usual time of a rank."""
@@ -180,7 +201,9 @@
         before the first slow response. A single one is ignored: it may just
         be a long call.
         """
-        slowness = self._slowness
+        factor = statistics.median_low(
+            [each.factor for each in self._recent] or [0.0]
+        )
         # Before the first answer, the age itself is all that is known.
         usual_s = self._usual.mean_s or 1.0
         if len(self._unanswered) >= 2:
@@ -189,5 +212,5 @@
                 self._compare(waiting.rank, now - waiting.started)
                 for waiting in self._unanswered.values()
             )
-            slowness = max(slowness, overdue)
-        return round(slowness * usual_s * 1000, 3)
+            factor = max(factor, overdue)
+        return round(factor * usual_s * 1000, 3)
--- a/packages/burdockdeal/burdockdeal/measurement/tests/test_meter.py
+++ b/packages/burdockdeal/burdockdeal/measurement/tests/test_meter.py
@@ -105,3 +105,20 @@
     usual_ms = times.service_ms()
     run(times, clock, 0.200, rank="short")
     assert times.service_ms() > 3 * usual_ms
+
+
+def test_one_slow_call_is_not_taken_for_a_slow_upstream(
+    times: meter.Meter, clock: clocks.Clock
+) -> None:
+    def answer(duration_s: float) -> None:
+        with times.track_call(timed=True) as record_status:
+            clock.now += duration_s
+            record_status(200)
+
+    for duration_s in (0.1, 0.1, 0.1, 0.5):
+        answer(duration_s)
+    # The mean of the four, and no more.
+    assert times.service_ms() == pytest.approx(200)
+    for _ in range(2):
+        answer(0.5)
+    assert times.service_ms() > 400
--- a/packages/burdockdeal/burdockdeal/routing/decisions.py
+++ b/packages/burdockdeal/burdockdeal/routing/decisions.py
@@ -78,7 +78,7 @@
 _JITTER_SHARE = 0.02
 
 #: Penalty for a call to another failure domain, in seconds of waiting.
-REMOTE_PENALTY_S = 0.01
+REMOTE_PENALTY_S = 0.015
 REMOTE_PENALTY_S_PER_BYTE = 5e-6
 
 
@@ -292,9 +292,9 @@
 
     An instance in another failure domain is chosen only if its estimate is
     better by this much: traffic between failure domains is expensive, and
-    the body makes up most of it.
+    the bodies make up most of it.
 
-    :param body_bytes: the length of the request body.
+    :param body_bytes: the length of the bodies of request and response.
     """
     return REMOTE_PENALTY_S + REMOTE_PENALTY_S_PER_BYTE * body_bytes
 
--- a/packages/burdockdeal/burdockdeal/routing/policies.py
+++ b/packages/burdockdeal/burdockdeal/routing/policies.py
@@ -132,7 +132,9 @@
             tracker.clock(),
             rng,
             trial_delay_factor=trial_delay_factor(work),
-            remote_penalty_s=decisions.find_remote_penalty(work.body_bytes),
+            remote_penalty_s=decisions.find_remote_penalty(
+                work.body_bytes + tracker.response_sizes.estimate(work)
+            ),
         )
         return chosen.member
 
--- a/packages/burdockdeal/burdockdeal/routing/tracking.py
+++ b/packages/burdockdeal/burdockdeal/routing/tracking.py
@@ -11,6 +11,7 @@
 from burdockdeal.routing import ejection
 from burdockdeal.routing import instance_group
 from burdockdeal.routing import instance_stats
+from burdockdeal.routing import response_sizes
 from burdockdeal.routing import round_trips
 from burdockdeal.routing import state
 
@@ -126,6 +127,7 @@
         ] = {}
         self._round_trips = round_trips.RoundTripEstimator(failure_domain)
         self.clock = clock
+        self.response_sizes = response_sizes.ResponseSizes()
         self.groups: dict[str, instance_group.InstanceGroup] = {}
         self.responses = 0
 
--- a/packages/burdockdeal/burdockdeal/serving/entry.py
+++ b/packages/burdockdeal/burdockdeal/serving/entry.py
@@ -98,6 +98,9 @@
         ) as tracked_call:
             async with open_response(send) as response:
                 tracked_call.record_response(response.status)
+                size = response.headers.get("Content-Length", "")
+                if size.isdecimal():
+                    tracker.response_sizes.record(send.request, int(size))
                 yield response
 
     def open_send(
