Believe an upstream after a restart only once it is confirmed

Operators of similar systems reported that after a restart of a process a server that had left was in use again, and that a paused process acted on a permission that had run out.

Cause: a daemon that was restarted did not know what its earlier run had acknowledged. A heartbeat that was late put an upstream into service that had said that it drains; a departure of an upstream that the new run had not heard of was acknowledged and forgotten. And its clock stood still while the machine was suspended, so that leases and deadlines that ran out meanwhile held.

Change: after a start the first upstream serves once its health check names it or a second, newer heartbeat comes; departures are remembered before any heartbeat. All decisions use the clock that counts suspensions.

Ruled out: to keep what was acknowledged in the store (a call for each heartbeat that matters, and gone while the store is away); to wait for a heartbeat only (1.5 s without the upstream after each restart).

The receiver of the old heartbeat tests is that of a daemon that has run for longer than its upstream; their checks are the same.

--- a/packages/burdockdeal/burdockdeal/daemon/components.py
+++ b/packages/burdockdeal/burdockdeal/daemon/components.py
@@ -13,6 +13,7 @@
 from burdockdeal.announce import decisions as announce
 from burdockdeal.configuration import active_configuration as configuration
 from burdockdeal.configuration import resources
+from burdockdeal.core import clock
 from burdockdeal.measurement import breaker
 from burdockdeal.measurement import meter
 from burdockdeal.membership import messages as membership
@@ -33,6 +34,9 @@
 
 _DEFAULT_SERVICE = resources.Service()
 
+#: The clock of all decisions of a daemon.
+CLOCK = clock.read_seconds
+
 
 def read_wall_clock_ms() -> int:
     """Read the wall clock, for timestamps and incarnations.
@@ -55,7 +59,7 @@
     ) -> None:
         self.settings = settings
         self.header_codec = codec
-        self.clock = time.monotonic
+        self.clock = CLOCK
         self.rng = random.Random(settings.seed)
         self.roster = roster.Roster(
             membership.Member(
--- a/packages/burdockdeal/burdockdeal/platform/discovery.py
+++ b/packages/burdockdeal/burdockdeal/platform/discovery.py
@@ -63,7 +63,7 @@
 
 
 class UpstreamDiscovery(mode.Service):
-    """Sends health checks to the upstream until its id is known.
+    """Sends health checks to the upstream until it is confirmed.
 
     A daemon can restart while its upstream keeps running, and the next
     heartbeat of the upstream can be seconds away.
@@ -97,7 +97,9 @@
     @mode.Service.task
     async def _discover_upstream(self) -> None:
         await self._path_known.wait()
-        while not self.should_stop and not self._receiver.is_upstream_known:
+        while (
+            not self.should_stop and not self._receiver.is_upstream_confirmed
+        ):
             await self._check_once(self._health_path())
             await self.sleep(INTERVAL_S)
 
@@ -105,7 +107,5 @@
         health = await check_health(self._session, self._address, path)
         if health is None or not health.healthy or not health.name:
             return
-        if not self._receiver.is_upstream_known:
-            load = health.load
-            slots = load.slots if load else _DEFAULT_SLOTS
-            self._receiver.record_discovered(health.name, slots)
+        slots = health.load.slots if health.load else _DEFAULT_SLOTS
+        self._receiver.record_discovered(health.name, slots)
--- a/packages/burdockdeal/burdockdeal/platform/heartbeats.py
+++ b/packages/burdockdeal/burdockdeal/platform/heartbeats.py
@@ -86,29 +86,41 @@
 class HeartbeatReceiver:
     """Receives heartbeats and passes them on to the announce slice.
 
+    A daemon that has just started doesn't know what an earlier run of it has
+    acknowledged, and a heartbeat may be late. So its first upstream serves
+    only once its health check names it, or its heartbeats go on: an upstream
+    that has told the earlier run that it leaves does neither.
+
     :param tracker: tracks the state of the upstream beside this daemon.
     :param deployment: describes that upstream.
+    :param is_confirmed: whether the upstream needs no such confirmation.
     """
 
     def __init__(
-        self, tracker: announce.UpstreamTracker, deployment: model.Deployment
+        self,
+        tracker: announce.UpstreamTracker,
+        deployment: model.Deployment,
+        *,
+        is_confirmed: bool = False,
     ) -> None:
         self._tracker = tracker
         self._deployment = deployment
         self._known = KnownUpstream()
-
-    @property
-    def is_upstream_known(self) -> bool:
-        """Whether the upstream has ever been heard from or discovered."""
-        return bool(self._known.name)
+        self._departed = ""
+        self.is_upstream_confirmed = is_confirmed
 
     def record_discovered(self, name: str, slots: int) -> None:
-        """Record an upstream that was found by its health check.
+        """Record an upstream whose health check has named it.
 
-        The time of its start is unknown, so that any heartbeat counts as
-        newer.
+        Without a heartbeat, the time of its start is unknown, so that any
+        heartbeat counts as newer.
         """
-        self._known = KnownUpstream(name, incarnation=1)
+        is_gone = self._known.gone and name == self._known.name
+        if self.is_upstream_confirmed or is_gone:
+            return
+        if name != self._known.name:
+            self._known = KnownUpstream(name, incarnation=1)
+        self.is_upstream_confirmed = True
         event_log.record("upstream_discovered", name=name, slots=slots)
         self._report_announce(name, slots, 0.0)
         self._report_heartbeat(draining=False)
@@ -125,14 +137,39 @@
             )
             return
         incarnation = determine_incarnation(self._known, name, heartbeat)
+        before, draining = self._known, heartbeat.state == _DRAINING
         self._known = KnownUpstream(name, incarnation, heartbeat.sequence)
+        if not (
+            self.is_upstream_confirmed or draining or self._goes_on(before)
+        ):
+            event_log.record(
+                "upstream_unconfirmed", name=name, sequence=heartbeat.sequence
+            )
+            return
+        self.is_upstream_confirmed = True
         self._report_announce(
             name, heartbeat.slots, heartbeat.cold_remaining_ms / 1000
         )
-        self._report_heartbeat(draining=heartbeat.state == _DRAINING)
+        self._report_heartbeat(draining=draining)
+
+    def _goes_on(self, before: KnownUpstream) -> bool:
+        """Return whether the last heartbeat follows an earlier one."""
+        known = self._known
+        return (
+            before.sequence >= 0
+            and (before.name, before.incarnation)
+            == (known.name, known.incarnation)
+            and known.name != self._departed
+        )
 
     def record_departure(self, name: str) -> None:
-        """Record that an upstream has deregistered."""
+        """Record that an upstream has deregistered.
+
+        An earlier run of this daemon may have known it.
+        """
+        if not self._known.name:
+            self._known = KnownUpstream(name, gone=True)
+            self._departed = name
         if name != self._known.name:
             return
         self._known = dataclasses.replace(self._known, gone=True)
--- a/packages/burdockdeal/burdockdeal/platform/tests/test_discovery.py
+++ b/packages/burdockdeal/burdockdeal/platform/tests/test_discovery.py
@@ -19,7 +19,7 @@
         self.discovered = asyncio.Event()
 
     @property
-    def is_upstream_known(self) -> bool:
+    def is_upstream_confirmed(self) -> bool:
         return bool(self.name)
 
     def record_discovered(self, name: str, slots: int) -> None:
--- a/packages/burdockdeal/burdockdeal/platform/tests/test_heartbeats.py
+++ b/packages/burdockdeal/burdockdeal/platform/tests/test_heartbeats.py
@@ -33,7 +33,10 @@
 
 @pytest.fixture
 async def client(tracker: announce.UpstreamTracker):
-    receiver = heartbeats.HeartbeatReceiver(tracker, DEPLOYMENT)
+    # The daemon has run for longer than its upstream.
+    receiver = heartbeats.HeartbeatReceiver(
+        tracker, DEPLOYMENT, is_confirmed=True
+    )
     server = test_utils.TestServer(heartbeats.build_app(receiver))
     async with test_utils.TestClient(server) as client:
         yield client
@@ -138,3 +141,83 @@
     receiver.receive("i-1", heartbeat)
     assert tracker.may_start_call()
     assert tracker.upstream.announce.name == "i-1"
+
+
+def make_heartbeat(sequence: int, **changed: object) -> heartbeats.Heartbeat:
+    fields = {
+        "service": "orders",
+        "address": "10.0.0.1:80",
+        "slots": 9,
+        "state": "ready",
+        "sequence": sequence,
+        "born": 1000,
+    }
+    return heartbeats.Heartbeat(**{**fields, **changed})
+
+
+@pytest.fixture
+def restarted(
+    tracker: announce.UpstreamTracker,
+) -> heartbeats.HeartbeatReceiver:
+    """Return the receiver of a daemon that has just been restarted."""
+    return heartbeats.HeartbeatReceiver(tracker, DEPLOYMENT)
+
+
+def test_a_late_heartbeat_after_a_restart_puts_nothing_into_service(
+    restarted, tracker
+) -> None:
+    """The earlier run of the daemon has acknowledged that it leaves."""
+    restarted.receive("i-1", make_heartbeat(5))
+    assert not tracker.may_start_call()
+    restarted.receive("i-1", make_heartbeat(7, state="draining"))
+    assert tracker.upstream.phase is state.Phase.DRAINING
+    restarted.record_discovered("i-1", 9)
+    assert not tracker.may_start_call()
+
+
+def test_a_departure_binds_although_the_upstream_was_not_known(
+    restarted, tracker
+) -> None:
+    restarted.record_departure("i-1")
+    for sequence in (5, 6, 7):
+        restarted.receive("i-1", make_heartbeat(sequence))
+    restarted.record_discovered("i-0", 9)
+    assert tracker.upstream.announce.name == "i-0"
+
+
+def test_a_departed_upstream_is_not_discovered(restarted, tracker) -> None:
+    """Its health check may be wrong."""
+    restarted.record_departure("i-1")
+    restarted.record_discovered("i-1", 9)
+    assert not tracker.may_start_call()
+
+
+def test_an_upstream_is_confirmed_by_its_health_check(
+    restarted, tracker
+) -> None:
+    restarted.receive("i-1", make_heartbeat(5))
+    restarted.record_discovered("i-1", 9)
+    assert tracker.may_start_call()
+    assert tracker.upstream.incarnation == 1000
+
+
+def test_an_upstream_is_confirmed_by_heartbeats_that_go_on(
+    restarted, tracker
+) -> None:
+    restarted.receive("i-1", make_heartbeat(5))
+    restarted.receive("i-1", make_heartbeat(4))
+    assert not tracker.may_start_call()
+    restarted.receive("i-1", make_heartbeat(6))
+    assert tracker.may_start_call()
+
+
+def test_another_upstream_at_the_address_is_discovered(
+    restarted, tracker
+) -> None:
+    """The late heartbeat came from the upstream that was there before."""
+    restarted.receive("i-1", make_heartbeat(5))
+    restarted.record_discovered("i-2", 9)
+    assert tracker.upstream.announce.name == "i-2"
+    restarted.receive("i-2", make_heartbeat(0, born=2000))
+    assert tracker.upstream.incarnation == 2000
+    assert tracker.may_start_call()
