Give an upload one reader at a time

Cause: an upstream may respond before it has read a whole upload. What forwarded the upload then still waited for the caller's next bytes, while the server began to discard them so that the connection could be used again: the second reader failed ("readany() called while another coroutine is already waiting"), the task's error reached nobody but asyncio's log, and the caller's connection closed without an answer to what it had sent behind.

Change: forwarding stops, and is awaited, before the rest is discarded, at the entry and at the owner. A connection's task reports its own errors. The probe loop ends when its service stops, in place of starting one more probe.

Ruled out: a lock around the reader; the forwarder would hold it until the caller sends again.

--- a/packages/burdockdeal/burdockdeal/membership/service.py
+++ b/packages/burdockdeal/burdockdeal/membership/service.py
@@ -104,6 +104,8 @@
         tick_count = 0
         while not self.should_stop:
             await self.sleep(max(0.0, due_at - self._clock()))
+            if self.should_stop:
+                return
             late_s = self._clock() - due_at
             due_at = self._clock() + period_s
             if late_s > _PAUSE_THRESHOLD_PERIODS * period_s:
--- a/packages/burdockdeal/burdockdeal/serving/bodies.py
+++ b/packages/burdockdeal/burdockdeal/serving/bodies.py
@@ -1,5 +1,6 @@
 """Request bodies: buffered if they are small, otherwise streamed."""
 
+import asyncio
 from collections import abc
 import math
 
@@ -42,6 +43,7 @@
         self._limits = limits
         self._buffered = buffered
         self._started = False
+        self._reading: asyncio.Future[bytes] | None = None
 
     @property
     def buffered(self) -> bytes | None:
@@ -64,12 +66,29 @@
             return self._buffered or None
         return self._stream()
 
+    async def close(self) -> None:
+        """Stop sending the body on.
+
+        The upstream may respond before it has read the whole body. What is
+        left of it is then read by the server, so that the connection can be
+        used again, and nothing else may read it any more.
+        """
+        if self._reading is not None and not self._reading.done():
+            self._reading.cancel()
+            await asyncio.wait({self._reading})
+
     async def _stream(self) -> abc.AsyncIterator[bytes]:
         self._started = True
         await send_continue(self._request)
-        content = self._request.content
+        chunks = body_io.read_body(self._request.content, self._limits)
         size = 0
-        async for chunk in body_io.read_body(content, self._limits):
+        while True:
+            # A task of its own can be cancelled by `close`, whichever task
+            # of the HTTP client waits for it.
+            self._reading = asyncio.ensure_future(anext(chunks, b""))
+            chunk = await self._reading
+            if not chunk:
+                return
             size += len(chunk)
             _check_size(size, self._max_bytes)
             yield chunk
--- a/packages/burdockdeal/burdockdeal/serving/entry.py
+++ b/packages/burdockdeal/burdockdeal/serving/entry.py
@@ -151,14 +151,17 @@
         response_headers = caller_headers.build_response_headers(
             inbound.request_id
         )
-        async with dispatch(inbound, outbound) as response:
-            return await forwarding.relay_response(
-                request,
-                response,
-                response_headers,
-                limits,
-                remaining_s=inbound.deadline - clock(),
-            )
+        try:
+            async with dispatch(inbound, outbound) as response:
+                return await forwarding.relay_response(
+                    request,
+                    response,
+                    response_headers,
+                    limits,
+                    remaining_s=inbound.deadline - clock(),
+                )
+        finally:
+            await outbound.body.close()
 
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
         request_id = generate_id()
--- a/packages/burdockdeal/burdockdeal/serving/owner.py
+++ b/packages/burdockdeal/burdockdeal/serving/owner.py
@@ -378,5 +378,7 @@
                 status=verdict.HTTP_STATUS[error.reason],
                 headers={headers.REPORT: build_report(started, error)},
             )
+        finally:
+            await outbound.body.close()
 
     return handle
--- a/packages/burdockdeal/burdockdeal/serving/pipelined_server.py
+++ b/packages/burdockdeal/burdockdeal/serving/pipelined_server.py
@@ -232,6 +232,10 @@
         is_reusable = False
         try:
             is_reusable = await work
+        except Exception as error:
+            # Nobody awaits this task, so it has to report the error itself.
+            self._server.respond_to_error(error)
+            channel.abort()
         finally:
             self._tasks.pop(channel, None)
             self._complete(channel, is_reusable)
--- a/tests/test_uploads.py
+++ b/tests/test_uploads.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from burdockdeal_standins import raw_http
 from burdockdeal_standins import scripted_upstream
 
@@ -42,3 +44,35 @@
         return next(
             int(line.split()[1]) for line in lines if line.startswith("VmHWM")
         )
+
+
+@pytest.mark.parametrize("node", ["d1", "d2"])
+async def test_connection_is_reused_after_an_early_response(
+    harness: raw_http.Harness, node: str
+) -> None:
+    """The upstream responds while the daemon waits for more of the upload.
+
+    What forwards the upload and what discards the rest of it were both
+    reading it then, and the connection was left without a response.
+    """
+
+    async def handle(reader, writer) -> None:
+        while True:
+            head = await scripted_upstream.read_head(reader)
+            if head.start_line.startswith("POST"):
+                await reader.readexactly(70_000)
+            writer.write(raw_http.OK_RESPONSE)
+
+    harness.upstream.handler = handle
+    size, first = 200_000, 70_000
+    async with harness.connect(
+        b"POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n" % size
+        + bytes(first),
+        node,
+    ) as connection:
+        assert (await connection.read_response())[1] == b"ok"
+        await asyncio.sleep(0.3)
+        connection.writer.write(bytes(size - first) + raw_http.GET_REQUEST)
+        assert (await connection.read_response())[1] == b"ok"
+    for name in ("d1", "d2"):
+        assert "event=library" not in harness.fleet.read_log(name)
