Leave slots free until an upstream is known not to slow down

Cause: a daemon that starts has seen no calls, so it fills all slots of its upstream at once. The calls that piled up while it was away keep them full, each call takes 1.7 times as long, and the calls that would show it need a baseline that a full upstream never gives.

Change: for 30 s after its start an owner uses 0.8 of the slots unless the owners of the service's other upstreams have seen enough calls on full ones. After that, all slots are used and the calls decide, as before.

Ruled out: to keep the evidence in the store; to learn the baseline from a full upstream (its calls are all slow).

--- a/packages/burdockdeal/burdockdeal/admission/controller.py
+++ b/packages/burdockdeal/burdockdeal/admission/controller.py
@@ -48,7 +48,9 @@
         self._ranks: dict[str, state.RankState] = {}
         self._queues: dict[str, queue.RankQueue] = {}
         self._service_times = state.ServiceTimes()
-        self.saturation = saturation.SaturationDetector()
+        self.saturation = saturation.SaturationDetector(
+            presumed_until=clock() + saturation.PRESUMED_S
+        )
         self.running = 0
         self.waiting = 0
 
--- a/packages/burdockdeal/burdockdeal/admission/saturation.py
+++ b/packages/burdockdeal/burdockdeal/admission/saturation.py
@@ -4,6 +4,11 @@
 until it ends, so a lower concurrency limit gives a higher throughput. The
 detector compares how long these calls hold their slots with calls of the
 same rank that started on a busy upstream with some slots free.
+
+A daemon that has just started has no calls to compare, and those that piled
+up meanwhile fill all slots at once: an upstream that slows down would then
+stay slow for as long as they keep coming. So some slots stay free at first,
+unless the owners of the service's other upstreams have seen no slowdown.
 """
 
 from collections import abc
@@ -32,9 +37,8 @@
 #: upstream still slows down.
 RETEST_INTERVAL_S = 30.0
 
-#: Seconds for which evidence from the owners of the same service is meant
-#: to be used; the age of reports is not checked against it yet.
-SHARED_EVIDENCE_TTL_S = 60.0
+#: Seconds after the start for which an upstream is presumed to slow down.
+PRESUMED_S = 30.0
 
 _SMOOTHING = 0.1
 _MIN_SMOOTHING = 0.02
@@ -73,10 +77,20 @@
     return enough and evidence.ratio >= SATURATION_RATIO
 
 
+def limit(slots: int) -> int:
+    """Return how many slots of an upstream that slows down are used."""
+    return max(1, int(FULL_SHARE * slots))
+
+
 class SaturationDetector:
-    """Learns whether one upstream slows down when it is nearly full."""
+    """Learns whether one upstream slows down when it is nearly full.
+
+    :param presumed_until: until when the upstream is presumed to slow down
+        without evidence, monotonic time in seconds.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, presumed_until: float = 0.0) -> None:
+        self._presumed_until = presumed_until
         self._baseline_s: dict[str, float] = {}
         self._baseline_calls: dict[str, int] = {}
         self._limited_since: float | None = None
@@ -118,7 +132,11 @@
             upstreams; ignored during a retest of this one.
         """
         shared = () if self._is_retesting else others
-        if not shows_saturation(combine((self.evidence, *shared))):
+        evidence = combine((self.evidence, *shared))
+        has_evidence = evidence.calls >= MIN_CROWDED_CALLS
+        if not has_evidence and now < self._presumed_until:
+            return limit(slots)
+        if not shows_saturation(evidence):
             self._limited_since = None
             return slots
         if self._limited_since is None:
@@ -126,7 +144,7 @@
         elif now - self._limited_since > RETEST_INTERVAL_S:
             self._start_retest()
             return slots
-        return max(1, int(FULL_SHARE * slots))
+        return limit(slots)
 
     def _start_limiting(self, now: float) -> None:
         self._limited_since = now
--- a/packages/burdockdeal/burdockdeal/admission/tests/test_saturation.py
+++ b/packages/burdockdeal/burdockdeal/admission/tests/test_saturation.py
@@ -100,3 +100,15 @@
         detector.limit_slots(SLOTS, 3.1 + saturation.RETEST_INTERVAL_S)
         == SLOTS
     )
+
+
+def test_a_new_upstream_is_presumed_to_slow_down_for_a_while() -> None:
+    detector = saturation.SaturationDetector(presumed_until=10.0)
+    assert detector.limit_slots(SLOTS, 9.0) == LIMITED_SLOTS
+    assert detector.limit_slots(SLOTS, 10.0) == SLOTS
+
+
+def test_evidence_of_other_owners_goes_before_the_presumption() -> None:
+    detector = saturation.SaturationDetector(presumed_until=10.0)
+    none = saturation.Evidence(1000, 1.0)
+    assert detector.limit_slots(SLOTS, 1.0, [none]) == SLOTS
