Ask fewer full instances in a flood

Each is a round trip and a kilobyte, mostly between domains, while the queue it then joined had a median wait of 20 to 40 ms.

Change: an entry keeps the share of asked instances that were full, by service and rank. Up to one half, four are asked as before; up to 0.8, two; above, one. Refusals for a slow machine don't count: others may be quick.

Ruled out: no ask at all while most are full; nothing would show the end of the flood.

--- a/packages/burdockdeal/burdockdeal/retry/attempts.py
+++ b/packages/burdockdeal/burdockdeal/retry/attempts.py
@@ -28,6 +28,15 @@
 #: Reasons for which a call neither reached an upstream nor queued for it.
 _NOT_SENT_REASONS = decisions.BUSY_REASONS | {verdict.Reason.UNREACHABLE}
 
+#: Refusals that do not say whether an instance has a free slot.
+_NO_SLOT_INFO = frozenset(
+    {
+        *decisions.UNAVAILABLE_REASONS,
+        verdict.Reason.SLOWED,
+        verdict.Reason.FAILING,
+    }
+)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Outcome:
@@ -120,6 +129,7 @@
         outcome: Outcome | None = None
         while member := self._choose_instance():
             outcome = await self._attempt(member, self._progress)
+            self._record_ask(outcome)
             if outcome.context is not None:
                 stack.push_async_exit(outcome.context)
                 if self._is_final(outcome):
@@ -146,7 +156,8 @@
         queue is known.
         """
         progress = self._progress
-        if progress.busy_refusals < decisions.MAX_BUSY_REFUSALS:
+        account = self._budget.find_account(self._work)
+        if decisions.may_ask_another(progress, account):
             member = self._choose(self._work, progress.tried)
             if member is not None or not progress.busy_refusals:
                 return member
@@ -259,6 +270,13 @@
             )
             self._first_arrival_recorded = True
 
+    def _record_ask(self, outcome: Outcome) -> None:
+        reason = outcome.error.reason if outcome.error else None
+        if not outcome.progress.may_queue and reason not in _NO_SLOT_INFO:
+            self._budget.record_ask(
+                self._work, is_full=reason is verdict.Reason.BUSY
+            )
+
     def _record_latency(self, started: float) -> None:
         if not self._outbound.body.is_streamed:
             self._budget.record_latency(self._work, self._clock() - started)
--- a/packages/burdockdeal/burdockdeal/retry/budget.py
+++ b/packages/burdockdeal/burdockdeal/retry/budget.py
@@ -104,6 +104,16 @@
             work, decisions.record_saturation(self.find_account(work), now)
         )
 
+    def record_ask(self, work: call.Call, *, is_full: bool) -> None:
+        """Record that an instance was asked to start a call at once.
+
+        :param is_full: whether it had no free slot.
+        """
+        account = decisions.record_ask(
+            self.find_account(work), is_full=is_full
+        )
+        self._store_account(work, account)
+
     def record_latency(self, work: call.Call, latency_s: float) -> None:
         """Record the time to the response headers, in seconds."""
         account = decisions.record_latency(self.find_account(work), latency_s)
--- a/packages/burdockdeal/burdockdeal/retry/decisions.py
+++ b/packages/burdockdeal/burdockdeal/retry/decisions.py
@@ -75,6 +75,12 @@
 #: trying another one.
 MAX_BUSY_REFUSALS = 4
 
+#: Number of instances without a free slot after which a call queues, by the
+#: share of such instances up to which it applies. Where nearly all are full,
+#: further round trips only delay the call.
+_MAX_FULL_REFUSALS = ((0.5, MAX_BUSY_REFUSALS), (0.8, 2), (1.0, 1))
+_FULL_SMOOTHING = 0.1
+
 #: Body size in bytes from which on a call queues at the first instance rather
 #: than being sent to another one.
 QUEUEING_BODY_BYTES = 16_384
@@ -195,7 +201,35 @@
         progress,
         sends_left=progress.sends_left + 1,
         busy_refusals=progress.busy_refusals + (reason in BUSY_REASONS),
+        full_refusals=progress.full_refusals + (reason is verdict.Reason.BUSY),
+    )
+
+
+def may_ask_another(progress: state.Progress, account: state.Account) -> bool:
+    """Return whether another instance is asked to start a call at once.
+
+    Otherwise the call queues at an instance, or is refused there. Answers
+    bursts in which some instances still have free slots, and floods in which
+    none has.
+    """
+    max_full = next(
+        limit
+        for share, limit in _MAX_FULL_REFUSALS
+        if account.full_share <= share
     )
+    return (
+        progress.busy_refusals < MAX_BUSY_REFUSALS
+        and progress.full_refusals < max_full
+    )
+
+
+def record_ask(account: state.Account, *, is_full: bool) -> state.Account:
+    """Return the account after an instance was asked to start a call.
+
+    :param is_full: whether it had no free slot.
+    """
+    change = _FULL_SMOOTHING * (is_full - account.full_share)
+    return dataclasses.replace(account, full_share=account.full_share + change)
 
 
 def allow_queueing(progress: state.Progress) -> state.Progress:
--- a/packages/burdockdeal/burdockdeal/retry/state.py
+++ b/packages/burdockdeal/burdockdeal/retry/state.py
@@ -16,11 +16,14 @@
         service counts as saturated.
     :param p95_latency_s: estimated 95th percentile of the time to the
         response headers, in seconds; 0 before the first.
+    :param full_share: smoothed share of the instances that were asked to
+        start a call at once and had no free slot.
     """
 
     tokens: float = INITIAL_TOKENS
     saturated_until: float = 0.0
     p95_latency_s: float = 0.0
+    full_share: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -55,6 +58,7 @@
         because it was overloaded.
     :param busy_refusals: instances that refused it since they could not
         start it at once.
+    :param full_refusals: those of them that had no free slot.
     :param may_queue: whether it may wait in the queue of the instance that
         it is sent to next.
     """
@@ -66,4 +70,5 @@
     reached_upstream: bool = False
     overload_refused: bool = False
     busy_refusals: int = 0
+    full_refusals: int = 0
     may_queue: bool = False
