Tell refused callers to return when a flood is likely over

Cause: each refusal for lack of capacity named 0.15 s, however long the flood had lasted.

Change: the time is about as long as the flood has lasted so far, at least 0.15 s and at most 2 s, spread by a quarter.

Ruled out: an estimate from queue lengths; the queues are short, since those that can't be served in time are refused.

--- a/packages/burdockdeal/burdockdeal/overload/load_shedder.py
+++ b/packages/burdockdeal/burdockdeal/overload/load_shedder.py
@@ -11,12 +11,16 @@
 from burdockdeal.core import event_log
 from burdockdeal.core import verdict
 from burdockdeal.overload import decisions
+from burdockdeal.overload import retry_after
 from burdockdeal.overload import state
 from burdockdeal.retry import decisions as retry
 
 #: Seconds between two measurements of the lag of the loop.
 TICK_S = 0.05
 
+#: Refusals for lack of capacity.
+_FLOOD_REASONS = retry.OVERLOAD_REASONS | {verdict.Reason.BUSY}
+
 #: The part of the adaptive limit below which every rank has capacity.
 _UNCONTENDED_SHARE = 0.3
 
@@ -47,6 +51,7 @@
         self._clock = clock
         self._rng = rng
         self._counts: dict[tuple[str, str], state.DecayedCounts] = {}
+        self._floods: dict[tuple[str, str], retry_after.Flood] = {}
         self._in_progress: dict[str, int] = {}
         self._timer: asyncio.TimerHandle | None = None
         self.in_progress = 0
@@ -127,7 +132,9 @@
         )
         if not admitted:
             self.shed += 1
-            raise errors.NotRunError(verdict.Reason.OVERLOADED)
+            error = errors.NotRunError(verdict.Reason.OVERLOADED)
+            error.retry_after_s = self._choose_retry_after(key)
+            raise error
         self._count(rank, 1)
         try:
             yield
@@ -136,10 +143,18 @@
                 self._counts[key] = decisions.record_refusal(
                     self._counts[key], self._clock()
                 )
+            if error.reason in _FLOOD_REASONS:
+                error.retry_after_s = self._choose_retry_after(key)
             raise
         finally:
             self._count(rank, -1)
 
+    def _choose_retry_after(self, key: tuple[str, str]) -> float:
+        now = self._clock()
+        flood = retry_after.record_refusal(self._floods.get(key), now)
+        self._floods[key] = flood
+        return retry_after.choose_retry_after(flood, now, self._rng)
+
     def _count(self, rank: str, change: int) -> None:
         self.in_progress += change
         self._in_progress[rank] = self._in_progress.get(rank, 0) + change
--- a/packages/burdockdeal/burdockdeal/routing/instance_group.py
+++ b/packages/burdockdeal/burdockdeal/routing/instance_group.py
@@ -15,7 +15,9 @@
 #: Number of instances with the latest load reports kept as candidates.
 MAX_RECENT_INSTANCES = 6
 
-_RANDOM_LOCAL_CANDIDATES = 2
+#: Number of random candidates in the own failure domain and in all of them.
+#: Asking one in the own domain costs little, so that several are compared.
+_RANDOM_LOCAL_CANDIDATES = 4
 _RANDOM_CANDIDATES = 2
 _TRIAL_CANDIDATES = 2
 _UTILIZATION_SMOOTHING = 0.1
@@ -37,10 +39,9 @@
 def _draw_random(
     members: abc.Sequence[messages.Member], count: int, rng: random.Random
 ) -> list[messages.Member]:
-    return [
-        members[int(rng.random() * len(members))]
-        for _ in range(min(count, len(members)))
-    ]
+    if len(members) <= count:
+        return list(members)
+    return [members[int(rng.random() * len(members))] for _ in range(count)]
 
 
 class InstanceGroup:
