--- a/packages/burdockdeal/burdockdeal/overload/retry_after.py
+++ b/packages/burdockdeal/burdockdeal/overload/retry_after.py
@@ -1,8 +1,9 @@
 """When a caller whose request was refused for lack of capacity may return.
 
 Nobody knows how long a flood will last. The longer it has lasted, the longer
-it is expected to go on, so callers are asked to return after about as long
-again, spread so that they don't come all at once.
+it is expected to go on, so callers are asked to return later, spread so that
+they don't come all at once. They are not sent away for as long again: what
+they ask for is worth little to them once it is late.
 """
 
 import dataclasses
@@ -10,7 +11,10 @@
 
 #: Bounds of the time after which a caller may return, in seconds.
 MIN_RETRY_AFTER_S = 0.15
-MAX_RETRY_AFTER_S = 2.0
+MAX_RETRY_AFTER_S = 1.5
+
+#: The time as a share of the time that the flood has lasted.
+_FLOOD_SHARE = 0.5
 
 #: Seconds without a refusal after which a flood is over.
 FLOOD_GAP_S = 0.5
@@ -48,7 +52,8 @@
     :param now: monotonic time in seconds.
     """
     expected_s = min(
-        MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, now - flood.since)
+        MAX_RETRY_AFTER_S,
+        max(MIN_RETRY_AFTER_S, _FLOOD_SHARE * (now - flood.since)),
     )
     spread = rng.uniform(1 - _SPREAD_SHARE, 1 + _SPREAD_SHARE)
     return expected_s * spread
