--- a/packages/burdockdeal/burdockdeal/admission/decisions.py
+++ b/packages/burdockdeal/burdockdeal/admission/decisions.py
@@ -144,7 +144,7 @@
 
 
 def has_upload_slot(snapshot: state.Snapshot) -> bool:
-    """Tell whether one more streamed body may hold a slot."""
+    """Return whether one more streamed body may hold a slot."""
     return snapshot.running_uploads < snapshot.capacity.upload_slots
 
 
--- a/packages/burdockdeal/burdockdeal/admission/queue.py
+++ b/packages/burdockdeal/burdockdeal/admission/queue.py
@@ -67,7 +67,7 @@
         return self._waiters.popitem()[1]
 
     def is_overdue(self, now: float) -> bool:
-        """Tell whether every waiting call is overdue.
+        """Return whether every waiting call is overdue.
 
         :param now: monotonic time in seconds.
         """
--- a/packages/burdockdeal/burdockdeal/admission/saturation.py
+++ b/packages/burdockdeal/burdockdeal/admission/saturation.py
@@ -72,7 +72,7 @@
 
 
 def shows_saturation(evidence: Evidence) -> bool:
-    """Tell whether upstreams slow down when they are nearly full."""
+    """Return whether upstreams slow down when they are nearly full."""
     enough = evidence.calls >= MIN_CROWDED_CALLS
     return enough and evidence.ratio >= SATURATION_RATIO
 
--- a/packages/burdockdeal/burdockdeal/announce/api.py
+++ b/packages/burdockdeal/burdockdeal/announce/api.py
@@ -49,7 +49,7 @@
             listener()
 
     def may_start_call(self) -> bool:
-        """Tell whether a new call may start on the upstream now."""
+        """Return whether a new call may start on the upstream now."""
         if self._rejects_new_calls:
             return False
         return decisions.may_start_call(self.upstream, self.clock())
--- a/packages/burdockdeal/burdockdeal/announce/decisions.py
+++ b/packages/burdockdeal/burdockdeal/announce/decisions.py
@@ -119,7 +119,7 @@
 
 
 def may_start_call(upstream: state.Upstream, now: float) -> bool:
-    """Tell whether a new call may start on the upstream.
+    """Return whether a new call may start on the upstream.
 
     The lease is compared with the clock on every call instead of by a timer,
     so that a daemon resuming from a pause starts no call on a lapsed lease
--- a/packages/burdockdeal/burdockdeal/core/call.py
+++ b/packages/burdockdeal/burdockdeal/core/call.py
@@ -55,7 +55,7 @@
         sender knows it.
     :param sent_at: lower bound of the receiving daemon's clock, in seconds,
         at the time of sending; None if the sender has no reading of it.
-    :param patient: whether the call queues if it can't start at once.
+    :param may_queue: whether the call queues if it can't start at once.
     :param repeated: whether an earlier send of the call may have reached an
         upstream.
     """
@@ -73,7 +73,7 @@
     attempt: int
     daemon_incarnation: int = 0
     sent_at: float | None = None
-    patient: bool = False
+    may_queue: bool = False
     repeated: bool = False
 
 
@@ -86,7 +86,7 @@
     *,
     daemon_incarnation: int = 0,
     sent_at: float | None = None,
-    patient: bool = False,
+    may_queue: bool = False,
 ) -> Envelope:
     """Build the envelope for one send of a call.
 
@@ -107,7 +107,7 @@
         attempt=attempt,
         daemon_incarnation=daemon_incarnation,
         sent_at=sent_at,
-        patient=patient,
+        may_queue=may_queue,
         repeated=call.repeated,
     )
 
--- a/packages/burdockdeal/burdockdeal/measurement/breaker.py
+++ b/packages/burdockdeal/burdockdeal/measurement/breaker.py
@@ -56,7 +56,7 @@
 def allows_call(
     circuit: CircuitState, now: float, *, has_trial: bool, idempotent: bool
 ) -> bool:
-    """Tell whether a call may be sent.
+    """Return whether a call may be sent.
 
     :param now: monotonic time in seconds.
     :param has_trial: whether a trial call is in flight.
@@ -83,7 +83,7 @@
         self.state = CircuitState()
 
     def allows_call(self, incarnation: int, *, idempotent: bool) -> bool:
-        """Tell whether a call may be sent now.
+        """Return whether a call may be sent now.
 
         :param incarnation: of the upstream; a new one starts with a closed
             circuit.
--- a/packages/burdockdeal/burdockdeal/membership/decisions.py
+++ b/packages/burdockdeal/burdockdeal/membership/decisions.py
@@ -160,7 +160,7 @@
 
 
 def is_partitioned(suspects: int, members: int) -> bool:
-    """Tell whether a failure domain is considered partitioned from here.
+    """Return whether a failure domain is considered partitioned from here.
 
     :param suspects: number of its daemons that are suspected.
     :param members: number of its daemons that are active.
--- a/packages/burdockdeal/burdockdeal/membership/roster.py
+++ b/packages/burdockdeal/burdockdeal/membership/roster.py
@@ -84,10 +84,6 @@
         """Find a daemon's record; None if the daemon is unknown."""
         return self._members.get(daemon)
 
-    def map_serving(self, service: str) -> abc.Mapping[str, messages.Member]:
-        """Map name to record of daemons whose upstream serves a service."""
-        return self._serving.get(service, _EMPTY)
-
     def list_serving(self, service: str) -> tuple[messages.Member, ...]:
         """List the records of the daemons whose upstream serves a service.
 
--- a/packages/burdockdeal/burdockdeal/overload/decisions.py
+++ b/packages/burdockdeal/burdockdeal/overload/decisions.py
@@ -123,7 +123,7 @@
 def has_capacity(
     rank: str, usage: abc.Mapping[str, state.RankUsage], limit: float
 ) -> bool:
-    """Tell whether a daemon may accept one more request of a rank.
+    """Return whether a daemon may accept one more request of a rank.
 
     The floor of each rank is a share of the limit reserved for it. Of the
     remainder, the rank with the least worth leaves a half free, the one
@@ -167,7 +167,7 @@
 def is_too_slow(
     progress: state.TransferProgress, *, bytes_per_s: float, grace_s: float
 ) -> bool:
-    """Tell whether a body arrives below the minimum rate.
+    """Return whether a body arrives below the minimum rate.
 
     Only the time spent waiting for the sender counts, so that a sender is
     not blamed for a slow reader.
--- a/packages/burdockdeal/burdockdeal/platform/heartbeats.py
+++ b/packages/burdockdeal/burdockdeal/platform/heartbeats.py
@@ -70,7 +70,7 @@
 
 
 def is_newer(known: KnownUpstream, name: str, heartbeat: Heartbeat) -> bool:
-    """Tell whether a heartbeat is newer than what is known of the upstream.
+    """Return whether a heartbeat is newer than what is known of the upstream.
 
     A delayed heartbeat can arrive after its sender has stopped and another
     upstream has taken over the address.
@@ -202,7 +202,7 @@
         )
 
     def is_from_upstream(self, heartbeat: Heartbeat) -> bool:
-        """Tell whether a heartbeat can come from this daemon's upstream."""
+        """Return whether a heartbeat can come from this daemon's upstream."""
         return (
             heartbeat.service == self._deployment.service
             and heartbeat.address == str(self._deployment.upstream)
--- a/packages/burdockdeal/burdockdeal/platform/store.py
+++ b/packages/burdockdeal/burdockdeal/platform/store.py
@@ -20,6 +20,7 @@
 from burdockdeal.platform import decisions
 from burdockdeal.platform import messages
 from burdockdeal.platform import state
+from burdockdeal.platform import store_trace
 from burdockdeal.platform import wire
 from burdockdeal.settings import model
 
@@ -77,33 +78,6 @@
         self.failure_streak = state.FailureStreak()
 
 
-class _Attempt:
-    """The trace context of one HTTP request.
-
-    It tells whether the request was sent on a reused connection.
-    """
-
-    def __init__(self) -> None:
-        self.reused = False
-
-
-def _build_reuse_trace() -> aiohttp.TraceConfig:
-    """Build a trace that marks requests sent on a reused connection.
-
-    aiohttp resends such a request by itself if the connection breaks. If the
-    resend then fails to connect, the first send may still have taken effect.
-    """
-
-    async def mark_reused(
-        session: aiohttp.ClientSession, context: object, params: object
-    ) -> None:
-        context.trace_request_ctx.reused = True
-
-    trace = aiohttp.TraceConfig()
-    trace.on_connection_reuseconn.append(mark_reused)
-    return trace
-
-
 class StoreClient:
     """A client of the store that counts and rate-limits its calls.
 
@@ -137,7 +111,7 @@
         self._shared.session = aiohttp.ClientSession(
             timeout=aiohttp.ClientTimeout(total=_TIMEOUT_S),
             cookie_jar=aiohttp.DummyCookieJar(),
-            trace_configs=[_build_reuse_trace()],
+            trace_configs=[store_trace.build_reuse_trace()],
         )
         return self
 
@@ -231,7 +205,7 @@
     ) -> _Response:
         assert self._shared.session is not None
         await self._acquire_token(kind)
-        attempt = _Attempt()
+        attempt = store_trace.Attempt()
         try:
             async with self._shared.session.request(
                 method,
--- a/packages/burdockdeal/burdockdeal/retry/decisions.py
+++ b/packages/burdockdeal/burdockdeal/retry/decisions.py
@@ -94,7 +94,7 @@
 
 
 def is_retriable_status(status: int) -> bool:
-    """Tell whether a retry may succeed after a response status."""
+    """Return whether a retry may succeed after a response status."""
     return status in RETRIABLE_STATUSES
 
 
@@ -119,7 +119,7 @@
 
 
 def is_original(work: call.Call) -> bool:
-    """Tell whether a call is not made on behalf of a retry."""
+    """Return whether a call is not made on behalf of a retry."""
     return work.depth == 0 or work.retry_tokens > 0
 
 
@@ -160,7 +160,7 @@
 def may_have_arrived(
     outcome: verdict.Verdict, reason: verdict.Reason | None
 ) -> bool:
-    """Tell whether a failed send may have reached an upstream.
+    """Return whether a failed send may have reached an upstream.
 
     :param outcome: whether the call ran.
     :param reason: None if the upstream responded with an error.
@@ -244,7 +244,7 @@
     replayable: bool,
     now: float,
 ) -> bool:
-    """Tell whether a call may be sent again after a failure.
+    """Return whether a call may be sent again after a failure.
 
     :param progress: the progress after the failure.
     :param replayable: whether the body can be sent from its start.
@@ -281,7 +281,7 @@
 
 
 def is_saturated(account: state.Account, now: float) -> bool:
-    """Tell whether the whole service counts as saturated."""
+    """Return whether the whole service counts as saturated."""
     return now < account.saturated_until
 
 
--- a/packages/burdockdeal/burdockdeal/retry/fleet_budget.py
+++ b/packages/burdockdeal/burdockdeal/retry/fleet_budget.py
@@ -39,7 +39,7 @@
 def may_retry(
     buckets: abc.Iterable[Bucket], terms: model.FleetRetryBudget, members: int
 ) -> bool:
-    """Tell whether one more retry stays within this daemon's part.
+    """Return whether one more retry stays within this daemon's part.
 
     :param buckets: the buckets of the window that ends now.
     :param terms: the fleet-wide bound.
@@ -90,7 +90,7 @@
         )
 
     def may_retry(self, service: str) -> bool:
-        """Tell whether one more retry to a service is allowed."""
+        """Return whether one more retry to a service is allowed."""
         # The part never grows: in a network partition the fleet only looks
         # smaller.
         self._max_members = max(self._max_members, self._members())
--- a/packages/burdockdeal/burdockdeal/routing/decisions.py
+++ b/packages/burdockdeal/burdockdeal/routing/decisions.py
@@ -215,7 +215,7 @@
 def is_overdue(
     view: state.View, baseline: state.Baseline, waited_s: float
 ) -> bool:
-    """Tell whether a wait for a response is far longer than expected.
+    """Return whether a wait for a response is far longer than expected.
 
     Always False while the whole service is saturated, since calls then
     queue at every instance.
@@ -230,14 +230,14 @@
 
 
 def is_unresponsive(view: state.View, baseline: state.Baseline) -> bool:
-    """Tell whether an instance has not responded for far too long."""
+    """Return whether an instance has not responded for far too long."""
     return view.unanswered_s > SLOW_MARGIN_S and is_overdue(
         view, baseline, view.unanswered_s
     )
 
 
 def is_slow(service_s: float, baseline: state.Baseline) -> bool:
-    """Tell whether a service time, in seconds, is far above the baseline."""
+    """Return whether a service time, in seconds, is far above the baseline."""
     late_s = service_s - baseline.service_s
     return late_s > SLOW_DEVIATIONS * baseline.deviation_s + SLOW_MARGIN_S
 
--- a/packages/burdockdeal/burdockdeal/routing/ejection.py
+++ b/packages/burdockdeal/burdockdeal/routing/ejection.py
@@ -64,7 +64,7 @@
 
 
 def is_ejected(health: state.InstanceHealth, now: float) -> bool:
-    """Tell whether an instance gets no calls at all.
+    """Return whether an instance gets no calls at all.
 
     :param now: monotonic time in seconds.
     """
@@ -72,14 +72,14 @@
 
 
 def awaits_trial(health: state.InstanceHealth) -> bool:
-    """Tell whether no trial call has succeeded since the last ejection."""
+    """Return whether no trial call has succeeded since the last ejection."""
     return health.readmission_limit == 1
 
 
 def is_trial_due(
     health: state.InstanceHealth, now: float, trial_delay_factor: float
 ) -> bool:
-    """Tell whether an ejected instance may get a trial call.
+    """Return whether an ejected instance may get a trial call.
 
     :param now: monotonic time in seconds.
     :param trial_delay_factor: how long to wait after the end of the
--- a/packages/burdockdeal/burdockdeal/routing/instance_group.py
+++ b/packages/burdockdeal/burdockdeal/routing/instance_group.py
@@ -99,7 +99,7 @@
         return tuple(self._by_key[key] for key in self._recent_reports)
 
     def may_eject(self, key: InstanceKey) -> bool:
-        """Tell whether ejecting an instance keeps within the service's cap."""
+        """Return whether an ejection keeps within the service's cap."""
         return key in self._ejected or len(self._ejected) < self._ejection_cap
 
     def record_health(
--- a/packages/burdockdeal/burdockdeal/routing/tests/test_tracking.py
+++ b/packages/burdockdeal/burdockdeal/routing/tests/test_tracking.py
@@ -11,6 +11,7 @@
 from burdockdeal.membership import roster
 from burdockdeal.routing import round_trips
 from burdockdeal.routing import state
+from burdockdeal.routing import tracked_call
 from burdockdeal.routing import tracking
 from burdockdeal_standins import clocks
 from burdockdeal_standins import simulation
@@ -37,7 +38,7 @@
 
 def track(
     tracker: tracking.InstanceTracker, *, timed: bool = True
-) -> tracking.TrackedCall:
+) -> tracked_call.TrackedCall:
     return tracker.track_call("d0", 1, simulation.SERVICE, timed=timed)
 
 
--- a/packages/burdockdeal/burdockdeal/routing/tracking.py
+++ b/packages/burdockdeal/burdockdeal/routing/tracking.py
@@ -1,10 +1,7 @@
 """Tracks load, latency and health of each instance, as seen by this daemon."""
 
-import asyncio
 from collections import abc
-import types
 
-from burdockdeal.core import errors
 from burdockdeal.core import verdict
 from burdockdeal.membership import messages
 from burdockdeal.routing import decisions
@@ -14,8 +11,7 @@
 from burdockdeal.routing import response_sizes
 from burdockdeal.routing import round_trips
 from burdockdeal.routing import state
-
-_SERVER_ERROR = 500
+from burdockdeal.routing import tracked_call
 
 #: Maximum number of instances whose reports are listed for a service.
 MAX_LISTED_REPORTS = 16
@@ -44,65 +40,6 @@
 )
 
 
-class TrackedCall:
-    """Context manager that records the outcome of one call in flight."""
-
-    def __init__(
-        self,
-        tracker: "InstanceTracker",
-        key: instance_group.InstanceKey,
-        service: str,
-        timed: bool,
-    ) -> None:
-        self._tracker = tracker
-        self._key = key
-        self._service = service
-        self._timed = timed
-        self._responded = False
-
-    def __enter__(self) -> "TrackedCall":
-        self._started = self._tracker.clock()
-        self._stats = self._tracker.find_stats(self._key)
-        self._number = self._stats.start_call(self._started, self._timed)
-        return self
-
-    def record_response(self, status: int) -> None:
-        """Record that the response headers have arrived.
-
-        :param status: the upstream's HTTP status.
-        """
-        now = self._tracker.clock()
-        elapsed_s = now - self._started
-        self._responded = True
-        self._stats.record_response(self._number, elapsed_s)
-        self._tracker.handle_response(
-            self._key,
-            self._service,
-            elapsed_s,
-            failed=status >= _SERVER_ERROR,
-            timed=self._timed,
-        )
-
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: types.TracebackType | None,
-    ) -> None:
-        waited_s = 0.0
-        if self._timed and not self._responded:
-            waited_s = self._tracker.clock() - self._started
-        self._stats.end_call(self._number)
-        if isinstance(error, errors.CallError):
-            self._tracker.record_error(
-                self._key, self._service, error.reason, waited_s
-            )
-        elif isinstance(error, errors.BurdockdealError):
-            self._tracker.record_failure(self._key, self._service)
-        elif isinstance(error, asyncio.CancelledError):
-            self._tracker.record_abandoned(self._key, self._service, waited_s)
-
-
 class InstanceTracker:
     """Holds the statistics of all instances and decides on ejections.
 
@@ -196,7 +133,7 @@
 
     def track_call(
         self, daemon: str, incarnation: int, service: str, *, timed: bool
-    ) -> TrackedCall:
+    ) -> tracked_call.TrackedCall:
         """Track a call to the chosen instance.
 
         :param timed: whether the time to the response says something
@@ -204,7 +141,7 @@
             since a slow caller then delays the response.
         """
         key = instance_group.InstanceKey(daemon, incarnation)
-        return TrackedCall(self, key, service, timed)
+        return tracked_call.TrackedCall(self, key, service, timed)
 
     def describe(self, daemon: str, incarnation: int) -> dict[str, object]:
         """Return the load fields of an instance for a log line."""
@@ -279,10 +216,7 @@
         failed: bool,
         timed: bool,
     ) -> None:
-        """Record that the response headers of a call have arrived.
-
-        Updates the round trip estimate, the baseline of the service and
-        the health of the instance.
+        """Update round trips, baseline and health from response headers.
 
         :param elapsed_s: seconds from the send to the response headers.
         :param failed: whether the response is a server error.
@@ -441,7 +375,7 @@
         return self._build_view(self.ensure_stats(member), member)
 
     def is_unresponsive(self, view: state.View) -> bool:
-        """Tell whether an instance is unresponsive but not yet ejected."""
+        """Return whether an instance is unresponsive but not yet ejected."""
         ejected = ejection.awaits_trial(view.health)
         baseline = self.get_baseline(view.member.service)
         return not ejected and decisions.is_unresponsive(view, baseline)
--- a/packages/burdockdeal/burdockdeal/serving/entry.py
+++ b/packages/burdockdeal/burdockdeal/serving/entry.py
@@ -80,7 +80,7 @@
             instance=send.daemon,
             incarnation=send.incarnation,
             attempt=send.attempt,
-            patient=send.patient or None,
+            may_queue=send.may_queue or None,
             remaining_ms=round((send.request.deadline - clock()) * 1000),
             **observed,
         )
@@ -108,7 +108,7 @@
         outbound: messages.OutboundRequest,
         member: membership.Member,
         attempt: int,
-        patient: bool,
+        may_queue: bool,
     ) -> contextlib.AbstractAsyncContextManager[messages.Response]:
         return watch_send(
             messages.Send(
@@ -119,7 +119,7 @@
                 incarnation=member.upstream_incarnation,
                 attempt=attempt,
                 daemon_incarnation=member.incarnation,
-                patient=patient,
+                may_queue=may_queue,
             )
         )
 
--- a/packages/burdockdeal/burdockdeal/serving/messages.py
+++ b/packages/burdockdeal/burdockdeal/serving/messages.py
@@ -93,7 +93,7 @@
         knows it.
     :param sent_at: lower bound of the owner daemon's clock, in seconds, at
         the time of sending; None if the sender has no reading of it.
-    :param patient: whether the call queues if it can't start at once.
+    :param may_queue: whether the call queues if it can't start at once.
     """
 
     request: call.Call
@@ -104,7 +104,7 @@
     attempt: int
     daemon_incarnation: int = 0
     sent_at: float | None = None
-    patient: bool = False
+    may_queue: bool = False
 
 
 #: Sends a call and opens its response; raises CallError if there is none.
--- a/packages/burdockdeal/burdockdeal/serving/owner.py
+++ b/packages/burdockdeal/burdockdeal/serving/owner.py
@@ -211,10 +211,10 @@
         arrived = clock()
         check(send)
         policy = _build_rank_policy(current, send.request.rank)
-        if slots.is_busy and not send.patient:
+        if slots.is_busy and not send.may_queue:
             raise errors.NotRunError(verdict.Reason.BUSY)
         await refresher.refresh()
-        if response_times.is_slow and send.patient:
+        if response_times.is_slow and send.may_queue:
             refresher.poll_while(
                 lambda: slots.waiting > 0 and response_times.is_slow
             )
@@ -222,7 +222,7 @@
             policy,
             send.request.deadline,
             streamed=send.outbound.body.is_streamed,
-            may_queue=send.patient,
+            may_queue=send.may_queue,
         ):
             await prepare(send)
             # The state may have changed during the waits above. From here
@@ -362,7 +362,7 @@
             incarnation=envelope.incarnation,
             attempt=envelope.attempt,
             daemon_incarnation=envelope.daemon_incarnation,
-            patient=envelope.patient,
+            may_queue=envelope.may_queue,
         )
         try:
             async with open_response(send) as response:
--- a/packages/burdockdeal/burdockdeal/serving/peers.py
+++ b/packages/burdockdeal/burdockdeal/serving/peers.py
@@ -84,7 +84,7 @@
             now,
             daemon_incarnation=send.daemon_incarnation,
             sent_at=send.sent_at,
-            patient=send.patient,
+            may_queue=send.may_queue,
         )
         async with forwarding.open_response(
             session,
--- a/packages/burdockdeal/burdockdeal/serving/pipelined_server.py
+++ b/packages/burdockdeal/burdockdeal/serving/pipelined_server.py
@@ -8,307 +8,17 @@
 """
 
 import asyncio
-import collections
 from collections import abc
 
-from aiohttp import base_protocol
-from aiohttp import http_exceptions
-from aiohttp import http_parser
-from aiohttp import streams
 from aiohttp import web
 
 from burdockdeal.serving import header_codec
 from burdockdeal.serving import http_server
-from burdockdeal.serving import raw_responses
-from burdockdeal.serving import request_reading
-from burdockdeal.serving import response_channels
-
-#: Number of unanswered requests above which a connection is not read.
-MAX_PIPELINED_REQUESTS = 16
-
-#: Bytes of a request's body that are buffered for the handler.
-READ_BUFFER_BYTES = 65536
-
-#: Methods that may be handled before the preceding requests are answered
-#: (RFC 9110, section 9.2.2); a request with another method waits.
-_SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
+from burdockdeal.serving import pipelined_connection
 
 #: Seconds between two sweeps for idle connections.
 IDLE_SWEEP_INTERVAL_S = 0.5
 
-#: Seconds between interim responses to a client that has closed its sending
-#: side: first a network round trip, then longer.
-_FIRST_PROBE_INTERVALS_S = (0.02, 0.1)
-_PROBE_INTERVAL_S = 0.5
-
-_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
-
-
-class _Request(web.BaseRequest):
-    """A request whose connection may close after its response."""
-
-    @property
-    def keep_alive(self) -> bool:
-        return not self._protocol.decide_close(self._message.should_close)
-
-
-class Connection(base_protocol.BaseProtocol):
-    """The protocol of one client connection.
-
-    :param server: the server that it belongs to.
-    """
-
-    __slots__ = (
-        "_current_request",
-        "_exchanges",
-        "_messages",
-        "_request_count",
-        "_server",
-        "_started",
-        "_tasks",
-        "closing",
-        "idle_since",
-    )
-
-    def __init__(self, server: "PipelinedServer") -> None:
-        loop = asyncio.get_running_loop()
-        super().__init__(loop)
-        self._parser = http_parser.HttpRequestParser(
-            self,
-            loop,
-            READ_BUFFER_BYTES,
-            max_line_size=server.header_bytes,
-            max_field_size=server.header_bytes,
-            auto_decompress=False,
-        )
-        self._server = server
-        self._exchanges: collections.deque[
-            response_channels.ResponseChannel
-        ] = collections.deque()
-        self._started = 0
-        self._tasks: dict[
-            response_channels.ResponseChannel, asyncio.Task[None]
-        ] = {}
-        self._request_count = 0
-        #: Whether further requests are ignored.
-        self.closing = False
-        self.idle_since: float | None = loop.time()
-
-    @property
-    def is_idle(self) -> bool:
-        """Whether every request is answered."""
-        return not self._exchanges
-
-    @property
-    def has_received_request(self) -> bool:
-        """Whether the connection has ever carried a request."""
-        return bool(self._request_count)
-
-    @property
-    def is_writing(self) -> bool:
-        """Whether response bytes are not yet sent."""
-        transport = self.transport
-        return transport is not None and transport.get_write_buffer_size() > 0
-
-    @property
-    def server_closing(self) -> bool:
-        """Whether the server is closing its connections."""
-        return self._server.closing
-
-    def is_last(self, channel: response_channels.ResponseChannel) -> bool:
-        """Return whether no request follows the channel's request."""
-        return bool(self._exchanges) and self._exchanges[-1] is channel
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Register the connection with the server."""
-        super().connection_made(transport)
-        self._server.connection_made(self, transport)
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Cancel the client's requests in progress."""
-        super().connection_lost(exc)
-        self.closing = True
-        self._server.connection_lost(self, exc)
-        for channel in self._exchanges:
-            channel.mark_lost()
-        for task in self._tasks.values():
-            task.cancel()
-
-    def data_received(self, data: bytes) -> None:
-        """Parse received bytes and start the requests in them."""
-        if self.closing and not self._has_open_body():
-            return
-        for piece in request_reading.split_after_blank_lines(data):
-            try:
-                received, upgraded, _ = self._parser.feed_data(piece)
-            except http_exceptions.HttpProcessingError as error:
-                self._refuse(error)
-                return
-            for message, payload in received:
-                self._accept(message, payload)
-            if upgraded:
-                self.closing = True
-                return
-
-    def eof_received(self) -> bool:
-        """Keep a half-closed connection open while a response is pending.
-
-        A client that has gone away and one that only closed its sending
-        side look the same until something is written: then the first
-        resets the connection. So an interim response, which every HTTP/1.1
-        client skips, is written at intervals until the response starts.
-
-        :returns: whether the transport stays open for writing.
-        """
-        self.closing = True
-        if self.is_idle or self._has_open_body():
-            return False
-        self._loop.call_soon(self._probe, 0)
-        return True
-
-    def force_close(self) -> None:
-        """Close the connection once its written bytes are sent."""
-        self.closing = True
-        if self.transport is not None:
-            self.transport.close()
-
-    def abort(self) -> None:
-        """Reset the connection, so that no response looks complete."""
-        self.closing = True
-        if self.transport is not None:
-            self.transport.abort()
-
-    def _has_open_body(self) -> bool:
-        return any(not channel.payload.is_eof() for channel in self._exchanges)
-
-    def _probe(self, count: int) -> None:
-        transport = self.transport
-        if transport is None or transport.is_closing() or self.is_idle:
-            return
-        if self._exchanges[0].writer.output_size > 0:
-            # Writing the response shows whether the client is still there.
-            return
-        transport.write(_CONTINUE)
-        intervals = _FIRST_PROBE_INTERVALS_S
-        interval_s = (
-            intervals[count] if count < len(intervals) else _PROBE_INTERVAL_S
-        )
-        self._loop.call_later(interval_s, self._probe, count + 1)
-
-    def _accept(
-        self,
-        message: http_parser.RawRequestMessage,
-        payload: streams.StreamReader,
-    ) -> None:
-        if self.closing:
-            # Requests after the one that closes the connection are ignored.
-            return
-        self._request_count += 1
-        self.idle_since = None
-        channel = response_channels.ResponseChannel(self, payload, self._loop)
-        self._enqueue(channel, self._handle(channel, message))
-
-    def _refuse(self, error: http_exceptions.HttpProcessingError) -> None:
-        self.closing = True
-        channel = response_channels.ResponseChannel(
-            self, streams.EMPTY_PAYLOAD, self._loop
-        )
-        self._enqueue(channel, self._respond_to_unparsable(channel, error))
-
-    def _enqueue(
-        self, channel: response_channels.ResponseChannel, work: abc.Coroutine
-    ) -> None:
-        self._exchanges.append(channel)
-        if len(self._exchanges) == 1:
-            channel.start_turn()
-        if len(self._exchanges) > MAX_PIPELINED_REQUESTS:
-            self._pause_reading_for_buffer()
-        task = self._loop.create_task(self._run(channel, work))
-        self._tasks[channel] = task
-
-    async def _run(
-        self, channel: response_channels.ResponseChannel, work: abc.Coroutine
-    ) -> None:
-        is_reusable = False
-        try:
-            is_reusable = await work
-        except Exception as error:
-            # Nobody awaits this task, so it has to report the error itself.
-            self._server.respond_to_error(error)
-            channel.abort()
-        finally:
-            self._tasks.pop(channel, None)
-            self._complete(channel, is_reusable)
-
-    async def _handle(
-        self,
-        channel: response_channels.ResponseChannel,
-        message: http_parser.RawRequestMessage,
-    ) -> bool:
-        if message.method not in _SAFE_METHODS:
-            await channel.wait_turn()
-        task = asyncio.current_task()
-        request = _Request(
-            message, channel.payload, channel, channel.writer, task, self._loop
-        )
-        try:
-            response = await self._server.handle(request)
-        except asyncio.CancelledError:
-            raise
-        except Exception as error:
-            response = self._server.respond_to_error(error)
-            if channel.writer.output_size > 0:
-                channel.abort()
-                return False
-        return await self._finish(channel, request, response)
-
-    async def _respond_to_unparsable(
-        self,
-        channel: response_channels.ResponseChannel,
-        error: http_exceptions.HttpProcessingError,
-    ) -> bool:
-        await channel.wait_turn()
-        response = self._server.respond_to_error(error, status=error.code)
-        await raw_responses.write_final_response(channel.writer, response)
-        return False
-
-    async def _finish(
-        self,
-        channel: response_channels.ResponseChannel,
-        request: web.BaseRequest,
-        response: web.StreamResponse,
-    ) -> bool:
-        try:
-            await response.prepare(request)
-            await response.write_eof()
-        except (ConnectionError, RuntimeError):
-            channel.abort()
-            return False
-        await channel.wait_turn()
-        if not response.keep_alive:
-            return False
-        return await request_reading.drain_body(channel.payload)
-
-    def _complete(
-        self, channel: response_channels.ResponseChannel, is_reusable: bool
-    ) -> None:
-        if not self._exchanges or self.transport is None:
-            return
-        if self._exchanges[0] is not channel:
-            # It was cancelled before its turn, so the connection can't go on.
-            self.abort()
-            return
-        self._exchanges.popleft()
-        if not is_reusable or (self.closing and not self._exchanges):
-            self.force_close()
-            return
-        if len(self._exchanges) <= MAX_PIPELINED_REQUESTS:
-            self._resume_reading_for_buffer()
-        if self._exchanges:
-            self._exchanges[0].start_turn()
-        else:
-            self.idle_since = self._loop.time()
-
 
 class PipelinedServer:
     """The server for callers' requests.
@@ -337,16 +47,16 @@
         self._handler = handler
         self._build_error_response = build_error_response
         self._idle_s = idle_s
-        self._connections: set[Connection] = set()
+        self._connections: set[pipelined_connection.Connection] = set()
         self._timer: asyncio.TimerHandle | None = None
         self._active = 0
         self.header_bytes = header_bytes
         #: Whether each connection closes after its last pending response.
         self.closing = False
 
-    def __call__(self) -> Connection:
+    def __call__(self) -> pipelined_connection.Connection:
         """Build the protocol of one connection."""
-        return Connection(self)
+        return pipelined_connection.Connection(self)
 
     async def __aenter__(self) -> "PipelinedServer":
         self._schedule_sweep()
@@ -367,13 +77,17 @@
         )
 
     def connection_made(
-        self, connection: Connection, transport: asyncio.BaseTransport
+        self,
+        connection: pipelined_connection.Connection,
+        transport: asyncio.BaseTransport,
     ) -> None:
         """Register a new connection."""
         self._connections.add(connection)
 
     def connection_lost(
-        self, connection: Connection, exc: BaseException | None
+        self,
+        connection: pipelined_connection.Connection,
+        exc: BaseException | None,
     ) -> None:
         """Remove a connection that has ended."""
         self._connections.discard(connection)
--- a/packages/standins/burdockdeal_standins/operator_api.py
+++ b/packages/standins/burdockdeal_standins/operator_api.py
@@ -86,7 +86,7 @@
 
 
 async def is_in_force(fleet: standins.Fleet, name: str, service: str) -> bool:
-    """Tell whether a daemon reports a service in force everywhere."""
+    """Return whether a daemon reports a service in force everywhere."""
     response = await get_service(fleet, name, service)
     return response.status == 200 and all(
         condition.status
@@ -136,7 +136,7 @@
 async def is_audited(
     fleet: standins.Fleet, name: str, resource: str, outcome: str
 ) -> bool:
-    """Tell whether the complete audit trail has an outcome for a resource."""
+    """Return whether the audit trail is complete and has an outcome."""
     query = f"?resource={resource}&outcome={outcome}"
     trail = await read_audit_trail(fleet, name, query)
     return trail.complete and bool(trail.records)
@@ -145,7 +145,7 @@
 async def has_revision(
     fleet: standins.Fleet, name: str, revision: int
 ) -> bool:
-    """Tell whether a daemon holds a revision or a newer one."""
+    """Return whether a daemon holds a revision or a newer one."""
     return (await read_status(fleet, name)).revision >= revision
 
 
@@ -155,6 +155,6 @@
 
 
 async def has_snapshot(fleet: standins.Fleet) -> bool:
-    """Tell whether the store holds a configuration snapshot."""
+    """Return whether the store holds a configuration snapshot."""
     entries = await read_store_entries(fleet, messages.MANIFEST_KEY)
     return bool(entries)
--- a/packages/standins/burdockdeal_standins/relay.py
+++ b/packages/standins/burdockdeal_standins/relay.py
@@ -50,7 +50,7 @@
         self.writers: set[asyncio.StreamWriter] = set()
 
     def is_near(self, writer: asyncio.StreamWriter) -> bool:
-        """Tell whether a connection's source address bypasses the faults."""
+        """Return whether a connection's source address bypasses the faults."""
         near = self.behaviour.near
         source = writer.get_extra_info("peername")[0]
         return bool(near) and source.startswith(near)
