Keep in the store which services slow down when they are nearly full

Change: no presumption. The daemon that reads the store for the fleet writes the names of the services for which the owners have seen it, when they change; a daemon that starts reads them in the listing that it makes anyway, and leaves slots free from the start for these. Every 30 s all slots are used again and the calls decide.

Ruled out: a shorter presumption (wrong for one kind of upstream or the other); each owner writing its own evidence (a call a daemon).

--- a/packages/burdockdeal/burdockdeal/admission/controller.py
+++ b/packages/burdockdeal/burdockdeal/admission/controller.py
@@ -48,9 +48,7 @@
         self._ranks: dict[str, state.RankState] = {}
         self._queues: dict[str, queue.RankQueue] = {}
         self._service_times = state.ServiceTimes()
-        self.saturation = saturation.SaturationDetector(
-            presumed_until=clock() + saturation.PRESUMED_S
-        )
+        self.saturation = saturation.SaturationDetector()
         self.running = 0
         self.waiting = 0
 
--- a/packages/burdockdeal/burdockdeal/admission/saturation.py
+++ b/packages/burdockdeal/burdockdeal/admission/saturation.py
@@ -7,8 +7,8 @@
 
 A daemon that has just started has no calls to compare, and those that piled
 up meanwhile fill all slots at once: an upstream that slows down would then
-stay slow for as long as they keep coming. So some slots stay free at first,
-unless the owners of the service's other upstreams have seen no slowdown.
+stay slow for as long as they keep coming. So slots stay free from the start
+where the service is known to slow down; see saturation_profiles.
 """
 
 from collections import abc
@@ -37,9 +37,6 @@
 #: upstream still slows down.
 RETEST_INTERVAL_S = 30.0
 
-#: Seconds after the start for which an upstream is presumed to slow down.
-PRESUMED_S = 30.0
-
 _SMOOTHING = 0.1
 _MIN_SMOOTHING = 0.02
 _MAX_WEIGHT = 50
@@ -83,14 +80,9 @@
 
 
 class SaturationDetector:
-    """Learns whether one upstream slows down when it is nearly full.
-
-    :param presumed_until: until when the upstream is presumed to slow down
-        without evidence, monotonic time in seconds.
-    """
+    """Learns whether one upstream slows down when it is nearly full."""
 
-    def __init__(self, presumed_until: float = 0.0) -> None:
-        self._presumed_until = presumed_until
+    def __init__(self) -> None:
         self._baseline_s: dict[str, float] = {}
         self._baseline_calls: dict[str, int] = {}
         self._limited_since: float | None = None
@@ -123,20 +115,29 @@
         self.evidence = Evidence(calls, before + share * (ratio - before))
 
     def limit_slots(
-        self, slots: int, now: float, others: abc.Iterable[Evidence] = ()
+        self,
+        slots: int,
+        now: float,
+        others: abc.Iterable[Evidence] = (),
+        *,
+        presumes: bool = False,
     ) -> int:
         """Return how many of the slots to use.
 
         :param now: monotonic time in seconds.
         :param others: the evidence of the owners of the service's other
             upstreams; ignored during a retest of this one.
+        :param presumes: whether the upstream is taken to slow down as long
+            as there is too little evidence.
         """
         shared = () if self._is_retesting else others
         evidence = combine((self.evidence, *shared))
-        has_evidence = evidence.calls >= MIN_CROWDED_CALLS
-        if not has_evidence and now < self._presumed_until:
-            return limit(slots)
-        if not shows_saturation(evidence):
+        is_presumed = (
+            presumes
+            and not self._is_retesting
+            and evidence.calls < MIN_CROWDED_CALLS
+        )
+        if not is_presumed and not shows_saturation(evidence):
             self._limited_since = None
             return slots
         if self._limited_since is None:
--- a/packages/burdockdeal/burdockdeal/daemon/components.py
+++ b/packages/burdockdeal/burdockdeal/daemon/components.py
@@ -83,6 +83,8 @@
             self.clock,
             self.build_load_report,
         )
+        #: Whether a service is known to slow down when nearly full.
+        self.is_saturating: abc.Callable[[str], bool] = lambda service: False
         self.running_calls = running.RunningCalls()
         self.retry_budget = self._build_retry_budget()
         self.listener_limiters = connections.limit_listeners(
@@ -140,7 +142,8 @@
         slots = self.admission.saturation.limit_slots(
             announced_slots,
             self.clock(),
-            self._list_saturation_evidence(service),
+            self._list_others_evidence(service),
+            presumes=self.is_saturating(service),
         )
         return admission.Capacity(
             is_slow=self.meter.is_slow,
@@ -151,7 +154,18 @@
             warm_up_share=self._compute_warm_up_share(),
         )
 
-    def _list_saturation_evidence(
+    def list_saturation_evidence(self) -> dict[str, saturation.Evidence]:
+        """List what the owners of each service have seen of its upstreams."""
+        own_service = self.roster.own.service
+        evidence = {
+            service: saturation.combine(self._list_others_evidence(service))
+            for service in self.instance_tracker.groups
+        }
+        own = self.admission.saturation.evidence
+        others = evidence.get(own_service, saturation.Evidence())
+        return evidence | {own_service: saturation.combine((own, others))}
+
+    def _list_others_evidence(
         self, service: str
     ) -> abc.Iterator[saturation.Evidence]:
         for report in self.instance_tracker.list_reports(service):
--- a/packages/burdockdeal/burdockdeal/platform/assembly.py
+++ b/packages/burdockdeal/burdockdeal/platform/assembly.py
@@ -3,6 +3,7 @@
 import aiohttp
 from aiohttp import web
 
+from burdockdeal.admission import saturation_profiles
 from burdockdeal.configuration import peers
 from burdockdeal.configuration import resources
 from burdockdeal.daemon import components
@@ -15,15 +16,18 @@
 from burdockdeal.platform import headers
 from burdockdeal.platform import heartbeats
 from burdockdeal.platform import indirect_reads
+from burdockdeal.platform import messages
 from burdockdeal.platform import store
 from burdockdeal.platform import watcher
 
 _NO_SERVICE = resources.Service()
 
-#: Prefix of the keys that a starting daemon reads in one call: the contacts
-#: and the operator's configuration. Daemons may not write below "op/".
+#: Prefix of the keys that a starting daemon reads in one call: the contacts,
+#: what is known of the services, and the operator's configuration. Daemons may
+#: not write below "op/".
 _STARTUP_PREFIX = "op"
 _CONTACT_PREFIX = "op-members/"
+_PROFILES_KEY = "op-profiles"
 
 
 def _build_readiness_app(shared: components.Components) -> web.Application:
@@ -94,6 +98,18 @@
         poll_interval_s=deployment.read_s,
     )
 
+    profiles = saturation_profiles.SaturationProfiles(
+        _PROFILES_KEY,
+        platform.derive_unlimited_client(),
+        shared.list_saturation_evidence,
+        is_writer=lambda: is_store_reader(1),
+    )
+    shared.is_saturating = profiles.is_saturating
+
+    def apply_startup_listing(listing: messages.Listing) -> None:
+        store_watcher.apply_listing(listing)
+        profiles.apply_listing(listing)
+
     def build_applications(
         daemon_metrics: metrics.Metrics,
     ) -> tuple[deployment_adapter.HostedApplication, ...]:
@@ -118,6 +134,7 @@
         services=(
             puller,
             store_watcher,
+            profiles,
             upstream_discovery,
         ),
         peer_handlers={
@@ -134,7 +151,7 @@
         contact_source=contacts.Source(
             key_prefix=_CONTACT_PREFIX,
             startup_prefix=_STARTUP_PREFIX,
-            on_startup_listing=store_watcher.apply_listing,
+            on_startup_listing=apply_startup_listing,
         ),
     )
 
