Test routes, origins, restarts and store calls on the users' platform

Cause: no test ran daemons as on the platform; UNASKED, ROUTE and a departure before a restart were tested in parts only.

--- /dev/null
+++ b/packages/standins/burdockdeal_standins/platform_fleet.py
@@ -0,0 +1,240 @@
+"""Daemons that run as on the users' platform, with workers beside them.
+
+The store holds the configuration, each worker sends heartbeats to the daemon
+beside it, and clients identify their requests as the platform's do.
+"""
+
+import asyncio
+import base64
+import contextlib
+import dataclasses
+
+from burdockdeal.core import codec
+from burdockdeal.settings import model
+from burdockdeal_standins import fleet as fleets
+from burdockdeal_standins import ports
+from burdockdeal_standins import raw_upstream
+from burdockdeal_standins import scripted_upstream
+
+SERVICE = "orders"
+HOST = "shop.example"
+_CONFIG_KEY = "op/config"
+_RUN_S = 0.01
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Run:
+    """A request that a worker has run.
+
+    :param at: the event loop's time at its start, in seconds.
+    """
+
+    head: scripted_upstream.Head
+    at: float
+
+    @property
+    def attempt_id(self) -> str:
+        """The id that the client gave the request."""
+        return self.head.values("Attempt-Id")[0]
+
+
+class Worker:
+    """A worker beside a daemon, with a scripted health check.
+
+    :param name: its id.
+    :param server: accepts its connections.
+    """
+
+    def __init__(self, name: str, server: raw_upstream.RawUpstream) -> None:
+        self.name = name
+        self.server = server
+        self.is_healthy = True
+        self.runs: list[Run] = []
+        server.handler = self._handle
+
+    async def _handle(self, reader, writer) -> None:
+        while True:
+            head = await scripted_upstream.read_head(reader)
+            if head.start_line.startswith("GET /health "):
+                status = "200 OK" if self.is_healthy else "503 Leaving"
+                writer.write(
+                    f"HTTP/1.1 {status}\r\nInstance-Id: {self.name}\r\n"
+                    "Server-Load: 0,0,4,100\r\nContent-Length: 0\r\n"
+                    "\r\n".encode()
+                )
+                continue
+            self.runs.append(Run(head, asyncio.get_running_loop().time()))
+            await asyncio.sleep(_RUN_S)
+            attempt_id = self.runs[-1].attempt_id
+            body = self.name
+            writer.write(
+                f"HTTP/1.1 200 OK\r\nAttempt-Id: {attempt_id}\r\n"
+                f"Response-Signature: {self.name}\r\n"
+                f"Content-Length: {len(body)}\r\n\r\n{body}".encode()
+            )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Place:
+    """A daemon and the worker beside it."""
+
+    settings: model.Settings
+    worker: Worker
+
+    @property
+    def caller(self) -> model.Address:
+        """The address for clients."""
+        return self.settings.listen.caller
+
+
+class PlatformFleet:
+    """Runs the daemons and workers, and acts as operator and platform.
+
+    :param fleet: starts the processes.
+    """
+
+    def __init__(self, fleet: fleets.Fleet) -> None:
+        self.fleet = fleet
+        self.places: dict[str, Place] = {}
+        self._stack = contextlib.AsyncExitStack()
+        self._processes: dict[str, asyncio.subprocess.Process] = {}
+        self._config_revision = 0
+
+    async def __aenter__(self) -> "PlatformFleet":
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        await self._stack.aclose()
+
+    async def add(self, name: str, failure_domain: str) -> Place:
+        """Start a daemon and a worker beside it."""
+        server = await self._stack.enter_async_context(
+            raw_upstream.run_upstream()
+        )
+        settings = self.fleet.make_settings(
+            fleets.NodeSpec(name, failure_domain),
+            deployment=model.Deployment(
+                service=SERVICE,
+                upstream=model.Address("127.0.0.1", server.port),
+                metrics=model.Address("127.0.0.1", ports.free_port()),
+            ),
+        )
+        place = Place(settings, Worker(f"i-{name}", server))
+        self.places[name] = place
+        await self.start_daemon(name)
+        return place
+
+    async def start_daemon(self, name: str) -> None:
+        """Start a place's daemon, for the first time or again."""
+        self._processes[name] = await self.fleet.start_daemon(
+            self.places[name].settings
+        )
+
+    async def kill_daemon(self, name: str) -> None:
+        """Kill a place's daemon."""
+        self._processes[name].kill()
+        await self._processes[name].wait()
+
+    async def configure(self, version: int, **changed: object) -> None:
+        """Write the configuration, as the operator does.
+
+        :param changed: fields of its only route that differ.
+        """
+        route = {
+            "name": "all",
+            "host": HOST,
+            "pathPrefix": "/shop/",
+            "kind": "unsafe",
+            "timeoutMs": 3000,
+            "targetLatencyMs": 500,
+            "maxAttempts": 2,
+            "priority": 1,
+            "service": SERVICE,
+        }
+        document = {
+            "version": f"r{version}",
+            "routes": [{**route, **changed}],
+            "services": [{"name": SERVICE, "healthPath": "/health"}],
+        }
+        value = base64.b64encode(codec.encode(document)).decode()
+        transaction = {
+            "expected": [
+                {"key": _CONFIG_KEY, "revision": self._config_revision}
+            ],
+            "puts": [{"key": _CONFIG_KEY, "value": value, "lease": 0}],
+        }
+        async with self.fleet.session.post(
+            f"http://{ports.HOST}:{self.fleet.store_port}/api/kv-txn",
+            data=codec.encode(transaction),
+        ) as response:
+            assert response.status == 200, await response.text()
+            self._config_revision = (await response.json())["revision"]
+
+    async def send_heartbeat(
+        self, name: str, sequence: int, state: str = "ready"
+    ) -> int:
+        """Send a heartbeat of a place's worker.
+
+        :returns: the status of the response.
+        """
+        place = self.places[name]
+        heartbeat = {
+            "service": SERVICE,
+            "address": str(place.settings.deployment.upstream),
+            "zone": place.settings.failure_domain,
+            "version": "v1",
+            "slots": 4,
+            "state": state,
+            "coldRemainingMs": 0,
+            "sequence": sequence,
+            "born": 1_000,
+        }
+        async with self.fleet.session.put(
+            self._build_instance_url(name), json=heartbeat
+        ) as response:
+            return response.status
+
+    async def deregister(self, name: str) -> int:
+        """Deregister a place's worker; return the status of the response."""
+        async with self.fleet.session.delete(
+            self._build_instance_url(name)
+        ) as response:
+            return response.status
+
+    def _build_instance_url(self, name: str) -> str:
+        place = self.places[name]
+        address = place.settings.listen.upstream
+        return f"http://{address}/api/instances/{place.worker.name}"
+
+    async def ask(
+        self, name: str, attempt_id: str, **request_headers: str
+    ) -> tuple[int, str]:
+        """Send a request to a place's daemon.
+
+        :returns: the status and the body of the response.
+        """
+        async with self.fleet.session.post(
+            f"http://{self.places[name].caller}/shop/1",
+            headers={
+                "Host": HOST,
+                "Attempt-Id": attempt_id,
+                "Deadline-Ms": "3000",
+                **{
+                    key.replace("_", "-"): value
+                    for key, value in request_headers.items()
+                },
+            },
+        ) as response:
+            return response.status, await response.text()
+
+    async def wait_until_served(self, name: str) -> None:
+        """Wait until a place's daemon answers requests."""
+        number = 0
+
+        async def is_served() -> bool:
+            nonlocal number
+            number += 1
+            status, _ = await self.ask(name, f"warm-{name}-{number}")
+            return status == 200
+
+        await self.fleet.wait_until(is_served, f"{name} serves")
