Ask few contacts at a start, and synchronize again soon after

Cause: a daemon asked every contact of every domain at once, again every 0.1 s while they started; at 195 daemons 15 contacts, at the target's size 69. And what it joined through may have started just before it and know few others: the rest came with later probes only, eight records each.

Change: the contacts of the own domain and three others are asked; rosters are synchronized with a peer of the own domain three times in the first seconds.

Ruled out: fewer contacts a domain (one that is out of reach would then cut a starting daemon off).

Figures: test_joining.py, 100 daemons in 23 domains: at most 6 asked at a time in place of 69.

--- a/packages/burdockdeal/burdockdeal/membership/joining.py
+++ b/packages/burdockdeal/burdockdeal/membership/joining.py
@@ -8,6 +8,7 @@
 from burdockdeal.membership import contacts
 from burdockdeal.membership import messages
 from burdockdeal.membership import roster
+from burdockdeal.membership import targets
 from burdockdeal.membership import transport
 from burdockdeal.settings import model
 
@@ -19,8 +20,14 @@
 RETRY_INTERVAL_S = 0.1
 ATTEMPTS_PER_READ = 10
 
-#: Seconds between two synchronizations of the whole roster with a peer.
+#: Maximum number of contacts of other failure domains that are asked at once.
+MAX_REMOTE_CONTACTS = 3
+
+#: Seconds between two synchronizations of the whole roster with a peer, and
+#: the number of early ones: the daemon that a starting one has joined through
+#: may have started just before and know few others.
 SYNC_INTERVAL_S = 60.0
+EARLY_SYNCS = 3
 
 _PAGE_TIMEOUT_S = 5.0
 
@@ -57,6 +64,7 @@
         self._rng = rng
         self._clock = clock
         self._synced_at = clock()
+        self._early_syncs_left = EARLY_SYNCS
         self._probes: list[asyncio.Future[messages.Member | None]] = []
 
     async def join(self) -> None:
@@ -65,14 +73,14 @@
         :raises PlatformError: if the store did not answer and no daemon that
             the settings name responded.
         """
-        addresses = list(self._seeds)
         try:
-            addresses += self._order(await self._directory.find_contacts())
+            listed = await self._directory.find_contacts()
         except errors.PlatformError:
-            if await self._reach_any(addresses):
+            if await self._reach_any(self._seeds):
                 return
             raise
         for _ in range(ATTEMPTS_PER_READ):
+            addresses = [*self._seeds, *self._choose_contacts(listed)]
             if await self._reach_any(addresses):
                 return
             if not addresses:
@@ -89,19 +97,29 @@
         if reviews_contacts:
             for contact in await self._directory.review():
                 await self._sync(contact.peer)
-        if self._clock() - self._synced_at > SYNC_INTERVAL_S:
+        is_due = self._clock() - self._synced_at > SYNC_INTERVAL_S
+        if not (is_due or self._early_syncs_left):
+            return
+        peers = targets.choose_push_targets(
+            self._roster, self._rng, includes_remote=is_due
+        )
+        if self._early_syncs_left:
+            self._early_syncs_left -= 1
+        else:
             self._synced_at = self._clock()
-            await self._sync(self._rng.choice(self._roster.active_peers).peer)
+        chosen = self._rng.choice(peers or self._roster.active_peers)
+        await self._sync(chosen.peer)
 
-    def _order(
-        self, listed: abc.Iterable[messages.Contact]
+    def _choose_contacts(
+        self, listed: abc.Sequence[messages.Contact]
     ) -> list[model.Address]:
-        """Put the contacts of the own failure domain first."""
-        shuffled = list(listed)
-        self._rng.shuffle(shuffled)
-        own = self._directory.get_own_domain_contacts()
-        shuffled.sort(key=lambda contact: contact not in own)
-        return [contact.peer for contact in shuffled]
+        """Choose the contacts to ask: mostly those of the own domain."""
+        local = self._directory.get_own_domain_contacts()
+        remote = [contact for contact in listed if contact not in local]
+        chosen = self._rng.sample(
+            remote, min(MAX_REMOTE_CONTACTS, len(remote))
+        )
+        return [contact.peer for contact in (*local, *chosen)]
 
     async def _reach_any(self, addresses: abc.Sequence[model.Address]) -> bool:
         """Probe all addresses, and fetch the roster of one that responds.
--- a/packages/burdockdeal/burdockdeal/membership/tests/test_joining.py
+++ b/packages/burdockdeal/burdockdeal/membership/tests/test_joining.py
@@ -28,6 +28,9 @@
         self.up_at: dict[int, float] = {}
         self.members: dict[int, messages.Member] = {}
         self.dark: set[int] = set()
+        #: Daemons that the others have not heard of yet.
+        self.hidden: set[int] = set()
+        self.asked: list[int] = []
         self.pages: list[int] = []
 
     def add(
@@ -58,10 +61,11 @@
         self.own = own
 
         async def probe(address: model.Address) -> messages.Member | None:
+            self.asked.append(address.port)
             if address.port in self.dark:
                 await asyncio.sleep(_PROBE_TIMEOUT_S)
                 return None
-            if not self._is_up(address.port):
+            if address.port in self.hidden or not self._is_up(address.port):
                 return None
             member = self.members[address.port]
             own.merge_members([member])
@@ -69,7 +73,12 @@
 
         async def post(address, path, message, kind, timeout_s):
             self.pages.append(address.port)
-            return messages.Page(tuple(self.members.values()))
+            known = [
+                member
+                for port, member in self.members.items()
+                if port not in self.hidden
+            ]
+            return messages.Page(tuple(known))
 
         return joining.Joiner(
             (),
@@ -134,3 +143,37 @@
     fleet.join(5)
     entry = virtual_time.run(fleet.store.get("members/a"))
     assert '"a3"' in entry.value
+
+
+def test_a_starting_daemon_asks_few_contacts_of_other_domains() -> None:
+    """A fleet that restarts as a whole would ask each contact at once."""
+    fleet = Fleet()
+    for port in range(1, 100):
+        domain = f"d{port % 23:02d}"
+        fleet.add(f"{domain}-{port}", domain, port)
+    fleet.add("d01-100", "d01", 100)
+    fleet.list_contacts(*range(1, 70))
+    fleet.dark = set(range(1, 100))
+    fleet.asked.clear()
+    fleet.join(100)
+    per_attempt = len(fleet.asked) / joining.ATTEMPTS_PER_READ
+    assert per_attempt <= 3 + joining.MAX_REMOTE_CONTACTS
+    assert len(set(fleet.asked)) > 10
+
+
+def test_a_daemon_that_joined_early_looks_again() -> None:
+    """Its contact had just started, too, and knew few others."""
+    fleet = make_fleet()
+    late = {1, 2, 3}
+    for port in late:
+        fleet.hidden.add(port)
+    joiner = fleet.build_joiner(5)
+    virtual_time.run(joiner.join())
+    assert fleet.own.active_count < 5
+    fleet.hidden.clear()
+    virtual_time.run(joiner.maintain(reviews_contacts=False))
+    assert fleet.own.active_count == 5
+    before = len(fleet.pages)
+    for _ in range(10):
+        virtual_time.run(joiner.maintain(reviews_contacts=False))
+    assert len(fleet.pages) - before == joining.EARLY_SYNCS - 1
