Retry the most urgent calls first

Cause: each rank paid for retries with what its own first sends had earned, and all ranks drew on the fleet's bound as they came. When all instances of a service shed load, the few urgent calls could hardly pay for any retry, and the many others used the bound up.

Change: an empty account is paid for by less urgent ranks of the same service, the least urgent first, and half of an entry's part of the fleet's bound is left to the most urgent calls of a service. The bound itself is the same.

--- a/packages/burdockdeal/burdockdeal/daemon/components.py
+++ b/packages/burdockdeal/burdockdeal/daemon/components.py
@@ -34,6 +34,9 @@
 
 _DEFAULT_SERVICE = resources.Service()
 
+#: Urgency of a rank that the configuration does not contain any more.
+_LEAST_URGENT = 1_000
+
 #: The clock of all decisions of a daemon.
 CLOCK = clock.read_seconds
 
@@ -108,7 +111,7 @@
 
     def _build_retry_budget(self) -> budgets.Budget:
         if self.settings.fleet_retries is None:
-            return budgets.Budget()
+            return budgets.Budget(get_urgency=self._get_urgency)
         return budgets.Budget(
             fleet_budget.FleetBudget(
                 lambda: self.settings.fleet_retries,
@@ -119,8 +122,14 @@
             lambda: (
                 fleet_budget.USABLE_SHARE * self.settings.fleet_retries.share
             ),
+            get_urgency=self._get_urgency,
         )
 
+    def _get_urgency(self, rank: str) -> int:
+        current = self.compiled_configuration
+        known = current.ranks.get(rank) if current else None
+        return known.urgency if known else _LEAST_URGENT
+
     def _get_announced_slots(self) -> int:
         announced = self.upstream_tracker.upstream.announce
         return announced.slots if announced is not None else 0
--- a/packages/burdockdeal/burdockdeal/retry/budget.py
+++ b/packages/burdockdeal/burdockdeal/retry/budget.py
@@ -16,6 +16,7 @@
         a fleet-wide bound.
     :param tokens_per_first_send: returns the tokens that a first send
         earns.
+    :param get_urgency: returns the urgency of a rank; 0 is the most urgent.
     """
 
     def __init__(
@@ -24,9 +25,11 @@
         tokens_per_first_send: abc.Callable[[], float] = lambda: (
             decisions.TOKENS_PER_FIRST_SEND
         ),
+        get_urgency: abc.Callable[[str], int] = lambda rank: 0,
     ) -> None:
         self._fleet_budget = fleet
         self._tokens_per_first_send = tokens_per_first_send
+        self._get_urgency = get_urgency
         self._accounts: dict[tuple[str, str], state.Account] = {}
         self.counters = state.SendCounters()
 
@@ -71,18 +74,50 @@
     def spend(self, work: call.Call) -> bool:
         """Pay for a retry or hedge of a call.
 
-        :returns: False if the account has no token or the fleet-wide bound
+        If its own account is empty, less urgent ranks of the service pay, the
+        least urgent first.
+
+        :returns: False if no account has a token or the fleet-wide bound
             forbids the send; this is counted as a denial.
         """
-        account = decisions.spend(self.find_account(work))
+        less_urgent = self._list_less_urgent(work)
+        payers = [(work.service, work.rank), *less_urgent]
+        payer = next(
+            (
+                key
+                for key in payers
+                if self._accounts.get(key, _NEW).tokens >= 1
+            ),
+            None,
+        )
         fleet = self._fleet_budget
-        allowed = fleet is None or fleet.may_retry(work.service)
-        if account is None or not allowed:
+        allowed = fleet is None or fleet.may_retry(
+            work.service, is_most_urgent=self._is_most_urgent(work)
+        )
+        if payer is None or not allowed:
             self.record_denied()
             return False
-        self._store_account(work, account)
+        account = self._accounts.get(payer, _NEW)
+        self._accounts[payer] = decisions.spend(account)
         return True
 
+    def _list_less_urgent(self, work: call.Call) -> list[tuple[str, str]]:
+        urgency = self._get_urgency(work.rank)
+        found = [
+            (self._get_urgency(rank), (service, rank))
+            for service, rank in self._accounts
+            if service == work.service and self._get_urgency(rank) > urgency
+        ]
+        return [key for _, key in sorted(found, reverse=True)]
+
+    def _is_most_urgent(self, work: call.Call) -> bool:
+        urgency = self._get_urgency(work.rank)
+        return all(
+            self._get_urgency(rank) >= urgency
+            for service, rank in self._accounts
+            if service == work.service
+        )
+
     def record_denied(self) -> None:
         """Count a retry or hedge that the budget denied."""
         denied = self.counters.denied + 1
--- a/packages/burdockdeal/burdockdeal/retry/decisions.py
+++ b/packages/burdockdeal/burdockdeal/retry/decisions.py
@@ -270,13 +270,8 @@
     return dataclasses.replace(account, tokens=tokens)
 
 
-def spend(account: state.Account) -> state.Account | None:
-    """Pay one token for a retry or hedge.
-
-    :returns: the account after the payment, None if it has no token.
-    """
-    if account.tokens < 1:
-        return None
+def spend(account: state.Account) -> state.Account:
+    """Pay one token for a retry or hedge."""
     return dataclasses.replace(account, tokens=account.tokens - 1)
 
 
--- a/packages/burdockdeal/burdockdeal/retry/fleet_budget.py
+++ b/packages/burdockdeal/burdockdeal/retry/fleet_budget.py
@@ -20,6 +20,9 @@
 #: the windows of different daemons and upstreams are not aligned.
 USABLE_SHARE = 0.7
 
+#: The part of it that is left to the most urgent calls of a service.
+URGENT_SHARE = 0.5
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Bucket:
@@ -37,20 +40,24 @@
 
 
 def may_retry(
-    buckets: abc.Iterable[Bucket], terms: model.FleetRetryBudget, members: int
+    buckets: abc.Iterable[Bucket],
+    terms: model.FleetRetryBudget,
+    members: int,
+    usable_share: float = USABLE_SHARE,
 ) -> bool:
     """Return whether one more retry stays within this daemon's part.
 
     :param buckets: the buckets of the window that ends now.
     :param terms: the fleet-wide bound.
     :param members: the number of daemons that share the slack.
+    :param usable_share: the share of the part that may be used.
     """
     first_sends, retries = 0, 0.0
     for bucket in buckets:
         first_sends += bucket.first_sends
         retries += bucket.retries
     allowed = terms.share * first_sends + terms.slack / max(1, members)
-    return retries + 1 <= USABLE_SHARE * allowed
+    return retries + 1 <= usable_share * allowed
 
 
 class FleetBudget:
@@ -89,13 +96,21 @@
             last.number, last.first_sends + first, last.retries + retries
         )
 
-    def may_retry(self, service: str) -> bool:
-        """Return whether one more retry to a service is allowed."""
+    def may_retry(self, service: str, *, is_most_urgent: bool = True) -> bool:
+        """Return whether one more retry to a service is allowed.
+
+        :param is_most_urgent: whether no more urgent calls are sent to it.
+        """
         # The part never grows: in a network partition the fleet only looks
         # smaller.
         self._max_members = max(self._max_members, self._members())
         buckets = self._advance(service)
-        return may_retry(buckets, self._terms(), self._max_members)
+        usable_share = USABLE_SHARE
+        if not is_most_urgent:
+            usable_share *= 1 - URGENT_SHARE
+        return may_retry(
+            buckets, self._terms(), self._max_members, usable_share
+        )
 
     def _advance(self, service: str) -> collections.deque[Bucket]:
         number = int(self._clock() * BUCKETS / self._terms().window_s)
