--- a/packages/burdockdeal/burdockdeal/membership/service.py
+++ b/packages/burdockdeal/burdockdeal/membership/service.py
@@ -97,6 +97,10 @@
             joining.PAGE_PATH: self.handle_page,
         }
 
+    async def on_stop(self) -> None:
+        """Cancel the scheduled notification."""
+        self._notifier.close()
+
     @mode.Service.task
     async def _probe_forever(self) -> None:
         period_s = self._timing.period_s
