Leave out headers between daemons that nobody reads

Cause: of a refused ask of about 0.8 KB between two failure domains, 110 bytes were headers that aiohttp adds to the response, and the request carried the caller's deadline and target, which the owner sets anew.

Ruled out: envelopes without the request's id or the instance's name; logs of the owner would then not show what the entry meant.

--- a/packages/burdockdeal/burdockdeal/core/errors.py
+++ b/packages/burdockdeal/burdockdeal/core/errors.py
@@ -124,6 +124,7 @@
 
     def __init__(self, reason: verdict.Reason, detail: str = "") -> None:
         self.reason = reason
+        self.has_detail = bool(detail)
         self.detail = detail or reason.value.lower().replace("_", " ")
         super().__init__(self.detail)
 
--- a/packages/burdockdeal/burdockdeal/platform/headers.py
+++ b/packages/burdockdeal/burdockdeal/platform/headers.py
@@ -118,5 +118,6 @@
         is_refusal=_is_refusal,
         is_response_to=_is_answer_to,
         read_load=read_load,
+        hop_headers=frozenset({DEADLINE_MS.lower(), TARGET_INSTANCE.lower()}),
         has_response_ids=True,
     )
--- a/packages/burdockdeal/burdockdeal/serving/entry.py
+++ b/packages/burdockdeal/burdockdeal/serving/entry.py
@@ -137,6 +137,8 @@
         caller_limits: resources.CallerLimits | None,
     ) -> web.StreamResponse:
         forwarded = forwarding.copy_end_to_end_headers(request.headers)
+        for name in caller_headers.hop_headers:
+            forwarded.popall(name, None)
         forwarded.update(caller_headers.build_origin_headers())
         outbound = messages.OutboundRequest(
             method=request.method,
--- a/packages/burdockdeal/burdockdeal/serving/forwarding.py
+++ b/packages/burdockdeal/burdockdeal/serving/forwarding.py
@@ -18,6 +18,7 @@
 from burdockdeal.serving import connection_guard
 from burdockdeal.serving import framing
 from burdockdeal.serving import messages
+from burdockdeal.serving import peer_responses
 from burdockdeal.settings import model
 
 #: Timeout of a connect in seconds: several round trips between regions. The
@@ -183,6 +184,7 @@
     limits: model.Limits,
     *,
     remaining_s: float,
+    to_peer: bool = False,
 ) -> web.StreamResponse:
     """Relay a response to the client while it arrives.
 
@@ -191,6 +193,7 @@
     :param limits: how long a read or a write may stall.
     :param remaining_s: seconds until the call's deadline. A body that has no
         end by then is broken off a little later.
+    :param to_peer: whether the client is another daemon.
     :returns: the response to the client, fully written or ready to be
         written.
     :raises RanError: if the response broke off before any of it was
@@ -203,18 +206,22 @@
     kept.update(added)
     relay_timeout = asyncio.timeout(max(0.0, remaining_s) + _RELAY_GRACE_S)
     relayed: web.StreamResponse | None = None
+    whole_type = peer_responses.PeerResponse if to_peer else web.Response
+    stream_type = (
+        peer_responses.PeerStreamResponse if to_peer else web.StreamResponse
+    )
     try:
         async with relay_timeout:
             chunk = await body_io.read_response_chunk(response.content, limits)
             if chunk and response.content.at_eof():
                 kept.popall("Content-Length", None)
-                return web.Response(
+                return whole_type(
                     status=response.status,
                     reason=response.reason,
                     headers=kept,
                     body=chunk,
                 )
-            relayed = web.StreamResponse(
+            relayed = stream_type(
                 status=response.status, reason=response.reason, headers=kept
             )
             await relayed.prepare(request)
--- a/packages/burdockdeal/burdockdeal/serving/header_codec.py
+++ b/packages/burdockdeal/burdockdeal/serving/header_codec.py
@@ -71,6 +71,8 @@
     :param is_response_to: whether a response's headers belong to a send.
     :param read_load: reads the load that an upstream's headers report, None
         if they report none.
+    :param hop_headers: names, in lower case, of a caller's headers that are
+        set anew for the upstream, so that other daemons need not get them.
     :param has_response_ids: whether an upstream's responses name the request,
         so that a copy of another response is recognized.
     """
@@ -83,6 +85,7 @@
     is_refusal: abc.Callable[[int, Headers], bool]
     is_response_to: abc.Callable[[messages.Send, Headers], bool]
     read_load: abc.Callable[[Headers], measurement.UpstreamLoad | None]
+    hop_headers: frozenset[str] = frozenset()
     has_response_ids: bool = False
 
 
--- a/packages/burdockdeal/burdockdeal/serving/owner.py
+++ b/packages/burdockdeal/burdockdeal/serving/owner.py
@@ -31,6 +31,7 @@
 from burdockdeal.serving import forwarding
 from burdockdeal.serving import header_codec
 from burdockdeal.serving import messages
+from burdockdeal.serving import peer_responses
 from burdockdeal.serving import refused_calls as refusals
 from burdockdeal.settings import model
 
@@ -335,7 +336,7 @@
                 spent_ms=spent_ms,
             ),
             reason=error.reason if error else None,
-            detail=error.detail if error else "",
+            detail=error.detail if error and error.has_detail else "",
             incarnation=incarnation,
             clock=clock(),
             settled=isinstance(error, errors.NotRunError) and error.settled,
@@ -372,9 +373,10 @@
                     {headers.REPORT: build_report(started)},
                     limits,
                     remaining_s=send.request.deadline - clock(),
+                    to_peer=True,
                 )
         except errors.CallError as error:
-            return web.Response(
+            return peer_responses.PeerResponse(
                 status=verdict.HTTP_STATUS[error.reason],
                 headers={headers.REPORT: build_report(started, error)},
             )
