Use a slow machine that is rarely called

Cause, found by reading: with observations that count for 10 s, a machine that stays slow and gets a call each 20 s never showed enough of them, so that each call waited and was refused.

Change: observations count for a minute.

--- a/packages/burdockdeal/burdockdeal/measurement/slowness.py
+++ b/packages/burdockdeal/burdockdeal/measurement/slowness.py
@@ -17,7 +17,7 @@
 #: Number of observations that must show a machine to be slow before that is
 #: taken to be its usual speed, and the seconds for which they count.
 OBSERVATIONS = 6
-OBSERVATION_TTL_S = 10.0
+OBSERVATION_TTL_S = 60.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/burdockdeal/burdockdeal/measurement/tests/test_slowness.py
+++ b/packages/burdockdeal/burdockdeal/measurement/tests/test_slowness.py
@@ -67,3 +67,14 @@
     assert machine.report(5.0, after_s=0.0)
     machine.clock.now += 0.2
     assert not machine.meter.is_slow
+
+
+def test_a_slow_machine_that_is_rarely_called_is_used() -> None:
+    """Each call waits for a moment, sees a slow machine, and is refused."""
+    machine = Machine()
+    refused = 0
+    for _ in range(10):
+        machine.clock.now += 20.0
+        seen = [machine.report(5.0, after_s=0.015) for _ in range(20)]
+        refused += all(seen)
+    assert refused <= 1
