--- a/packages/burdockdeal/burdockdeal/platform/store.py
+++ b/packages/burdockdeal/burdockdeal/platform/store.py
@@ -10,7 +10,6 @@
 import dataclasses
 import socket
 import time
-import typing
 from urllib import parse
 
 import aiohttp
@@ -45,8 +44,6 @@
 
 _JSON_HEADERS = {"Content-Type": "application/json"}
 
-T = typing.TypeVar("T")
-
 #: The rate limit of clients that limit their calls by themselves, and the
 #: default.
 _UNLIMITED = state.RateLimit(1e9, 1e9)
@@ -58,17 +55,6 @@
     body: bytes
 
 
-def _decode(raw: bytes, kind: type[T]) -> T:
-    """Decode the body of a response.
-
-    :raises StoreUncertainError: if it is not a valid message of that type.
-    """
-    try:
-        return codec.decode(raw, kind)
-    except codec.MalformedError as error:
-        raise errors.StoreUncertainError(str(error)) from error
-
-
 class _Shared:
     """The state shared by all clients of one HTTP session."""
 
@@ -256,7 +242,7 @@
         )
         if answer.status == _NOT_FOUND:
             return None
-        return wire.decode_item(_decode(answer.body, wire.Item))
+        return wire.decode_item(wire.decode_message(answer.body, wire.Item))
 
     async def put(
         self, key: str, value: str, *, version: int, lease: int = 0
@@ -300,12 +286,12 @@
             body=codec.encode(transaction),
         )
         if answer.status == _CONFLICT:
-            conflict = _decode(answer.body, wire.Conflict)
+            conflict = wire.decode_message(answer.body, wire.Conflict)
             key = transaction.expected[0].key
             raise errors.StoreConflictError(key, conflict.find_version(key))
         if answer.status == _NOT_FOUND:
             raise errors.StoreLeaseError("the lease has ended")
-        return _decode(answer.body, wire.Committed)
+        return wire.decode_message(answer.body, wire.Committed)
 
     async def list(
         self,
@@ -346,7 +332,7 @@
         answer = await self._send(
             "GET", f"/api/kv-range?{parse.urlencode(query)}"
         )
-        return _decode(answer.body, wire.Page)
+        return wire.decode_message(answer.body, wire.Page)
 
     async def watch(
         self, prefix: str, *, after: int, wait_s: float
@@ -375,7 +361,7 @@
         )
         if answer.status == _GONE:
             return await self.list(prefix)
-        events = _decode(answer.body, wire.Events)
+        events = wire.decode_message(answer.body, wire.Events)
         return messages.Listing(events.decode_items(), events.store_revision)
 
     async def grant(self, ttl_s: float) -> messages.Lease:
@@ -390,7 +376,7 @@
             kind="leases",
             body=codec.encode(wire.LeaseRequest(round(ttl_s * 1000))),
         )
-        granted = _decode(answer.body, wire.LeaseGrant)
+        granted = wire.decode_message(answer.body, wire.LeaseGrant)
         return messages.Lease(granted.lease, granted.ttl_ms / 1000)
 
     async def renew(self, lease: int) -> bool:
--- a/packages/burdockdeal/burdockdeal/platform/wire.py
+++ b/packages/burdockdeal/burdockdeal/platform/wire.py
@@ -2,11 +2,16 @@
 
 import base64
 import binascii
+import typing
 
 import msgspec
 
+from burdockdeal.core import codec
+from burdockdeal.core import errors
 from burdockdeal.platform import messages
 
+T = typing.TypeVar("T")
+
 
 class _Message(msgspec.Struct, frozen=True, rename="camel"):
     """Base of messages whose fields are in camel case on the wire."""
@@ -142,3 +147,14 @@
 def encode_put(key: str, value: str, lease: int) -> Put:
     """Encode the write of a key."""
     return Put(key, base64.b64encode(value.encode()).decode(), lease)
+
+
+def decode_message(raw: bytes, kind: type[T]) -> T:
+    """Decode the body of a response.
+
+    :raises StoreUncertainError: if it is not a valid message of that type.
+    """
+    try:
+        return codec.decode(raw, kind)
+    except codec.MalformedError as error:
+        raise errors.StoreUncertainError(str(error)) from error
