Move three types below the slices that share them

LoadReport, Gauge and the overload reasons stood in routing, in daemon and in retry, so measurement, configuration and overload imported slices above them. They stand in core now; tracking's second list of the overload reasons is built from the first. Ruled out: moving the request path's messages too, which need bodies and bookings' Holder. No behaviour changes.

--- a/packages/burdockdeal/burdockdeal/configuration/assembly.py
+++ b/packages/burdockdeal/burdockdeal/configuration/assembly.py
@@ -17,7 +17,7 @@
 from burdockdeal.configuration import propagation
 from burdockdeal.configuration import repository
 from burdockdeal.configuration import writer
-from burdockdeal.daemon import metrics
+from burdockdeal.core import gauge
 from burdockdeal.membership import roster
 from burdockdeal.platform import state as rates
 from burdockdeal.platform import store
@@ -76,7 +76,7 @@
     propagator: propagation.Propagator
     audit_trail: audit_log.AuditLog
     add_routes: abc.Callable[[web.Application], None]
-    build_gauges: abc.Callable[[], tuple[metrics.Gauge, ...]]
+    build_gauges: abc.Callable[[], tuple[gauge.Gauge, ...]]
 
     @property
     def peer_handlers(self) -> dict[str, Handler]:
@@ -106,7 +106,7 @@
     platform: store.StoreClient,
     propagator: propagation.Propagator,
     audit_trail: audit_log.AuditLog,
-) -> tuple[metrics.Gauge, ...]:
+) -> tuple[gauge.Gauge, ...]:
     """Make the metrics of the slice."""
 
     def read_calls(kind: str) -> abc.Callable[[], float]:
@@ -114,40 +114,40 @@
 
     kinds = [field.name for field in dataclasses.fields(rates.CallCounts)]
     return (
-        metrics.Gauge(
+        gauge.Gauge(
             "burdockdeal_store_calls_total",
             "Calls to the platform's store since the start.",
             lambda: platform.total_calls,
         ),
         *(
-            metrics.Gauge(
+            gauge.Gauge(
                 f"burdockdeal_store_{kind}_total",
                 f"Calls to the platform's store since the start: {kind}.",
                 read_calls(kind),
             )
             for kind in kinds
         ),
-        metrics.Gauge(
+        gauge.Gauge(
             "burdockdeal_store_failures_in_a_row",
             "Calls in a row that the store did not answer.",
             lambda: platform.failure_streak.failures,
         ),
-        metrics.Gauge(
+        gauge.Gauge(
             "burdockdeal_spread_messages_total",
             "Messages sent to spread or ask for the configuration.",
             lambda: propagator.sent_messages,
         ),
-        metrics.Gauge(
+        gauge.Gauge(
             "burdockdeal_spread_bytes_total",
             "Bytes of bodies of those messages.",
             lambda: propagator.sent_bytes,
         ),
-        metrics.Gauge(
+        gauge.Gauge(
             "burdockdeal_audit_waiting",
             "Records of the audit trail that are not in the store yet.",
             lambda: audit_trail.pending_count,
         ),
-        metrics.Gauge(
+        gauge.Gauge(
             "burdockdeal_audit_lost_total",
             "Records of the audit trail that were dropped.",
             lambda: audit_trail.dropped_count,
@@ -246,7 +246,7 @@
         )
         audit_api.add_routes(app, audit_trail)
 
-    def build_gauges() -> tuple[metrics.Gauge, ...]:
+    def build_gauges() -> tuple[gauge.Gauge, ...]:
         return make_gauges(deps.platform, propagator, audit_trail)
 
     return Components(
--- a/packages/burdockdeal/burdockdeal/core/tests/test_codec.py
+++ b/packages/burdockdeal/burdockdeal/core/tests/test_codec.py
@@ -6,9 +6,9 @@
 
 from burdockdeal.core import call
 from burdockdeal.core import codec
+from burdockdeal.core import load_report
 from burdockdeal.core import verdict
 from burdockdeal.membership import messages as membership
-from burdockdeal.routing import state as routing
 from burdockdeal.serving import messages as serving
 from burdockdeal.settings import model
 
@@ -37,7 +37,7 @@
     ),
     serving.OwnerReport(
         verdict.Verdict.NOT_RUN,
-        routing.LoadReport(3, 0, 9, service_ms=163.1, spent_ms=6.5),
+        load_report.LoadReport(3, 0, 9, service_ms=163.1, spent_ms=6.5),
         verdict.Reason.SLOWED,
         "slowed",
         _INCARNATION,
--- a/packages/burdockdeal/burdockdeal/core/verdict.py
+++ b/packages/burdockdeal/burdockdeal/core/verdict.py
@@ -50,6 +50,16 @@
     INTERNAL = "INTERNAL"
 
 
+#: Refusals by an instance that is overloaded.
+OVERLOAD_REASONS = frozenset(
+    {
+        Reason.QUEUE_FULL,
+        Reason.SHED,
+        Reason.TARGET_MISSED,
+        Reason.OVERLOADED,
+    }
+)
+
 #: Replacements for the statuses 408, 421, 429 and 503 where the request may
 #: have run: callers take these four to mean that it did not run.
 RETRYABLE_STATUS_REPLACEMENTS: dict[int, int] = {
--- a/packages/burdockdeal/burdockdeal/daemon/assembly.py
+++ b/packages/burdockdeal/burdockdeal/daemon/assembly.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 from burdockdeal.bookings import assembly as bookings
+from burdockdeal.core import gauge
 from burdockdeal.daemon import components
 from burdockdeal.daemon import deployment_adapter
 from burdockdeal.daemon import gauges
@@ -168,7 +169,7 @@
     control_plane: deployment_adapter.ControlPlane,
     load_probing: probing.Probing,
     shedder: load_shedder.LoadShedder,
-) -> tuple[metrics.Gauge, ...]:
+) -> tuple[gauge.Gauge, ...]:
     return (
         *gauges.make_gauges(
             shared.admission, shared.roster, shared.active_configuration
--- a/packages/burdockdeal/burdockdeal/daemon/components.py
+++ b/packages/burdockdeal/burdockdeal/daemon/components.py
@@ -15,6 +15,7 @@
 from burdockdeal.configuration import active_configuration as configuration
 from burdockdeal.configuration import resources
 from burdockdeal.core import clock
+from burdockdeal.core import load_report
 from burdockdeal.measurement import breaker
 from burdockdeal.measurement import meter
 from burdockdeal.membership import messages as membership
@@ -24,7 +25,6 @@
 from burdockdeal.retry import budget as budgets
 from burdockdeal.retry import fleet_budget
 from burdockdeal.retry import running
-from burdockdeal.routing import state as routing
 from burdockdeal.routing import tracking
 from burdockdeal.serving import classification
 from burdockdeal.serving import header_codec
@@ -262,11 +262,11 @@
         domain = self.settings.failure_domain
         return self.settings.daemon in self.roster.choose_relays(domain)
 
-    def build_load_report(self) -> routing.LoadReport:
+    def build_load_report(self) -> load_report.LoadReport:
         """Build the report of the upstream's load, sent with each response."""
         upstream_load = self.meter.upstream_load
         evidence = self.admission.saturation.evidence
-        return routing.LoadReport(
+        return load_report.LoadReport(
             in_flight=self.admission.running,
             waiting=self.admission.waiting,
             slots=self._compute_capacity().ramped_slots,
--- a/packages/burdockdeal/burdockdeal/daemon/deployment_adapter.py
+++ b/packages/burdockdeal/burdockdeal/daemon/deployment_adapter.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 import mode
 
+from burdockdeal.core import gauge
 from burdockdeal.daemon import components
 from burdockdeal.daemon import metrics
 from burdockdeal.measurement import load_refresher
@@ -48,7 +49,7 @@
 
     services: tuple[mode.Service, ...]
     peer_handlers: abc.Mapping[str, http_server.Handler]
-    gauges: tuple[metrics.Gauge, ...]
+    gauges: tuple[gauge.Gauge, ...]
     on_newer_configuration: abc.Callable[[model.Address], None]
     build_applications: abc.Callable[
         [metrics.Metrics], tuple[HostedApplication, ...]
--- a/packages/burdockdeal/burdockdeal/daemon/gauges.py
+++ b/packages/burdockdeal/burdockdeal/daemon/gauges.py
@@ -3,7 +3,7 @@
 from burdockdeal.admission import controller
 from burdockdeal.configuration import active_configuration as configuration
 from burdockdeal.core import event_log
-from burdockdeal.daemon import metrics
+from burdockdeal.core import gauge
 from burdockdeal.membership import roster
 
 
@@ -11,34 +11,34 @@
     admission: controller.AdmissionController,
     members: roster.Roster,
     active_configuration: configuration.ActiveConfiguration,
-) -> tuple[metrics.Gauge, ...]:
+) -> tuple[gauge.Gauge, ...]:
     """Make the gauges of calls, members, the configuration and the log.
 
     :param admission: admits calls to the upstream.
     :param members: all daemons that are known.
     """
     return (
-        metrics.Gauge(
+        gauge.Gauge(
             "burdockdeal_in_flight",
             "Calls in flight to the upstream.",
             lambda: admission.running,
         ),
-        metrics.Gauge(
+        gauge.Gauge(
             "burdockdeal_waiting",
             "Calls that wait at the gate.",
             lambda: admission.waiting,
         ),
-        metrics.Gauge(
+        gauge.Gauge(
             "burdockdeal_members",
             "Daemons that are known and not believed gone.",
             lambda: members.active_count,
         ),
-        metrics.Gauge(
+        gauge.Gauge(
             "burdockdeal_configuration_revision",
             "The revision of the configuration in force here.",
             lambda: active_configuration.revision,
         ),
-        metrics.Gauge(
+        gauge.Gauge(
             "burdockdeal_log_lines_dropped_total",
             "Lines of the log that were not written.",
             event_log.count_dropped_lines,
--- a/packages/burdockdeal/burdockdeal/daemon/metrics.py
+++ b/packages/burdockdeal/burdockdeal/daemon/metrics.py
@@ -2,49 +2,37 @@
 
 import collections
 from collections import abc
-import dataclasses
 
 from aiohttp import web
 import aioprometheus
 from aioprometheus import renderer
 
+from burdockdeal.core import gauge
 from burdockdeal.core import verdict
 from burdockdeal.overload import connections
 from burdockdeal.overload import load_shedder
 from burdockdeal.retry import budget as budgets
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Gauge:
-    """A metric whose value is read at each scrape.
-
-    :param read: returns the current value.
-    """
-
-    name: str
-    help_text: str
-    read: abc.Callable[[], float]
-
-
-def make_retry_gauges(budget: budgets.Budget) -> tuple[Gauge, ...]:
+def make_retry_gauges(budget: budgets.Budget) -> tuple[gauge.Gauge, ...]:
     """Make the gauges of the sends, hedges and retries of this entry."""
     return (
-        Gauge(
+        gauge.Gauge(
             "burdockdeal_sends_total",
             "Sends of calls to instances, the repeated ones among them.",
             lambda: budget.counters.sends,
         ),
-        Gauge(
+        gauge.Gauge(
             "burdockdeal_first_sends_total",
             "First sends of calls that stand below no repeated call.",
             lambda: budget.counters.first_sends,
         ),
-        Gauge(
+        gauge.Gauge(
             "burdockdeal_hedges_total",
             "Sends beside one that was still open.",
             lambda: budget.counters.hedges,
         ),
-        Gauge(
+        gauge.Gauge(
             "burdockdeal_retries_denied_total",
             "Sends that only the budget forbade.",
             lambda: budget.counters.denied,
@@ -54,44 +42,44 @@
 
 def make_overload_gauges(
     limiters: connections.ListenerLimiters, shedder: load_shedder.LoadShedder
-) -> tuple[Gauge, ...]:
+) -> tuple[gauge.Gauge, ...]:
     """Make the gauges of connections, load shedding and loop lag."""
 
     def sum_over_listeners(name: str) -> abc.Callable[[], float]:
         return lambda: sum(getattr(each, name) for each in limiters.listeners)
 
     return (
-        Gauge(
+        gauge.Gauge(
             "burdockdeal_caller_connections",
             "Connections of callers.",
             lambda: len(limiters.caller),
         ),
-        Gauge(
+        gauge.Gauge(
             "burdockdeal_connections_refused_total",
             "Connections refused since all others had a request.",
             sum_over_listeners("refused"),
         ),
-        Gauge(
+        gauge.Gauge(
             "burdockdeal_connections_evicted_total",
             "Idle connections ended to make room for new ones.",
             sum_over_listeners("evicted"),
         ),
-        Gauge(
+        gauge.Gauge(
             "burdockdeal_slow_heads_total",
             "Connections ended since no request came in time.",
             sum_over_listeners("slow"),
         ),
-        Gauge(
+        gauge.Gauge(
             "burdockdeal_requests_in_progress",
             "Callers' requests that are not yet answered.",
             lambda: shedder.in_progress,
         ),
-        Gauge(
+        gauge.Gauge(
             "burdockdeal_shed_total",
             "Requests refused at the entry before they were sent on.",
             lambda: shedder.shed,
         ),
-        Gauge(
+        gauge.Gauge(
             "burdockdeal_loop_lag_seconds",
             "How late the loop ran its last tick.",
             lambda: shedder.adaptive_limit.lag_s,
@@ -105,7 +93,7 @@
     :param gauges: the metrics that are read at each scrape.
     """
 
-    def __init__(self, gauges: tuple[Gauge, ...]) -> None:
+    def __init__(self, gauges: tuple[gauge.Gauge, ...]) -> None:
         self._registry = aioprometheus.Registry()
         self._requests = aioprometheus.Counter(
             "burdockdeal_requests_total",
@@ -117,12 +105,12 @@
         ] = collections.Counter()
         self._gauges = tuple(
             (
-                gauge,
+                one.read,
                 aioprometheus.Gauge(
-                    gauge.name, gauge.help_text, registry=self._registry
+                    one.name, one.help_text, registry=self._registry
                 ),
             )
-            for gauge in gauges
+            for one in gauges
         )
 
     def count_outcome(self, rank: str, outcome: verdict.Verdict) -> None:
@@ -140,8 +128,8 @@
         for (rank, outcome), count in self._outcome_counts.items():
             labels = {"rank": rank, "verdict": outcome.value}
             self._requests.set(labels, count)
-        for gauge, metric in self._gauges:
-            metric.set({}, gauge.read())
+        for read, metric in self._gauges:
+            metric.set({}, read())
         content, response_headers = renderer.render(
             self._registry, request.headers.getall("Accept", [])
         )
--- a/packages/burdockdeal/burdockdeal/daemon/probing.py
+++ b/packages/burdockdeal/burdockdeal/daemon/probing.py
@@ -7,10 +7,10 @@
 import aiohttp
 
 from burdockdeal.configuration import active_configuration as configuration
-from burdockdeal.daemon import metrics
+from burdockdeal.core import gauge
+from burdockdeal.core import load_report
 from burdockdeal.measurement import prober
 from burdockdeal.measurement import receiver
-from burdockdeal.routing import state as routing
 from burdockdeal.routing import tracking
 from burdockdeal.settings import model
 
@@ -26,20 +26,20 @@
     prober: prober.Prober
     receiver: receiver.Receiver
 
-    def make_gauges(self) -> tuple[metrics.Gauge, ...]:
+    def make_gauges(self) -> tuple[gauge.Gauge, ...]:
         """Make the gauges of the cost of probing."""
         return (
-            metrics.Gauge(
+            gauge.Gauge(
                 "burdockdeal_probes_total",
                 "Probes sent since the start.",
                 lambda: self.prober.sent,
             ),
-            metrics.Gauge(
+            gauge.Gauge(
                 "burdockdeal_probe_bytes_total",
                 "Bytes of those probes and their answers, at most.",
                 lambda: self.prober.bytes,
             ),
-            metrics.Gauge(
+            gauge.Gauge(
                 "burdockdeal_probes_refused_total",
                 "Probes of others refused, beyond the upstream's budget.",
                 lambda: self.receiver.refused,
@@ -54,7 +54,7 @@
     tracker: tracking.InstanceTracker,
     rng: random.Random,
     *,
-    load: abc.Callable[[], routing.LoadReport],
+    load: abc.Callable[[], load_report.LoadReport],
     incarnation: abc.Callable[[], int],
 ) -> Probing:
     """Build the sender and the receiver of probes.
--- a/packages/burdockdeal/burdockdeal/measurement/messages.py
+++ b/packages/burdockdeal/burdockdeal/measurement/messages.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from burdockdeal.routing import state as routing
+from burdockdeal.core import load_report
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -13,4 +13,4 @@
     """
 
     incarnation: int
-    load: routing.LoadReport
+    load: load_report.LoadReport
--- a/packages/burdockdeal/burdockdeal/measurement/receiver.py
+++ b/packages/burdockdeal/burdockdeal/measurement/receiver.py
@@ -6,11 +6,11 @@
 
 from burdockdeal.configuration import state as configuration
 from burdockdeal.core import codec
+from burdockdeal.core import load_report
 from burdockdeal.measurement import decisions
 from burdockdeal.measurement import messages
 from burdockdeal.measurement import prober
 from burdockdeal.measurement import state
-from burdockdeal.routing import state as routing
 
 
 class Receiver:
@@ -26,7 +26,7 @@
         self,
         peer_token: str,
         *,
-        load: abc.Callable[[], routing.LoadReport],
+        load: abc.Callable[[], load_report.LoadReport],
         incarnation: abc.Callable[[], int],
         get_configuration: abc.Callable[[], configuration.Configuration],
         clock: abc.Callable[[], float],
--- a/packages/burdockdeal/burdockdeal/measurement/tests/test_prober.py
+++ b/packages/burdockdeal/burdockdeal/measurement/tests/test_prober.py
@@ -15,6 +15,7 @@
 from burdockdeal.configuration import resources
 from burdockdeal.configuration import state as configuration
 from burdockdeal.core import headers
+from burdockdeal.core import load_report
 from burdockdeal.measurement import decisions
 from burdockdeal.measurement import prober
 from burdockdeal.measurement import receiver
@@ -26,7 +27,7 @@
 from burdockdeal_standins import simulation
 
 TOKEN = "t" * 40
-LARGE = routing.LoadReport(10**6, 10**6, 10**6, 123456.789, 0.0, 0.123)
+LARGE = load_report.LoadReport(10**6, 10**6, 10**6, 123456.789, 0.0, 0.123)
 
 
 def configure(budget: resources.Budget) -> configuration.Configuration:
@@ -96,7 +97,10 @@
         simulation.make_member(0, "shotton"), peer=reached
     )
     tracker = tracking.InstanceTracker(
-        "own", "shotton", time.monotonic, lambda: routing.LoadReport(0, 0, 0)
+        "own",
+        "shotton",
+        time.monotonic,
+        lambda: load_report.LoadReport(0, 0, 0),
     )
     tracker.update_members(simulation.SERVICE, (member,), 0.5)
     settings = fleet.Fleet(pathlib.Path()).make_settings(
--- a/packages/burdockdeal/burdockdeal/overload/load_shedder.py
+++ b/packages/burdockdeal/burdockdeal/overload/load_shedder.py
@@ -13,13 +13,12 @@
 from burdockdeal.overload import decisions
 from burdockdeal.overload import retry_after
 from burdockdeal.overload import state
-from burdockdeal.retry import decisions as retry
 
 #: Seconds between two measurements of the lag of the loop.
 TICK_S = 0.05
 
 #: Refusals for lack of capacity.
-_FLOOD_REASONS = retry.OVERLOAD_REASONS | {verdict.Reason.BUSY}
+_FLOOD_REASONS = verdict.OVERLOAD_REASONS | {verdict.Reason.BUSY}
 
 #: The part of the adaptive limit below which every rank has capacity.
 _UNCONTENDED_SHARE = 0.3
@@ -143,7 +142,7 @@
         try:
             yield
         except errors.NotRunError as error:
-            if error.reason in retry.OVERLOAD_REASONS:
+            if error.reason in verdict.OVERLOAD_REASONS:
                 self._counts[key] = decisions.record_refusal(
                     self._counts[key], self._clock()
                 )
--- a/packages/burdockdeal/burdockdeal/retry/attempts.py
+++ b/packages/burdockdeal/burdockdeal/retry/attempts.py
@@ -292,7 +292,7 @@
                 outcome.progress, verdict.Verdict.RAN, None
             )
         refused_before = outcome.progress.overload_refused
-        if refused_before and error.reason in decisions.OVERLOAD_REASONS:
+        if refused_before and error.reason in verdict.OVERLOAD_REASONS:
             self._budget.record_saturation(self._work, self._clock())
         return decisions.record_failure(
             outcome.progress, error.outcome, error.reason
@@ -314,7 +314,7 @@
             return True
         account = self._budget.find_account(self._work)
         saturated = decisions.is_saturated(account, now)
-        if saturated and reason in decisions.OVERLOAD_REASONS:
+        if saturated and reason in verdict.OVERLOAD_REASONS:
             self._budget.record_denied()
             return False
         return self._budget.spend(self._work)
--- a/packages/burdockdeal/burdockdeal/retry/decisions.py
+++ b/packages/burdockdeal/burdockdeal/retry/decisions.py
@@ -39,16 +39,6 @@
 _P95_STEP_UP = 0.095
 _P95_STEP_DOWN = 0.005
 
-#: Refusals by an instance that is overloaded.
-OVERLOAD_REASONS = frozenset(
-    {
-        verdict.Reason.QUEUE_FULL,
-        verdict.Reason.SHED,
-        verdict.Reason.TARGET_MISSED,
-        verdict.Reason.OVERLOADED,
-    }
-)
-
 #: Failures of an instance that is no longer available.
 UNAVAILABLE_REASONS = frozenset(
     {
@@ -186,7 +176,7 @@
         reached_upstream=progress.reached_upstream
         or may_have_arrived(outcome, reason),
         overload_refused=progress.overload_refused
-        or reason in OVERLOAD_REASONS,
+        or reason in verdict.OVERLOAD_REASONS,
     )
 
 
--- a/packages/burdockdeal/burdockdeal/routing/instance_group.py
+++ b/packages/burdockdeal/burdockdeal/routing/instance_group.py
@@ -5,6 +5,7 @@
 import random
 import statistics
 
+from burdockdeal.core import load_report
 from burdockdeal.membership import messages
 from burdockdeal.routing import ejection
 from burdockdeal.routing import state
@@ -118,7 +119,7 @@
         return len(self._ejected)
 
     def record_report(
-        self, key: InstanceKey, report: state.LoadReport
+        self, key: InstanceKey, report: load_report.LoadReport
     ) -> None:
         """Update the baseline and the latest reporters from a load report."""
         if key not in self._by_key or not report.slots:
--- a/packages/burdockdeal/burdockdeal/routing/instance_stats.py
+++ b/packages/burdockdeal/burdockdeal/routing/instance_stats.py
@@ -2,6 +2,7 @@
 
 import itertools
 
+from burdockdeal.core import load_report
 from burdockdeal.membership import messages
 from burdockdeal.routing import state
 
@@ -24,7 +25,7 @@
         self.outstanding = 0
         self.sent_since_report = 0
         self.latency_s = 0.0
-        self.report: state.LoadReport | None = None
+        self.report: load_report.LoadReport | None = None
         self.reported_at = 0.0
         self.health = state.InstanceHealth()
         self.ejected_at_call = 0
@@ -66,7 +67,9 @@
         self.outstanding -= 1
         self._unanswered.pop(number, None)
 
-    def record_report(self, report: state.LoadReport, now: float) -> None:
+    def record_report(
+        self, report: load_report.LoadReport, now: float
+    ) -> None:
         """Store the latest load report and when it arrived."""
         self.report = report
         self.reported_at = now
--- a/packages/burdockdeal/burdockdeal/routing/tests/test_decisions.py
+++ b/packages/burdockdeal/burdockdeal/routing/tests/test_decisions.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies
 import pytest
 
+from burdockdeal.core import load_report
 from burdockdeal.routing import decisions
 from burdockdeal.routing import state
 from burdockdeal_standins import simulation
@@ -21,7 +22,7 @@
         "member": simulation.make_member(index, "shotton"),
         "is_local": round_trip_ms < 1,
         "outstanding": 0,
-        "report": state.LoadReport(0, 0, 9, 5.0),
+        "report": load_report.LoadReport(0, 0, 9, 5.0),
         "report_age_s": 0.0,
         "latency_s": 0.005,
         "round_trip_s": round_trip_ms / 1000,
@@ -37,7 +38,9 @@
 def make_report(
     in_flight: int, waiting: int = 0, service_ms: float = 5.0
 ) -> dict:
-    return {"report": state.LoadReport(in_flight, waiting, 9, service_ms)}
+    return {
+        "report": load_report.LoadReport(in_flight, waiting, 9, service_ms)
+    }
 
 
 def test_own_instance_is_chosen_while_it_has_free_slots() -> None:
@@ -115,7 +118,7 @@
 
 
 def test_instance_with_few_slots_gets_few_calls() -> None:
-    ramping = {"report": state.LoadReport(0, 0, 1, 5.0)}
+    ramping = {"report": load_report.LoadReport(0, 0, 1, 5.0)}
     cold = make_view(0, outstanding=2, sent_since_report=2, **ramping)
     assert choose(cold, make_view(1, **make_report(6))) == "d1"
     assert (
--- a/packages/burdockdeal/burdockdeal/routing/tests/test_ejection.py
+++ b/packages/burdockdeal/burdockdeal/routing/tests/test_ejection.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies
 import pytest
 
+from burdockdeal.core import load_report
 from burdockdeal.core import verdict
 from burdockdeal.routing import decisions
 from burdockdeal.routing import ejection
@@ -157,7 +158,10 @@
 ) -> None:
     now = [10.0]
     tracker = tracking.InstanceTracker(
-        "entry", "shotton", lambda: now[0], lambda: state.LoadReport(0, 0, 0)
+        "entry",
+        "shotton",
+        lambda: now[0],
+        lambda: load_report.LoadReport(0, 0, 0),
     )
     members = tuple(simulation.make_member(i, "shotton") for i in range(count))
     group = tracker.update_members(simulation.SERVICE, members, share)
@@ -187,7 +191,9 @@
             tracker.record_abandoned(key, simulation.SERVICE, 9.0)
         if action == "report":
             tracker.record_report(
-                member.daemon, 1, state.LoadReport(0, 0, 9, pause_s * 1000)
+                member.daemon,
+                1,
+                load_report.LoadReport(0, 0, 9, pause_s * 1000),
             )
         ejected = [
             one
--- a/packages/burdockdeal/burdockdeal/routing/tests/test_policies.py
+++ b/packages/burdockdeal/burdockdeal/routing/tests/test_policies.py
@@ -6,9 +6,9 @@
 import pytest
 
 from burdockdeal.core import call
+from burdockdeal.core import load_report
 from burdockdeal.routing import policies
 from burdockdeal.routing import selection
-from burdockdeal.routing import state
 from burdockdeal.routing import tracking
 from burdockdeal.settings import model
 from burdockdeal_standins import simulation
@@ -24,7 +24,7 @@
 @pytest.mark.parametrize("name", sorted(policies.POLICIES))
 def test_tried_instances_are_not_chosen(name: str) -> None:
     tracker = tracking.InstanceTracker(
-        "own", "shotton", lambda: 10.0, lambda: state.LoadReport(0, 0, 0)
+        "own", "shotton", lambda: 10.0, lambda: load_report.LoadReport(0, 0, 0)
     )
     choose = selection.make_chooser(
         name,
--- a/packages/burdockdeal/burdockdeal/routing/tests/test_tracking.py
+++ b/packages/burdockdeal/burdockdeal/routing/tests/test_tracking.py
@@ -6,6 +6,7 @@
 import pytest
 
 from burdockdeal.core import errors
+from burdockdeal.core import load_report
 from burdockdeal.core import verdict
 from burdockdeal.membership import messages as membership
 from burdockdeal.membership import roster
@@ -25,7 +26,7 @@
 @pytest.fixture
 def tracker(clock: clocks.Clock) -> tracking.InstanceTracker:
     tracker = tracking.InstanceTracker(
-        "own", "shotton", clock, lambda: state.LoadReport(3, 0, 9, 5.0)
+        "own", "shotton", clock, lambda: load_report.LoadReport(3, 0, 9, 5.0)
     )
     tracker.update_members(simulation.SERVICE, MEMBERS, 0.5)
     for member in MEMBERS:
@@ -192,7 +193,7 @@
     tracker: tracking.InstanceTracker,
 ) -> None:
     own = dataclasses.replace(MEMBERS[0], daemon="own")
-    assert tracker.view(own).report == state.LoadReport(3, 0, 9, 5.0)
+    assert tracker.view(own).report == load_report.LoadReport(3, 0, 9, 5.0)
     assert tracker.view(own).round_trip_s == 0
 
 
@@ -228,7 +229,7 @@
 def test_one_failure_ejects_if_the_report_shows_failures(
     tracker: tracking.InstanceTracker,
 ) -> None:
-    report = state.LoadReport(0, 0, 9, 5.0, failed_share=0.7)
+    report = load_report.LoadReport(0, 0, 9, 5.0, failed_share=0.7)
     with track(tracker) as tracked:
         tracker.record_report("d0", 1, report)
         tracked.record_response(500)
--- a/packages/burdockdeal/burdockdeal/routing/tracking.py
+++ b/packages/burdockdeal/burdockdeal/routing/tracking.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 
+from burdockdeal.core import load_report
 from burdockdeal.core import verdict
 from burdockdeal.membership import messages
 from burdockdeal.routing import decisions
@@ -29,15 +30,7 @@
 
 #: Error reasons caused by load. They raise the failure penalty but don't
 #: count towards ejection: the instance's load reports already show its load.
-_OVERLOAD_REASONS = frozenset(
-    {
-        verdict.Reason.QUEUE_FULL,
-        verdict.Reason.SHED,
-        verdict.Reason.TARGET_MISSED,
-        verdict.Reason.OVERLOADED,
-        verdict.Reason.DEADLINE_PASSED,
-    }
-)
+_OVERLOAD_REASONS = verdict.OVERLOAD_REASONS | {verdict.Reason.DEADLINE_PASSED}
 
 
 class InstanceTracker:
@@ -54,7 +47,7 @@
         own_daemon: str,
         failure_domain: str,
         clock: abc.Callable[[], float],
-        load: abc.Callable[[], state.LoadReport],
+        load: abc.Callable[[], load_report.LoadReport],
     ) -> None:
         self._own_daemon = own_daemon
         self._failure_domain = failure_domain
@@ -164,7 +157,7 @@
         }
 
     def record_report(
-        self, daemon: str, incarnation: int, report: state.LoadReport
+        self, daemon: str, incarnation: int, report: load_report.LoadReport
     ) -> None:
         """Record a load report of an instance's daemon."""
         key = instance_group.InstanceKey(daemon, incarnation)
@@ -182,7 +175,7 @@
         ):
             self._apply_event(key, stats.member.service, ejection.TooSlow())
 
-    def list_reports(self, service: str) -> tuple[state.LoadReport, ...]:
+    def list_reports(self, service: str) -> tuple[load_report.LoadReport, ...]:
         """List the latest reports of a service's remote instances."""
         group = self.groups.get(service)
         if group is None:
--- a/packages/burdockdeal/burdockdeal/serving/messages.py
+++ b/packages/burdockdeal/burdockdeal/serving/messages.py
@@ -9,8 +9,8 @@
 
 from burdockdeal.bookings import messages as bookings
 from burdockdeal.core import call
+from burdockdeal.core import load_report
 from burdockdeal.core import verdict
-from burdockdeal.routing import state as routing
 from burdockdeal.serving import bodies
 from burdockdeal.settings import model
 
@@ -72,7 +72,7 @@
     """
 
     verdict: verdict.Verdict
-    load: routing.LoadReport
+    load: load_report.LoadReport
     reason: verdict.Reason | None = None
     detail: str = ""
     incarnation: int = 0
--- a/packages/burdockdeal/burdockdeal/serving/owner.py
+++ b/packages/burdockdeal/burdockdeal/serving/owner.py
@@ -20,12 +20,12 @@
 from burdockdeal.core import errors
 from burdockdeal.core import event_log
 from burdockdeal.core import headers
+from burdockdeal.core import load_report
 from burdockdeal.core import verdict
 from burdockdeal.measurement import breaker
 from burdockdeal.measurement import load_refresher
 from burdockdeal.measurement import meter
 from burdockdeal.retry import running
-from burdockdeal.routing import state as routing
 from burdockdeal.serving import bodies
 from burdockdeal.serving import classification
 from burdockdeal.serving import forwarding
@@ -305,7 +305,7 @@
 
 def make_peer_handler(
     open_response: messages.OpenResponse,
-    load: abc.Callable[[], routing.LoadReport],
+    load: abc.Callable[[], load_report.LoadReport],
     clock: Clock,
     own_peer: model.Address,
     incarnation: int,
--- a/packages/burdockdeal/burdockdeal/serving/peers.py
+++ b/packages/burdockdeal/burdockdeal/serving/peers.py
@@ -9,8 +9,8 @@
 from burdockdeal.core import codec
 from burdockdeal.core import errors
 from burdockdeal.core import headers
+from burdockdeal.core import load_report
 from burdockdeal.core import verdict
-from burdockdeal.routing import state as routing
 from burdockdeal.serving import forwarding
 from burdockdeal.serving import messages
 
@@ -57,7 +57,7 @@
     session: aiohttp.ClientSession,
     peer_token: str,
     clock: abc.Callable[[], float],
-    on_report: abc.Callable[[str, int, routing.LoadReport], None],
+    on_report: abc.Callable[[str, int, load_report.LoadReport], None],
     on_clock: abc.Callable[[str, int, float], None],
 ) -> messages.OpenResponse:
     """Build the function that sends calls through other daemons.
--- a/packages/standins/burdockdeal_standins/simulation.py
+++ b/packages/standins/burdockdeal_standins/simulation.py
@@ -14,15 +14,15 @@
 from burdockdeal.announce import state as announce
 from burdockdeal.configuration import resources
 from burdockdeal.core import call
+from burdockdeal.core import load_report
 from burdockdeal.measurement import meter
 from burdockdeal.membership import messages
 from burdockdeal.routing import selection
-from burdockdeal.routing import state
 from burdockdeal.routing import tracking
 from burdockdeal.settings import model
 
 #: Delivers the response to a call: its status and the load report.
-Respond = abc.Callable[[int, state.LoadReport], None]
+Respond = abc.Callable[[int, load_report.LoadReport], None]
 
 #: Virtual time at which a simulation starts, in seconds.
 START_S = 100.0
@@ -122,8 +122,8 @@
         self._waiting: list[abc.Callable[[], None]] = []
         self._meter = meter.Meter(lambda: simulation.now)
 
-    def _report(self, arrived: float) -> state.LoadReport:
-        return state.LoadReport(
+    def _report(self, arrived: float) -> load_report.LoadReport:
+        return load_report.LoadReport(
             self._running,
             len(self._waiting),
             self._simulation.parameters.slots,
@@ -180,7 +180,7 @@
             f"entry{index}",
             self._domain,
             lambda: simulation.now,
-            lambda: state.LoadReport(0, 0, 0),
+            lambda: load_report.LoadReport(0, 0, 0),
         )
         self._choose = selection.make_chooser(
             policy,
@@ -209,7 +209,7 @@
             self.tracker.track_call(member.daemon, 1, SERVICE, timed=True)
         )
 
-        def arrive(status: int, report: state.LoadReport) -> None:
+        def arrive(status: int, report: load_report.LoadReport) -> None:
             self.tracker.record_report(member.daemon, 1, report)
             observation.record_response(status)
             stack.close()
@@ -223,7 +223,7 @@
                 )
             )
 
-        def respond(status: int, report: state.LoadReport) -> None:
+        def respond(status: int, report: load_report.LoadReport) -> None:
             simulation.schedule(link_s, lambda: arrive(status, report))
 
         simulation.schedule(
