review: an endless answer to a health check ends daemons

Cause: the health check of the upstream reads the whole body of the answer without a limit, on a session without the connection guard; an upstream that sends bytes without end takes the daemon over its memory limit, and again after each start. Done: review/3, a script with stand-ins for a faulty upstream and for the platform's memory limit.

--- a/review/harness.py
+++ b/review/harness.py
@@ -23,6 +23,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 HOST = "127.0.0.1"
 SERVICE_HOST = "shop.example"
+ZONES = ("shotton", "queensferry", "sealand")
 HEARTBEAT_S = 1.5
 DRAIN_S = 2.0
 CONTACT_S = 3.0
@@ -184,7 +185,7 @@
             await asyncio.sleep(self.work_s)
         finally:
             self._running -= 1
-        text = f"{self.name} {attempt}"
+        text = f"{self.name} {self.service} {attempt}"
         writer.write(
             f"HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\n"
             f"Response-Signature: sig-{self.name}\r\n{self._load()}"
@@ -406,9 +407,9 @@
                 pathlib.Path(keep, path.name).write_bytes(path.read_bytes())
         self._temporary.cleanup()
 
-    async def add(self, name, zone, service, **options):
-        """Start a machine: its worker, its daemon and the heartbeats."""
-        worker = Worker(self.record, f"i-{name}", service, **options)
+    async def add(self, name, zone, service, *, kind=Worker, **options):
+        """Start a machine: its worker and its daemon."""
+        worker = kind(self.record, f"i-{name}", service, **options)
         await worker.start()
         place = Place(self, name, zone, worker)
         self.places[name] = place
