review: a change of a large configuration is in force too late

One run, the first, could not be set up: a daemon was not ready within 30 s. Its log was not kept. The harness has since taken its ports from outside the range of outgoing connections, and keeps the logs of such a run.

--- a/review/harness.py
+++ b/review/harness.py
@@ -13,6 +13,7 @@
 import json
 import os
 import pathlib
+import random
 import re
 import signal
 import socket
@@ -36,11 +37,21 @@
     """The case could not be set up."""
 
 
+#: Below the range from which the kernel takes ports of outgoing connections.
+_PORTS = random.sample(range(12_000, 30_000), 2_000)
+
+
 def free_port():
-    """Return a TCP port that is free on loopback."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+    """Return a TCP port that is free on loopback, each only once."""
+    while True:
+        port = _PORTS.pop()
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        return port
 
 
 @dataclasses.dataclass(frozen=True)
@@ -391,7 +402,17 @@
         await wait_for(lambda: can_connect(self.store_port), "the store")
         return self
 
+    def _record_failure(self):
+        for place in self.places.values():
+            code = place.process.returncode if place.process else None
+            lines = place.log_path.read_text(errors="replace").splitlines()
+            self.record.write(f"{place.name}: exit code {code}, log ends:")
+            for line in lines[-4:]:
+                self.record.write(f"    {line[:300]}")
+
     async def __aexit__(self, *exc_info):
+        if exc_info[0] is not None:
+            self._record_failure()
         for place in self.places.values():
             place.stop_heartbeats()
             await place.worker.stop()
