--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""A large configuration: a change is in force seconds too late."""
+"""A late heartbeat after a DELETE puts the worker into service again."""
 
 import asyncio
 import pathlib
@@ -9,91 +9,83 @@
 
 import harness  # noqa: E402
 
-#: Routes that the operator adds: two changes of 350 each (`big_config`).
-ADDED_ROUTES = 700
-MACHINES = 12
-SERVICES = ("orders", "bookings")
-#: Seconds between the two changes of a pair, and after each pair.
-GAP_S = 1.0
-AFTER_S = 8.0
-PAIRS = 4
-INTERVAL_S = 0.05
+#: Seconds by which the heartbeat is late; the page says "seconds late".
+LATE_S = 2.0
+#: Seconds for which the worker serves after the acknowledgement.
+SERVES_ON_S = 5.0
+INTERVAL_S = 0.03
 
 
-class Operator:
-    """Moves the route of the clients from one service to the other.
+async def main(deployment, has_trouble):
+    """Return whether the worker got work after its DELETE."""
+    record = deployment.record
+    first = await deployment.add("m1", "shotton", "bookings", work_s=0.3)
+    second = await deployment.add("m2", "queensferry", "bookings", work_s=0.3)
+    third = await deployment.add("m3", "sealand", "bookings", work_s=0.3)
+    await deployment.configure(
+        1,
+        [harness.make_route("all", "/shop/", "bookings", "unsafe")],
+        ["bookings"],
+    )
+    for place in (first, second, third):
+        place.start_heartbeats()
+    await deployment.wait_until_ready()
+    await asyncio.sleep(3.0)
 
-    Each move comes a second after another change, of a timeout.
-    """
+    record.write("the daemon of m1 is stopped and started on its own")
+    first.stop_heartbeats()
+    await first.kill()
+    await first.start()
 
-    def __init__(self, deployment, added_count):
-        self._deployment = deployment
-        self._added = [
-            harness.make_route(
-                f"added-route-{number}", f"/added-{number}/", "orders"
-            )
-            for number in range(added_count)
-        ]
-        self._version = 0
-        self.service = SERVICES[0]
+    async def serves_again():
+        await harness.ask(first, "warm-up", method="POST")
+        return any(run.at > first.started_at for run in first.worker.runs)
 
-    async def write(self, timeout_ms):
-        """Write the next version; return the time of its acknowledgement."""
-        self._version += 1
-        shop = harness.make_route(
-            "shop", "/shop/", self.service, timeoutMs=timeout_ms
-        )
-        return await self._deployment.configure(
-            self._version, [shop, *self._added], SERVICES
-        )
+    await harness.wait_for(serves_again, "the worker of m1 serves again")
 
+    heartbeat = first.worker.make_heartbeat(first.zone)
+    sent_at = record.now()
+    record.write(f"i-m1 sends heartbeat {heartbeat['sequence']}")
+    if not has_trouble:
+        await first.send_heartbeat(heartbeat)
+    await asyncio.sleep(0.3)
+    first.worker.is_leaving = True
+    if not await first.send_delete():
+        raise harness.CannotRunError("the DELETE was not acknowledged")
+    acknowledged_at = record.now()
+    if has_trouble:
+        await asyncio.sleep(sent_at + LATE_S - record.now())
+        record.write(f"heartbeat {heartbeat['sequence']} arrives")
+        await first.send_heartbeat(heartbeat)
 
-async def main(deployment, has_trouble):
-    """Return whether a request was run by the old service too late."""
-    record = deployment.record
-    for number in range(MACHINES):
-        await deployment.add(
-            f"m{number}", harness.ZONES[number % 3], SERVICES[number % 2]
+    # From then on the bound has passed and all machines are in touch.
+    start = 0.2 + max(
+        acknowledged_at + harness.DRAIN_S,
+        first.started_at + harness.CONTACT_S,
+    )
+    await asyncio.sleep(start - record.now())
+    tasks = []
+    while record.now() < acknowledged_at + SERVES_ON_S:
+        place = (first, second, third)[len(tasks) % 3]
+        attempt = f"request-{len(tasks)}"
+        tasks.append(
+            asyncio.ensure_future(harness.ask(place, attempt, method="POST"))
         )
-    operator = Operator(deployment, ADDED_ROUTES if has_trouble else 0)
-    await operator.write(1200)
-    places = list(deployment.places.values())
-    for place in places:
-        place.start_heartbeats()
-    await deployment.wait_until_ready()
-    await asyncio.sleep(10.0)
+        await asyncio.sleep(INTERVAL_S)
+    record.write("the worker of m1 exits")
+    await first.worker.stop()
+    answers = await asyncio.gather(*tasks)
 
-    late = []
-    count = 0
-    for pair in range(PAIRS):
-        await operator.write(1100 + pair)
-        await asyncio.sleep(GAP_S)
-        old = operator.service
-        operator.service = SERVICES[1 - SERVICES.index(old)]
-        acknowledged_at = await operator.write(1100 + pair)
-        bound = acknowledged_at + harness.CONFIG_APPLY_S
-        asks = []
-        while record.now() < acknowledged_at + AFTER_S:
-            count += 1
-            place = places[count % MACHINES]
-            attempt = f"request-{count}"
-            asks.append(
-                asyncio.ensure_future(harness.ask(place, attempt))
-            )
-            await asyncio.sleep(INTERVAL_S)
-        answers = await asyncio.gather(*asks)
-        for answer in answers:
-            if answer.sent_at > bound and f" {old} ".encode() in answer.body:
-                after_s = answer.sent_at - acknowledged_at
-                late.append(after_s)
-                record.write(
-                    f"run by the old service, sent {after_s:.3f} s after "
-                    f"the acknowledgement: {answer.body.decode()}"
-                )
+    late = [
+        run
+        for run in first.worker.runs
+        if run.at > start and run.attempt.startswith("request-")
+    ]
+    lost = sum(answer.status != 200 for answer in answers)
     record.write(
-        f"{len(late)} of {count} requests were run by the old service "
-        f"although sent later than configApplyMs after the acknowledgement, "
-        f"the latest {max(late, default=0):.3f} s after it"
+        f"{len(late)} of {len(tasks)} requests reached the worker later than "
+        f"drainMs after the acknowledgement of its DELETE; {lost} of all "
+        "were not answered with success"
     )
     return harness.BROKEN if late else harness.HELD
 
