review: give each run a loopback address of its own

Cause: scripts that ran beside each other took each other's ports; a daemon that can't bind its port ends, and the case could not be set up. Done: the harness draws an address from 127.0.0.0/8 for each run.

--- a/review/harness.py
+++ b/review/harness.py
@@ -22,7 +22,9 @@
 import time
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-HOST = "127.0.0.1"
+#: A loopback address of its own, so that runs beside each other don't take
+#: each other's ports.
+HOST = f"127.{random.randint(1, 250)}.{random.randint(0, 250)}.1"
 SERVICE_HOST = "shop.example"
 ZONES = ("shotton", "queensferry", "sealand")
 HEARTBEAT_S = 1.5
@@ -387,6 +389,7 @@
                 "python3",
                 "-m",
                 "burdockdeal_standins.store",
+                f"--host={HOST}",
                 f"--port={self.store_port}",
                 cwd=ROOT,
                 env={
