--- a/review/3/case.py
+++ b/review/3/case.py
@@ -77,9 +77,7 @@
             count += 1
             place = places[count % MACHINES]
             attempt = f"request-{count}"
-            asks.append(
-                asyncio.ensure_future(harness.ask(place, attempt))
-            )
+            asks.append(asyncio.ensure_future(harness.ask(place, attempt)))
             await asyncio.sleep(INTERVAL_S)
         answers = await asyncio.gather(*asks)
         for answer in answers:
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -18,9 +18,9 @@
 MACHINES = 10
 FREEZE_S = 5.0
 PAUSE_S = 5.0
-FREEZES = 1
+FREEZES = 2
 WORK_S = 0.5
-INTERVAL_S = 0.025
+INTERVAL_S = 0.032
 
 
 async def main(deployment, has_trouble):
--- a/review/harness.py
+++ b/review/harness.py
@@ -15,6 +15,7 @@
 import pathlib
 import random
 import re
+import shutil
 import signal
 import socket
 import sys
@@ -174,7 +175,7 @@
         return f"Server-Load: {self._running},0,{self.slots},100\r\n"
 
     async def _answer(self, reader, writer, start, fields, body):
-        method, target, _ = start.split(" ", 2)
+        target = start.split(" ")[1]
         if target == "/health":
             status = "503 Leaving" if self.is_leaving else "200 OK"
             writer.write(
@@ -266,9 +267,7 @@
             },
         }
         template = (ROOT / "deploy/settings.json5").read_text("utf-8")
-        self.settings_path.write_text(
-            fill_template(template, fields), "utf-8"
-        )
+        self.settings_path.write_text(fill_template(template, fields), "utf-8")
 
     async def start(self):
         """Start the daemon."""
@@ -427,8 +426,7 @@
             await process.wait()
         keep = os.environ.get("KEEP_LOGS")
         if keep:
-            for path in self.folder.iterdir():
-                pathlib.Path(keep, path.name).write_bytes(path.read_bytes())
+            shutil.copytree(self.folder, keep, dirs_exist_ok=True)
         self._temporary.cleanup()
 
     async def add(self, name, zone, service, *, kind=Worker, **options):
@@ -506,7 +504,9 @@
     """Return the start line and the fields, by lower-case name."""
     start, *lines = head.decode("latin-1").strip().split("\r\n")
     pairs = (line.split(":", 1) for line in lines)
-    return start, {name.strip().lower(): value.strip() for name, value in pairs}
+    return start, {
+        name.strip().lower(): value.strip() for name, value in pairs
+    }
 
 
 async def read_body(reader, fields):
