End pipelined connections when a planned stop begins

What callers saw: LOST. A daemon that got SIGTERM went on reading requests on connections that always carry a further one, and reset these connections at the limit of the stop; requests that instances were running got no answer.

Cause: while the server closed, only the response to the last request that was read closed its connection, and a client that sends ahead never gets there.

Ruled out: a limit that is merely too short (the connections would go on forever), and requests read before the signal (those that were cut were sent 4.8 s after it).

Change: a stop takes no request behind the last one read, or behind the next one if the last response had already begun. Connections close as soon as they are idle once the listener has closed; nothing behind a request with Connection: close is started; an error inside the daemon no longer ends the requests behind it; the sending side is closed first, and what still arrives is dropped for up to a second, so that no reset overtakes the last response.

--- a/packages/burdockdeal/burdockdeal/serving/http_server.py
+++ b/packages/burdockdeal/burdockdeal/serving/http_server.py
@@ -47,7 +47,7 @@
     :param status: the status that aiohttp would respond with.
     :param message: aiohttp's text, logged if there is no exception.
     :param build_error_response: builds the response that reports an error.
-    :returns: a response with a verdict, which closes its connection.
+    :returns: a response with a verdict.
     """
     error = _to_call_error(exc, status)
     event_log.warn(
@@ -56,9 +56,7 @@
         error=repr(exc) if exc else message,
         where=event_log.format_traceback(exc) if exc else None,
     )
-    response = build_error_response(error, "")
-    response.force_close()
-    return response
+    return build_error_response(error, "")
 
 
 class _Protocol(web_protocol.RequestHandler):
@@ -72,6 +70,7 @@
         message: str | None = None,
     ) -> web.StreamResponse:
         response = respond_to_error(exc, status=status, message=message)
+        response.force_close()
         if request.writer.output_size > 0:
             raise ConnectionError("the response has already started")
         return response
@@ -118,6 +117,10 @@
         #: Whether each connection closes after its next response.
         self.closing = False
 
+    def begin_closing(self) -> None:
+        """Let each connection close after its next response."""
+        self.closing = True
+
     def __call__(self) -> web_protocol.RequestHandler:
         """Build the protocol of one connection."""
         return _Protocol(self, loop=self._loop, **self._options)
--- a/packages/burdockdeal/burdockdeal/serving/pipelined_connection.py
+++ b/packages/burdockdeal/burdockdeal/serving/pipelined_connection.py
@@ -32,12 +32,17 @@
 
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
+#: Seconds for which what a client still sends is read after the last response
+#: of its connection: time for the client to read that response and close.
+LINGER_S = 1.0
+
 
 class Server(typing.Protocol):
     """The server that a connection belongs to."""
 
     header_bytes: int
     closing: bool
+    closes_idle: bool
 
     def connection_made(
         self, connection: "Connection", transport: asyncio.BaseTransport
@@ -63,7 +68,7 @@
 
     @property
     def keep_alive(self) -> bool:
-        return not self._protocol.decide_close(self._message.should_close)
+        return not self._protocol.decide_close()
 
 
 class Connection(base_protocol.BaseProtocol):
@@ -74,6 +79,8 @@
 
     __slots__ = (
         "_exchanges",
+        "_has_client_closed",
+        "_linger_timer",
         "_request_count",
         "_server",
         "_tasks",
@@ -100,6 +107,8 @@
             response_channels.ResponseChannel, asyncio.Task[None]
         ] = {}
         self._request_count = 0
+        self._has_client_closed = False
+        self._linger_timer: asyncio.TimerHandle | None = None
         #: Whether further requests are ignored.
         self.closing = False
         self.idle_since: float | None = loop.time()
@@ -109,6 +118,11 @@
         """Whether every request is answered."""
         return not self._exchanges
 
+    @property
+    def is_lingering(self) -> bool:
+        """Whether it waits for the client to close after a last response."""
+        return self._linger_timer is not None
+
     @property
     def has_received_request(self) -> bool:
         """Whether the connection has ever carried a request."""
@@ -120,11 +134,6 @@
         transport = self.transport
         return transport is not None and transport.get_write_buffer_size() > 0
 
-    @property
-    def server_closing(self) -> bool:
-        """Whether the server is closing its connections."""
-        return self._server.closing
-
     def is_last(self, channel: response_channels.ResponseChannel) -> bool:
         """Return whether no request follows the channel's request."""
         return bool(self._exchanges) and self._exchanges[-1] is channel
@@ -138,11 +147,11 @@
         """Cancel the client's requests in progress."""
         super().connection_lost(exc)
         self.closing = True
+        if self._linger_timer is not None:
+            self._linger_timer.cancel()
+            self._linger_timer = None
         self._server.connection_lost(self, exc)
-        for channel in self._exchanges:
-            channel.mark_lost()
-        for task in self._tasks.values():
-            task.cancel()
+        self._cancel_exchanges()
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes and start the requests in them."""
@@ -152,7 +161,9 @@
             try:
                 received, upgraded, _ = self._parser.feed_data(piece)
             except http_exceptions.HttpProcessingError as error:
-                self._refuse(error)
+                # What follows the last request of a connection is no request.
+                if not self.closing or self._has_open_body():
+                    self._refuse(error)
                 return
             for message, payload in received:
                 self._accept(message, payload)
@@ -170,12 +181,22 @@
 
         :returns: whether the transport stays open for writing.
         """
-        self.closing = True
+        self.closing = self._has_client_closed = True
         if self.is_idle or self._has_open_body():
             return False
         self._loop.call_soon(self._probe, 0)
         return True
 
+    def begin_closing(self) -> None:
+        """Read no further request, if a response can still say so.
+
+        Otherwise the response to the next request says it. What a client
+        sends behind the response that closes the connection is not read, so
+        that the client may send it again.
+        """
+        if self._exchanges and not self._exchanges[-1].has_head:
+            self.closing = True
+
     def force_close(self) -> None:
         """Close the connection once its written bytes are sent."""
         self.closing = True
@@ -188,6 +209,12 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def _cancel_exchanges(self) -> None:
+        for channel in self._exchanges:
+            channel.mark_lost()
+        for task in self._tasks.values():
+            task.cancel()
+
     def _has_open_body(self) -> bool:
         return any(not channel.payload.is_eof() for channel in self._exchanges)
 
@@ -215,6 +242,7 @@
             return
         self._request_count += 1
         self.idle_since = None
+        self.closing = self._server.closing or message.should_close
         channel = response_channels.ResponseChannel(self, payload, self._loop)
         self._enqueue(channel, self._handle(channel, message))
 
@@ -309,8 +337,8 @@
             self.abort()
             return
         self._exchanges.popleft()
-        if not is_reusable or (self.closing and not self._exchanges):
-            self.force_close()
+        if not is_reusable or (self._is_ending and not self._exchanges):
+            self._close_after_response()
             return
         if len(self._exchanges) <= MAX_PIPELINED_REQUESTS:
             self._resume_reading_for_buffer()
@@ -318,3 +346,26 @@
             self._exchanges[0].start_turn()
         else:
             self.idle_since = self._loop.time()
+
+    @property
+    def _is_ending(self) -> bool:
+        return self.closing or self._server.closes_idle
+
+    def _close_after_response(self) -> None:
+        """Close the connection so that its last response arrives.
+
+        A socket that is closed with unread bytes resets its connection, and
+        a reset can overtake the response (RFC 9112, section 9.6). So the
+        sending side is closed first, and what the client still sends is
+        dropped until it closes, too.
+        """
+        transport = self.transport
+        if self._has_client_closed or transport.is_closing():
+            self.force_close()
+            return
+        self.closing = True
+        self._cancel_exchanges()
+        self._exchanges.clear()
+        transport.write_eof()
+        self._resume_transport_reading()
+        self._linger_timer = self._loop.call_later(LINGER_S, self.force_close)
--- a/packages/burdockdeal/burdockdeal/serving/pipelined_server.py
+++ b/packages/burdockdeal/burdockdeal/serving/pipelined_server.py
@@ -51,8 +51,10 @@
         self._timer: asyncio.TimerHandle | None = None
         self._active = 0
         self.header_bytes = header_bytes
-        #: Whether each connection closes after its last pending response.
+        #: Whether each connection reads at most one further request.
         self.closing = False
+        #: Whether a connection is closed as soon as no request is pending.
+        self.closes_idle = False
 
     def __call__(self) -> pipelined_connection.Connection:
         """Build the protocol of one connection."""
@@ -72,7 +74,9 @@
     def active_count(self) -> int:
         """Number of requests in progress plus busy connections."""
         return self._active + sum(
-            connection.is_writing or not connection.is_idle
+            connection.is_writing
+            or connection.is_lingering
+            or not connection.is_idle
             for connection in self._connections
         )
 
@@ -92,8 +96,20 @@
         """Remove a connection that has ended."""
         self._connections.discard(connection)
 
+    def begin_closing(self) -> None:
+        """Let each connection close after a last response.
+
+        The clients learn of it from that response. It is the response to
+        the last request that was read, or to the next one if there is none
+        or if its response has already begun.
+        """
+        self.closing = True
+        for connection in self._connections:
+            connection.begin_closing()
+
     def close_idle(self) -> None:
-        """Close the connections without a pending request."""
+        """Close each connection once it has no pending request."""
+        self.closes_idle = True
         for connection in tuple(self._connections):
             if connection.is_idle:
                 connection.force_close()
--- a/packages/burdockdeal/burdockdeal/serving/response_channels.py
+++ b/packages/burdockdeal/burdockdeal/serving/response_channels.py
@@ -15,7 +15,6 @@
 
     transport: asyncio.Transport | None
     closing: bool
-    server_closing: bool
 
     def is_last(self, channel: "ResponseChannel") -> bool:
         """Return whether no request follows the channel's request."""
@@ -49,6 +48,9 @@
         self._buffered_bytes = 0
         self._turn: asyncio.Future[None] = loop.create_future()
         self._is_aborted = False
+        #: Whether the head of its response is built, and so says whether the
+        #: connection closes.
+        self.has_head = False
         self.payload = payload
         self.writer = http_writer.StreamWriter(self, loop)
 
@@ -138,18 +140,11 @@
         if self._connection._paused:
             await self._connection._drain_helper()
 
-    def decide_close(self, requested: bool) -> bool:
+    def decide_close(self) -> bool:
         """Decide whether the connection closes after this response.
 
-        While the server is closing, the connection closes after the
-        response to the last request that was read, so that every request
-        that was read gets its response.
-
-        :param requested: whether the client asked for it.
+        A connection that reads no further requests closes after the response
+        to the last one, so that every request that was read is answered.
         """
-        connection = self._connection
-        is_last = connection.is_last(self)
-        closes = requested or (is_last and connection.server_closing)
-        if closes:
-            connection.closing = True
-        return closes
+        self.has_head = True
+        return self._connection.closing and self._connection.is_last(self)
--- a/packages/burdockdeal/burdockdeal/shutdown/assembly.py
+++ b/packages/burdockdeal/burdockdeal/shutdown/assembly.py
@@ -36,7 +36,7 @@
         tracker.reject_new_calls()
         local_roster.update_own(health=membership.Health.LEFT)
         for server in fronts:
-            server.closing = True
+            server.begin_closing()
 
     def refuse_connections() -> None:
         closing.add(asyncio.ensure_future(stop_callers()))
--- a/tests/test_operator_reports.py
+++ b/tests/test_operator_reports.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import signal
 
 import pytest
@@ -79,6 +80,43 @@
     assert await asyncio.wait_for(process.wait(), 15) == 0
 
 
+@pytest.mark.parametrize("stopped", ["d1", "d2"])
+async def test_a_planned_stop_ends_connections_that_are_never_idle(
+    harness: raw_http.Harness, stopped: str
+) -> None:
+    """Guards against a stop that cuts off pipelined requests at its limit.
+
+    Each client always has further requests on their way, and sends until a
+    response says that the connection closes.
+    """
+    upstream = SlowUpstream(harness)
+    process = harness.fleet.nodes[stopped].daemon
+
+    async def ask_on(connection: raw_http.CallerConnection) -> int:
+        count = 0
+        while True:
+            connection.writer.write(raw_http.GET_REQUEST)
+            head, _ = await connection.read_response()
+            count += head.start_line.split()[1] == "200"
+            if "close" in head.values("Connection"):
+                return count
+
+    async with contextlib.AsyncExitStack() as stack:
+        connections = [
+            await stack.enter_async_context(
+                harness.connect(raw_http.GET_REQUEST * _PIPELINED, stopped)
+            )
+            for _ in range(3)
+        ]
+        clients = [asyncio.ensure_future(ask_on(one)) for one in connections]
+        await asyncio.sleep(2 * _RUN_S)
+        process.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(5):
+            succeeded = await asyncio.gather(*clients)
+    assert sum(succeeded) == len(upstream.runs)
+    assert await asyncio.wait_for(process.wait(), 15) == 0
+
+
 async def test_a_silent_owner_keeps_its_running_work(
     harness: raw_http.Harness,
 ) -> None:
