Keep an upstream that has left out of service when a heartbeat is late

A third of the requests went to an upstream long after its leaving was acknowledged; unsafe ones that it was running when it exited were answered 502.

Cause: the health check names an upstream, not the time of its start, and the daemon noted start 1 for it. A departure marked that start as gone; a late heartbeat bears the true time of the start, which is greater, and so counted as that of a newer start.

Its daemon's phase goes back from DRAINING to SERVING at the late heartbeat.

Ruled out: other daemons that learn of the departure late, and a departure that isn't applied (the phase was DRAINING before).

Change: a departure is remembered by itself for the lease, which is as late as a heartbeat may be, and covers all heartbeats of that id that aren't known to be of a newer start; also where another upstream is known.

--- a/packages/burdockdeal/burdockdeal/platform/heartbeats.py
+++ b/packages/burdockdeal/burdockdeal/platform/heartbeats.py
@@ -48,6 +48,8 @@
     :param name: the id of the upstream, empty before the first heartbeat.
         It may be the same after a restart.
     :param incarnation: the number of its current start.
+    :param born: the time of that start in Unix milliseconds; None until a
+        heartbeat has reported it.
     :param sequence: the sequence number of its latest heartbeat, -1 before
         the first.
     :param gone: whether it has deregistered.
@@ -55,10 +57,33 @@
 
     name: str = ""
     incarnation: int = 0
+    born: int | None = None
     sequence: int = -1
     gone: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Departure:
+    """An upstream that has deregistered.
+
+    :param born: the time of the start that ended, in Unix milliseconds; None
+        if no heartbeat had reported it.
+    :param at: the monotonic time, in seconds, of its deregistration.
+    """
+
+    name: str
+    born: int | None
+    at: float
+
+    def covers(self, name: str, heartbeat: Heartbeat) -> bool:
+        """Return whether the start that ended may have sent a heartbeat."""
+        return name == self.name and (
+            self.born is None
+            or heartbeat.born is None
+            or heartbeat.born <= self.born
+        )
+
+
 def determine_incarnation(
     known: KnownUpstream, name: str, heartbeat: Heartbeat
 ) -> int:
@@ -86,10 +111,14 @@
 class HeartbeatReceiver:
     """Receives heartbeats and passes them on to the announce slice.
 
+    A heartbeat may be late, but not by more than the lease. An upstream that
+    has deregistered sends none, so one that arrives later than the lease
+    after that comes from an upstream that is there; until then it may have
+    been sent before.
+
     A daemon that has just started doesn't know what an earlier run of it has
-    acknowledged, and a heartbeat may be late. So its first upstream serves
-    only once its health check names it, or its heartbeats go on: an upstream
-    that has told the earlier run that it leaves does neither.
+    acknowledged. So its first upstream serves only once its health check
+    names it, or its heartbeats go on for longer than the lease.
 
     :param tracker: tracks the state of the upstream beside this daemon.
     :param deployment: describes that upstream.
@@ -106,7 +135,8 @@
         self._tracker = tracker
         self._deployment = deployment
         self._known = KnownUpstream()
-        self._departed = ""
+        self._departures: tuple[Departure, ...] = ()
+        self._started_at = tracker.clock()
         self.is_upstream_confirmed = is_confirmed
 
     def record_discovered(self, name: str, slots: int) -> None:
@@ -116,7 +146,8 @@
         heartbeat counts as newer.
         """
         is_gone = self._known.gone and name == self._known.name
-        if self.is_upstream_confirmed or is_gone:
+        has_left = any(left.name == name for left in self._list_departures())
+        if self.is_upstream_confirmed or is_gone or has_left:
             return
         if name != self._known.name:
             self._known = KnownUpstream(name, incarnation=1)
@@ -136,11 +167,21 @@
                 known=self._known.name,
             )
             return
+        if any(
+            departure.covers(name, heartbeat)
+            for departure in self._list_departures()
+        ):
+            event_log.record(
+                "heartbeat_of_departed", name=name, sequence=heartbeat.sequence
+            )
+            return
         incarnation = determine_incarnation(self._known, name, heartbeat)
-        before, draining = self._known, heartbeat.state == _DRAINING
-        self._known = KnownUpstream(name, incarnation, heartbeat.sequence)
+        draining = heartbeat.state == _DRAINING
+        self._known = KnownUpstream(
+            name, incarnation, heartbeat.born, heartbeat.sequence
+        )
         if not (
-            self.is_upstream_confirmed or draining or self._goes_on(before)
+            self.is_upstream_confirmed or draining or self._is_past_start()
         ):
             event_log.record(
                 "upstream_unconfirmed", name=name, sequence=heartbeat.sequence
@@ -152,28 +193,39 @@
         )
         self._report_heartbeat(draining=draining)
 
-    def _goes_on(self, before: KnownUpstream) -> bool:
-        """Return whether the last heartbeat follows an earlier one."""
-        known = self._known
-        return (
-            before.sequence >= 0
-            and (before.name, before.incarnation)
-            == (known.name, known.incarnation)
-            and known.name != self._departed
+    def _is_past_start(self) -> bool:
+        """Return whether a heartbeat that arrives now was sent to this run."""
+        age_s = self._tracker.clock() - self._started_at
+        return age_s > self._deployment.lease_s
+
+    def _list_departures(self) -> tuple[Departure, ...]:
+        """List the departures after which a late heartbeat may still come."""
+        earliest = self._tracker.clock() - self._deployment.lease_s
+        self._departures = tuple(
+            departure
+            for departure in self._departures
+            if departure.at >= earliest
         )
+        return self._departures
 
     def record_departure(self, name: str) -> None:
         """Record that an upstream has deregistered.
 
-        An earlier run of this daemon may have known it.
+        It binds whether or not the upstream is known: an earlier run of this
+        daemon may have known it, or its heartbeats may be late.
         """
-        if not self._known.name:
+        known = self._known
+        is_known = name == known.name
+        departure = Departure(
+            name, known.born if is_known else None, self._tracker.clock()
+        )
+        self._departures = (*self._list_departures(), departure)
+        event_log.record("upstream_departed", name=name, known=known.name)
+        if not known.name:
             self._known = KnownUpstream(name, gone=True)
-            self._departed = name
-        if name != self._known.name:
-            return
-        self._known = dataclasses.replace(self._known, gone=True)
-        self._tracker.apply(messages.Drain(self._known.incarnation))
+        elif is_known:
+            self._known = dataclasses.replace(known, gone=True)
+            self._tracker.apply(messages.Drain(known.incarnation))
 
     def _report_announce(
         self, name: str, slots: int, warm_up_s: float
--- a/packages/burdockdeal/burdockdeal/platform/tests/test_heartbeats.py
+++ b/packages/burdockdeal/burdockdeal/platform/tests/test_heartbeats.py
@@ -204,10 +204,61 @@
 def test_an_upstream_is_confirmed_by_heartbeats_that_go_on(
     restarted, tracker
 ) -> None:
+    """Two heartbeats in a row may both be late, one after the other.
+
+    Guards against an upstream in service that has told the earlier run of
+    the daemon that it leaves. It sends none that arrive after the lease.
+    """
     restarted.receive("i-1", make_heartbeat(5))
     restarted.receive("i-1", make_heartbeat(4))
-    assert not tracker.may_start_call()
     restarted.receive("i-1", make_heartbeat(6))
+    tracker.clock.now += DEPLOYMENT.lease_s - 1
+    restarted.receive("i-1", make_heartbeat(7))
+    assert not tracker.may_start_call()
+    tracker.clock.now += 2
+    restarted.receive("i-1", make_heartbeat(8))
+    assert tracker.may_start_call()
+
+
+def test_a_late_heartbeat_does_not_revive_a_discovered_upstream(
+    restarted, tracker
+) -> None:
+    """Guards against requests at an upstream after its acknowledged leaving.
+
+    The time of its start is not known from its health check, so that its own
+    late heartbeats look like those of a newer start.
+    """
+    restarted.record_discovered("i-1", 9)
+    assert tracker.may_start_call()
+    restarted.record_departure("i-1")
+    for sequence in (5, 6, 7):
+        restarted.receive("i-1", make_heartbeat(sequence))
+        assert not tracker.may_start_call()
+    restarted.record_discovered("i-1", 9)
+    assert not tracker.may_start_call()
+    restarted.receive("i-2", make_heartbeat(0, born=2000))
+    assert tracker.may_start_call()
+
+
+def test_a_departure_binds_although_another_upstream_is_known(
+    restarted, tracker
+) -> None:
+    """The heartbeats of the one that leaves are later than its leaving."""
+    restarted.record_discovered("i-1", 9)
+    restarted.receive("i-1", make_heartbeat(5))
+    restarted.record_departure("i-2")
+    restarted.receive("i-2", make_heartbeat(0, born=2000))
+    assert tracker.upstream.announce.name == "i-1"
+    assert tracker.may_start_call()
+
+
+def test_a_discovered_upstream_may_start_again_under_its_id(
+    restarted, tracker
+) -> None:
+    restarted.record_discovered("i-1", 9)
+    restarted.record_departure("i-1")
+    tracker.clock.now += DEPLOYMENT.lease_s + 1
+    restarted.receive("i-1", make_heartbeat(1, born=3000))
     assert tracker.may_start_call()
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -90,6 +90,36 @@
         assert (status, body) == (200, "i-a1")
 
 
+async def test_a_late_heartbeat_revives_no_upstream_found_after_a_restart(
+    platform: platform_fleet.PlatformFleet,
+) -> None:
+    """Guards against requests at an upstream after its acknowledged leaving.
+
+    The daemon that is started again knows the upstream from its health check
+    only, not the time of its start.
+    """
+    await platform.kill_daemon("b1")
+    await platform.start_daemon("b1")
+    await platform.wait_until_served("b1")
+    number = 0
+
+    async def is_used() -> bool:
+        nonlocal number
+        number += 1
+        return (await platform.ask("b1", f"found-{number}"))[1] == "i-b1"
+
+    await platform.fleet.wait_until(is_used, "the upstream is found")
+    platform.places["b1"].worker.is_healthy = False
+    assert await platform.deregister("b1") == 200
+    for sequence in (5, 6):
+        await platform.send_heartbeat("b1", sequence)
+        for number in range(10):
+            status, body = await platform.ask(
+                "b1", f"left-{sequence}-{number}"
+            )
+            assert (status, body) == (200, "i-a1")
+
+
 async def test_a_configuration_is_in_force_again_after_a_restart(
     platform: platform_fleet.PlatformFleet,
 ) -> None:
