--- a/packages/burdockdeal/burdockdeal/configuration/assembly.py
+++ b/packages/burdockdeal/burdockdeal/configuration/assembly.py
@@ -196,9 +196,7 @@
     operator_repository = repository.Repository(
         operator_store, active, deps.new_id
     )
-    peer_sync = peers.PeerSync(
-        settings, active, deps.session, clock=deps.clock
-    )
+    peer_sync = peers.PeerSync(settings, active, deps.session)
     propagator = propagation.Propagator(
         settings,
         active,
--- a/packages/burdockdeal/burdockdeal/configuration/peers.py
+++ b/packages/burdockdeal/burdockdeal/configuration/peers.py
@@ -1,7 +1,7 @@
 """Synchronising the configuration between peers, without the store."""
 
 import asyncio
-from collections import abc
+import http
 
 import aiohttp
 from aiohttp import web
@@ -11,6 +11,7 @@
 from burdockdeal.configuration import messages
 from burdockdeal.configuration import snapshots
 from burdockdeal.core import codec
+from burdockdeal.core import errors
 from burdockdeal.core import event_log
 from burdockdeal.core import headers
 from burdockdeal.settings import model
@@ -23,8 +24,8 @@
 _MAX_PART_BYTES = 200_000
 #: Pages of changes fetched from one peer in a row at most.
 _MAX_PAGES = 4096
-#: Seconds for which the parts handed out stay those of one revision.
-_SNAPSHOT_PIN_S = 5.0
+#: Revisions whose parts are kept for peers that have begun to fetch them.
+_RETAINED_SNAPSHOTS = 3
 
 _FAILURES = (
     aiohttp.ClientError,
@@ -34,13 +35,16 @@
 )
 
 
+class _SnapshotReplacedError(errors.BurdockdealError):
+    """The peer does not retain the snapshot any more, but a newer one."""
+
+
 class PeerSync(mode.Service):
     """Fetches changes and snapshots from peers, and serves them to peers.
 
     :param settings: the daemon's settings.
     :param active: the active configuration, to which changes are applied.
     :param session: the HTTP session for requests to peers.
-    :param clock: returns monotonic time in seconds.
     """
 
     def __init__(
@@ -48,35 +52,39 @@
         settings: model.Settings,
         active: active_configuration.ActiveConfiguration,
         session: aiohttp.ClientSession,
-        *,
-        clock: abc.Callable[[], float],
     ) -> None:
         super().__init__()
         self._settings = settings
         self._active = active
         self._session = session
         self._pulling: set[model.Address] = set()
-        self._clock = clock
-        self._pinned: tuple[messages.Part, ...] = ()
-        self._pinned_at = -_SNAPSHOT_PIN_S
+        #: Peers that have reported a newer revision since their last fetch
+        #: began.
+        self._requested: set[model.Address] = set()
+        #: The parts of the snapshots served last, by revision, oldest first.
+        self._snapshots: dict[int, tuple[messages.Part, ...]] = {}
 
     def pull_from(self, peer: model.Address) -> None:
         """Fetch newer changes from a peer, in the background.
 
-        Does nothing while an earlier fetch from the same peer is in
-        progress.
+        While an earlier fetch from the same peer is in progress, another one
+        follows it.
         """
+        self._requested.add(peer)
         if peer not in self._pulling:
             self._pulling.add(peer)
             self.add_future(self._pull(peer))
 
     async def _pull(self, peer: model.Address) -> None:
         try:
-            await self._pull_all(peer)
+            while peer in self._requested:
+                self._requested.discard(peer)
+                await self._pull_all(peer)
         except _FAILURES as error:
             event_log.warn("pull_failed", peer=peer, error=repr(error))
         finally:
             self._pulling.discard(peer)
+            self._requested.discard(peer)
 
     async def _pull_all(self, peer: model.Address) -> None:
         for _ in range(_MAX_PAGES):
@@ -85,7 +93,10 @@
                 peer, f"{CHANGES_PATH}?after={before}", messages.Changes
             )
             if page.needs_snapshot:
-                await self._pull_snapshot(peer)
+                try:
+                    await self._pull_snapshot(peer)
+                except _SnapshotReplacedError:
+                    continue
             else:
                 self._active.apply(page.changes)
             done = self._active.revision >= page.revision
@@ -114,6 +125,8 @@
             headers={headers.PEER_TOKEN: self._settings.peer_token},
             timeout=aiohttp.ClientTimeout(total=_REQUEST_TIMEOUT_S),
         ) as response:
+            if response.status == http.HTTPStatus.CONFLICT:
+                raise _SnapshotReplacedError(path)
             response.raise_for_status()
             return codec.decode(await response.read(), kind)
 
@@ -125,30 +138,32 @@
     async def handle_snapshot(self, request: web.BaseRequest) -> web.Response:
         """Serve one part of a snapshot to a peer.
 
-        The parts stay those of one revision for a few seconds, so that a
-        peer can fetch all of them while the configuration changes.
+        The first part is always that of the active revision. The others are
+        retained for a few revisions, so that a peer can fetch all of them
+        while the configuration changes.
         """
         position = _read_number(request, "position")
-        if not position:
-            self._pin_snapshot()
-        if position >= len(self._pinned):
-            return web.Response(status=404)
-        part = self._pinned[position]
-        if position and part.revision != _read_number(request, "revision"):
-            return web.Response(status=409)
-        return _reply(part)
-
-    def _pin_snapshot(self) -> None:
-        now = self._clock()
-        revision = self._pinned[0].revision if self._pinned else 0
-        is_outdated = len(self._pinned) <= 1 and (
-            revision != self._active.revision
-        )
-        if is_outdated or now - self._pinned_at >= _SNAPSHOT_PIN_S:
-            self._pinned_at = now
-            self._pinned = snapshots.split(
+        if position:
+            revision = _read_number(request, "revision")
+            parts = self._snapshots.get(revision, ())
+        else:
+            parts = self._retain_snapshot()
+        if not parts:
+            return web.Response(status=http.HTTPStatus.CONFLICT)
+        if position >= len(parts):
+            return web.Response(status=http.HTTPStatus.NOT_FOUND)
+        return _reply(parts[position])
+
+    def _retain_snapshot(self) -> tuple[messages.Part, ...]:
+        """Return the parts of the active revision, and retain them."""
+        revision = self._active.revision
+        if revision not in self._snapshots:
+            self._snapshots[revision] = snapshots.split(
                 self._active.configuration, part_bytes=_MAX_PART_BYTES
             )
+        while len(self._snapshots) > _RETAINED_SNAPSHOTS:
+            del self._snapshots[next(iter(self._snapshots))]
+        return self._snapshots[revision]
 
 
 def _read_number(request: web.BaseRequest, name: str) -> int:
--- a/packages/burdockdeal/burdockdeal/platform/assembly.py
+++ b/packages/burdockdeal/burdockdeal/platform/assembly.py
@@ -80,9 +80,7 @@
         session, deployment.upstream, receiver, get_health_path
     )
     shared.active_configuration.on_change(upstream_discovery.check_path)
-    puller = peers.PeerSync(
-        settings, shared.active_configuration, session, clock=shared.clock
-    )
+    puller = peers.PeerSync(settings, shared.active_configuration, session)
 
     store_watcher = watcher.Watcher(
         platform.derive_unlimited_client(),
