Answer a caller at its deadline although the owner stands still

Unsafe requests that a frozen daemon had been handed were unanswered at their route's timeout, half a second later, and when their clients gave up.

Cause: the entry asked the owner for the fate of an unanswered send before it answered the caller, three times with 0.5 s each and pauses between, without regard for the deadline.

In the log, send_judged comes 2 s after the deadline and request_refused right behind it.

Ruled out: the send's own timeout (it is the deadline), a retry (none is logged), the entry's queue.

A stand-in's worker mixed up the ids of concurrent requests; mended.

--- a/packages/burdockdeal/burdockdeal/bookings/api.py
+++ b/packages/burdockdeal/burdockdeal/bookings/api.py
@@ -8,6 +8,7 @@
 from burdockdeal.bookings import claim_store
 from burdockdeal.bookings import decisions
 from burdockdeal.bookings import deduplication
+from burdockdeal.bookings import fencing
 from burdockdeal.bookings import issued_keys
 from burdockdeal.bookings import messages
 from burdockdeal.bookings import send_registry
@@ -18,10 +19,12 @@
 from burdockdeal.membership import messages as membership
 from burdockdeal.serving import header_codec
 from burdockdeal.serving import messages as serving
-from burdockdeal.settings import model
 
 KEYS_PATH = "/burdockdeal/v1/keys"
 
+#: Seconds to wait for the clock of the daemon that a new key names.
+_CLOCK_TIMEOUT_S = 0.5
+
 Handler = abc.Callable[[web.BaseRequest], abc.Awaitable[web.StreamResponse]]
 
 
@@ -162,7 +165,7 @@
 def make_key_issue_handler(
     peer_token: str,
     choose: abc.Callable[[str], membership.Member | None],
-    read_clock: abc.Callable[[str, int, model.Address], abc.Awaitable[float]],
+    read_clock: fencing.ReadClock,
     generate_id: abc.Callable[[], str],
     *,
     retention_s: float,
@@ -184,7 +187,10 @@
             service=service,
             holder=messages.Holder(member.daemon, member.incarnation),
             issued_at=await read_clock(
-                member.daemon, member.incarnation, member.peer
+                member.daemon,
+                member.incarnation,
+                member.peer,
+                _CLOCK_TIMEOUT_S,
             ),
             nonce=generate_id(),
         )
--- a/packages/burdockdeal/burdockdeal/bookings/assembly.py
+++ b/packages/burdockdeal/burdockdeal/bookings/assembly.py
@@ -70,7 +70,7 @@
             settings.peer_token, members.find, claims.read_claim
         )
         self._query_clock, self._query_fate = fencing.make_peer_queries(
-            control, settings.peer_token
+            control, settings.peer_token, clock
         )
         handle_fence, handle_clock = api.make_peer_handlers(
             self.send_registry, own.incarnation, clock
--- a/packages/burdockdeal/burdockdeal/bookings/fencing.py
+++ b/packages/burdockdeal/burdockdeal/bookings/fencing.py
@@ -21,39 +21,57 @@
 _RETRY_DELAYS_S = (0.0, 0.1, 0.4)
 _TIMEOUT_S = 0.5
 
+#: Seconds after a call's deadline for which the fate of its send is still
+#: awaited: a round trip to a daemon that responds. If the send has not run,
+#: the caller can still be told so.
+FATE_GRACE_S = 0.15
+
 FENCE_PATH = "/v1/peer/fence"
 CLOCK_PATH = "/v1/peer/clock"
 
-#: Queries a daemon's clock; returns None if the daemon does not respond.
+#: Queries a daemon's clock, given the seconds to wait; returns None if the
+#: daemon does not respond.
 QueryClock = abc.Callable[
-    [model.Address], abc.Awaitable[messages.Clock | None]
+    [model.Address, float], abc.Awaitable[messages.Clock | None]
 ]
 
-#: Queries the fate of a send, which fences it if it has not started; returns
-#: UNKNOWN if the daemon does not respond.
+#: Queries the fate of a send, which fences it if it has not started, given
+#: the seconds to wait; returns UNKNOWN if the daemon does not respond.
 QueryFate = abc.Callable[
-    [model.Address, messages.Fence], abc.Awaitable[messages.Fate]
+    [model.Address, messages.Fence, float], abc.Awaitable[messages.Fate]
+]
+
+#: Returns a lower bound in seconds of a daemon's clock, given its name, its
+#: incarnation, its address and the seconds to wait.
+ReadClock = abc.Callable[
+    [str, int, model.Address, float], abc.Awaitable[float]
 ]
 
 
 def make_peer_queries(
-    session: aiohttp.ClientSession, peer_token: str
+    session: aiohttp.ClientSession,
+    peer_token: str,
+    clock: abc.Callable[[], float],
 ) -> tuple[QueryClock, QueryFate]:
     """Build the functions that query other daemons.
 
     :param session: HTTP client for messages between daemons.
     :param peer_token: the token that all daemons share.
+    :param clock: returns monotonic time in seconds.
     """
 
     async def post(
-        peer: model.Address, path: str, body: bytes
+        peer: model.Address, path: str, body: bytes, within_s: float
     ) -> bytes | None:
+        timeout_s = min(_TIMEOUT_S, within_s)
+        if timeout_s <= 0:
+            return None
         try:
             async with session.post(
                 f"http://{peer}{path}",
                 data=body,
                 headers={headers.PEER_TOKEN: peer_token},
-                timeout=aiohttp.ClientTimeout(total=_TIMEOUT_S),
+                timeout=aiohttp.ClientTimeout(total=timeout_s),
             ) as response:
                 response.raise_for_status()
                 return await response.read()
@@ -63,16 +81,23 @@
             )
             return None
 
-    async def query_clock(peer: model.Address) -> messages.Clock | None:
-        raw = await post(peer, CLOCK_PATH, b"")
+    async def query_clock(
+        peer: model.Address, within_s: float
+    ) -> messages.Clock | None:
+        raw = await post(peer, CLOCK_PATH, b"", within_s)
         return codec.decode(raw, messages.Clock) if raw else None
 
     async def query_fate(
-        peer: model.Address, fence: messages.Fence
+        peer: model.Address, fence: messages.Fence, within_s: float
     ) -> messages.Fate:
+        ends_at = clock() + within_s
         for delay_s in _RETRY_DELAYS_S:
+            if clock() + delay_s >= ends_at:
+                break
             await asyncio.sleep(delay_s)
-            raw = await post(peer, FENCE_PATH, codec.encode(fence))
+            raw = await post(
+                peer, FENCE_PATH, codec.encode(fence), ends_at - clock()
+            )
             if raw is not None:
                 return codec.decode(raw, messages.Fenced).fate
         return messages.Fate.UNKNOWN
@@ -82,23 +107,21 @@
 
 def make_clock_reader(
     clocks: peer_clocks.PeerClocks, query_clock: QueryClock
-) -> abc.Callable[[str, int, model.Address], abc.Awaitable[float]]:
+) -> ReadClock:
     """Build the function that estimates a daemon's clock.
 
     It queries the daemon if there is no recent reading of its clock.
 
     :param clocks: estimates the clocks of other daemons.
     :param query_clock: queries a daemon's clock.
-    :returns: the function; given a daemon's name, incarnation and address,
-        it returns a lower bound in seconds and raises NotRunError if the
-        clock is not known.
+    :returns: the function; it raises NotRunError if the clock is not known.
     """
 
     async def read_clock(
-        daemon: str, incarnation: int, peer: model.Address
+        daemon: str, incarnation: int, peer: model.Address, within_s: float
     ) -> float:
         if clocks.estimate(daemon, incarnation) is None:
-            reading = await query_clock(peer)
+            reading = await query_clock(peer, within_s)
             if reading is not None:
                 clocks.record(daemon, reading.incarnation, reading.now)
         estimate = clocks.estimate(daemon, incarnation)
@@ -142,7 +165,11 @@
             incarnation=send.daemon_incarnation,
             deadline=(estimate or send.sent_at) + remaining_s,
         )
-        fate = await query_fate(send.peer, fence)
+        # The caller gets its answer at its deadline, whether or not the owner
+        # responds by then.
+        fate = await query_fate(
+            send.peer, fence, max(0.0, remaining_s) + FATE_GRACE_S
+        )
         event_log.record(
             "send_judged",
             request_id=send.request.request_id,
@@ -161,7 +188,12 @@
         if send.request.idempotent:
             estimate = clocks.estimate(daemon, incarnation)
         else:
-            estimate = await read_clock(daemon, incarnation, send.peer)
+            estimate = await read_clock(
+                daemon,
+                incarnation,
+                send.peer,
+                send.request.deadline - clock(),
+            )
         timestamped = dataclasses.replace(send, sent_at=estimate)
         async with contextlib.AsyncExitStack() as stack:
             try:
--- a/packages/burdockdeal/burdockdeal/serving/entry.py
+++ b/packages/burdockdeal/burdockdeal/serving/entry.py
@@ -21,6 +21,7 @@
 from burdockdeal.routing import tracking
 from burdockdeal.serving import bodies
 from burdockdeal.serving import classification
+from burdockdeal.serving import final_response
 from burdockdeal.serving import forwarding
 from burdockdeal.serving import header_codec
 from burdockdeal.serving import messages
@@ -154,7 +155,9 @@
             inbound.request_id
         )
         try:
-            async with dispatch(inbound, outbound) as response:
+            async with final_response.open_in_time(
+                dispatch(inbound, outbound), inbound.deadline, clock
+            ) as response:
                 return await forwarding.relay_response(
                     request,
                     response,
--- a/packages/burdockdeal/burdockdeal/serving/peers.py
+++ b/packages/burdockdeal/burdockdeal/serving/peers.py
@@ -1,5 +1,6 @@
 """Client side of calls to the owner daemons of other upstreams."""
 
+import asyncio
 from collections import abc
 import contextlib
 
@@ -14,6 +15,9 @@
 from burdockdeal.serving import forwarding
 from burdockdeal.serving import messages
 
+#: Seconds for the rest of a refusal, whose verdict its head has reported.
+_DRAIN_TIMEOUT_S = 0.1
+
 _ERROR_CLASSES: dict[verdict.Verdict, type[errors.CallError]] = {
     verdict.Verdict.MAY_HAVE_RUN: errors.MayHaveRunError,
     verdict.Verdict.RAN: errors.RanError,
@@ -48,9 +52,14 @@
 
 
 async def _drain(content: messages.BodyReader) -> None:
-    """Discard the rest of a body, so that its connection can be reused."""
-    while await content.readany():
-        pass
+    """Discard the rest of a body, so that its connection can be reused.
+
+    A connection on which the rest does not arrive is closed by its owner.
+    """
+    with contextlib.suppress(aiohttp.ClientError, OSError):
+        async with asyncio.timeout(_DRAIN_TIMEOUT_S):
+            while await content.readany():
+                pass
 
 
 def make_peer_opener(
--- a/packages/standins/burdockdeal_standins/platform_fleet.py
+++ b/packages/standins/burdockdeal_standins/platform_fleet.py
@@ -6,8 +6,10 @@
 
 import asyncio
 import base64
+from collections import abc
 import contextlib
 import dataclasses
+import signal
 
 from burdockdeal.core import codec
 from burdockdeal.settings import model
@@ -63,12 +65,12 @@
                     "\r\n".encode()
                 )
                 continue
-            self.runs.append(Run(head, asyncio.get_running_loop().time()))
+            run = Run(head, asyncio.get_running_loop().time())
+            self.runs.append(run)
             await asyncio.sleep(_RUN_S)
-            attempt_id = self.runs[-1].attempt_id
             body = self.name
             writer.write(
-                f"HTTP/1.1 200 OK\r\nAttempt-Id: {attempt_id}\r\n"
+                f"HTTP/1.1 200 OK\r\nAttempt-Id: {run.attempt_id}\r\n"
                 f"Response-Signature: {self.name}\r\n"
                 f"Content-Length: {len(body)}\r\n\r\n{body}".encode()
             )
@@ -135,6 +137,15 @@
         self._processes[name].kill()
         await self._processes[name].wait()
 
+    @contextlib.contextmanager
+    def pause_daemon(self, name: str) -> abc.Iterator[None]:
+        """Pause a place's daemon while in use."""
+        self._processes[name].send_signal(signal.SIGSTOP)
+        try:
+            yield
+        finally:
+            self._processes[name].send_signal(signal.SIGCONT)
+
     async def configure(self, version: int, **changed: object) -> None:
         """Write the configuration, as the operator does.
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -142,6 +142,44 @@
     assert not list_runs(platform, "check")
 
 
+async def test_a_frozen_owner_holds_no_request_beyond_its_timeout(
+    platform: platform_fleet.PlatformFleet,
+) -> None:
+    """Guards against unsafe requests without an answer in time.
+
+    The owner was asked for the fate of a send that it had not answered, with
+    no regard for the time that the request had left.
+    """
+    timeout_s = 0.8
+    await platform.configure(2, timeoutMs=int(timeout_s * 1000))
+    loop = asyncio.get_running_loop()
+    waits = []
+
+    async def ask(attempt_id: str) -> int:
+        started = loop.time()
+        status, _ = await platform.ask("a1", attempt_id)
+        waits.append(loop.time() - started)
+        return status
+
+    async def ask_several(label: str) -> set[int]:
+        return set(
+            await asyncio.gather(
+                *(ask(f"{label}-{number}") for number in range(8))
+            )
+        )
+
+    async def is_changed() -> bool:
+        log = platform.fleet.read_log("a1")
+        return "configuration_activated revision=2" in log
+
+    await platform.fleet.wait_until(is_changed, "the timeout is in force")
+    # The clock of the owner is known from its latest responses.
+    assert await ask_several("calm") == {200}
+    with platform.pause_daemon("b1"):
+        assert 504 in await ask_several("frozen")
+    assert max(waits) < timeout_s + 0.5
+
+
 async def test_a_calm_fleet_calls_the_store_less_than_once_a_second(
     platform: platform_fleet.PlatformFleet,
 ) -> None:
