End each request within a planned stop, and the stop within the grace

What operators of similar systems saw: in a planned stop of one machine, in calm, requests that came late in the grace were passed on and cut with no answer at its end, among them such as may not be repeated.

Cause here: a request's deadline knew nothing of the stop, and the time for the stop was 5.0 s whatever the platform's grace is. Two more ways there went with the connections that end when a stop begins.

Evidence: on the code before, a request that is sent during a stop and runs for longer than it lasts ends with "Server disconnected"; the new test fails. Requests on kept and new connections until the process has ended were answered on that code already.

Ruled out: new connections late in the grace (the listener closes after linger_s) and calls from other daemons (refused from the signal on).

Change: limits.grace_s, filled in from the platform's grace; a stop may take all of it but 0.5 s. A request that arrives during a stop has a deadline 0.3 s before its end. Settings whose phases don't fit are refused at the start.

--- a/packages/burdockdeal/burdockdeal/daemon/request_handlers.py
+++ b/packages/burdockdeal/burdockdeal/daemon/request_handlers.py
@@ -140,6 +140,9 @@
         choose_service=shared.traffic_splitter.choose_service,
         startup_gate=shared.startup_gate,
         has_instance=lambda name: bool(shared.roster.list_serving(name)),
+        limit_deadline=lambda deadline: (
+            shared.shutdown_controller.limit_deadline(deadline)
+        ),
     )
     return RequestHandlers(
         at_most_once.serve_key_requests(handle_entry, choose), handle_call
--- a/packages/burdockdeal/burdockdeal/serving/entry.py
+++ b/packages/burdockdeal/burdockdeal/serving/entry.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import abc
 import contextlib
+import dataclasses
 import math
 
 from aiohttp import web
@@ -51,6 +52,7 @@
     choose_service: abc.Callable[[resources.Rule], str],
     startup_gate: startup.StartupGate,
     has_instance: abc.Callable[[str], bool],
+    limit_deadline: abc.Callable[[float], float],
 ) -> abc.Callable[[web.BaseRequest], abc.Awaitable[web.StreamResponse]]:
     """Build the handler of callers' requests.
 
@@ -70,6 +72,8 @@
     :param choose_service: chooses among the services of a rule.
     :param startup_gate: delays requests just after the daemon's start.
     :param has_instance: returns whether an instance of a service is known.
+    :param limit_deadline: limits a deadline to the time until the daemon
+        ends, if it is stopping.
     """
 
     def log_send(send: messages.Send) -> None:
@@ -202,6 +206,9 @@
                 body_bytes=request.content_length or 0,
                 choose_service=choose_service,
             )
+            inbound = dataclasses.replace(
+                inbound, deadline=limit_deadline(inbound.deadline)
+            )
             rank = inbound.rank
             await startup_gate.wait_for(lambda: has_instance(inbound.service))
             with shedder.admit(inbound):
--- a/packages/burdockdeal/burdockdeal/settings/model.py
+++ b/packages/burdockdeal/burdockdeal/settings/model.py
@@ -15,6 +15,10 @@
 ]
 Secret = typing.Annotated[str, msgspec.Meta(min_length=16)]
 
+#: Seconds of the grace before a kill that are kept for closing connections
+#: and ending.
+EXIT_S = 0.5
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Address:
@@ -90,6 +94,8 @@
     :param answer_idle_s: the maximum time, in seconds, for which a response
         that has begun may yield no byte, or a client may read none.
     :param stop_s: the maximum duration of a graceful stop, in seconds.
+    :param grace_s: seconds from the signal to stop until the process is
+        killed, None if nothing kills it.
     :param linger_s: seconds for which a daemon that is stopping still
         accepts connections.
     :param keys: the maximum number of idempotency keys that are remembered.
@@ -111,11 +117,19 @@
     body_grace_s: validation.PositiveFloat = 10.0
     answer_idle_s: validation.PositiveFloat = 30.0
     stop_s: validation.PositiveFloat = 30.0
+    grace_s: validation.PositiveFloat | None = None
     linger_s: validation.PositiveFloat = 1.0
     keys: validation.PositiveInt = 20_000
     key_retention_s: validation.PositiveFloat = 600.0
     claims_per_s: validation.PositiveFloat = 5.0
 
+    @property
+    def stop_limit_s(self) -> float:
+        """Seconds of a stop after which work in progress is aborted."""
+        if self.grace_s is None:
+            return self.stop_s
+        return min(self.stop_s, self.grace_s - EXIT_S)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Membership:
@@ -295,4 +309,14 @@
                 "operators", "names and tokens must be unique"
             )
         )
+    limits = settings.limits
+    if limits.linger_s >= limits.stop_limit_s:
+        faults.append(
+            errors.FieldViolation(
+                "limits.linger_s",
+                f"must be less than the {limits.stop_limit_s:g} s that a stop"
+                " may take: stop_s, and grace_s less"
+                f" {EXIT_S:g} s for ending",
+            )
+        )
     return tuple(faults)
--- a/packages/burdockdeal/burdockdeal/settings/tests/test_deploy_template.py
+++ b/packages/burdockdeal/burdockdeal/settings/tests/test_deploy_template.py
@@ -17,6 +17,7 @@
     "bounds.retryBudgetRatio": "0.2",
     "bounds.budgetMinRetries": "56",
     "bounds.budgetWindowS": "10",
+    "bounds.graceS": "10",
 }
 
 
@@ -33,3 +34,5 @@
     settings = loader.parse(text, "template")
     assert settings.daemon == "sidecar-shotton-1"
     assert settings.deployment.service == "orders"
+    # The time for a stop follows from the platform's grace.
+    assert 9.0 < settings.limits.stop_limit_s < 10.0
--- a/packages/burdockdeal/burdockdeal/shutdown/assembly.py
+++ b/packages/burdockdeal/burdockdeal/shutdown/assembly.py
@@ -42,7 +42,7 @@
         closing.add(asyncio.ensure_future(stop_callers()))
 
     return controller.ShutdownController(
-        state.Timeouts(settings.limits.linger_s, settings.limits.stop_s),
+        state.Timeouts(settings.limits.linger_s, settings.limits.stop_limit_s),
         lambda: (
             count_key_runs() + sum(server.active_count for server in fronts)
         ),
--- a/packages/burdockdeal/burdockdeal/shutdown/controller.py
+++ b/packages/burdockdeal/burdockdeal/shutdown/controller.py
@@ -43,6 +43,15 @@
         """Whether the process should exit now."""
         return self._shutdown.phase in _FINAL_PHASES
 
+    def limit_deadline(self, deadline: float) -> float:
+        """Limit the deadline of a request that arrives during a stop.
+
+        :param deadline: monotonic time in seconds.
+        """
+        return decisions.limit_deadline(
+            self._shutdown, self._timeouts, deadline
+        )
+
     def request_stop(self) -> None:
         """Request the shutdown; a second request aborts work in progress."""
         self._apply(messages.StopRequested())
--- a/packages/burdockdeal/burdockdeal/shutdown/decisions.py
+++ b/packages/burdockdeal/burdockdeal/shutdown/decisions.py
@@ -7,6 +7,10 @@
 from burdockdeal.shutdown import state
 
 Phase = state.Phase
+#: Seconds before the end of a stop by which requests get their final
+#: responses.
+RESPONSE_S = 0.3
+
 Event = messages.StopRequested | messages.Superseded | messages.Tick
 
 
@@ -64,6 +68,21 @@
 }
 
 
+def limit_deadline(
+    shutdown: state.Shutdown, timeouts: state.Timeouts, deadline: float
+) -> float:
+    """Limit the deadline of a request that arrives during a stop.
+
+    It gets its final response before the work still in progress is aborted.
+
+    :param deadline: monotonic time in seconds.
+    """
+    if shutdown.phase is state.Phase.RUNNING:
+        return deadline
+    stops_at = shutdown.requested_at + timeouts.stop_s
+    return min(deadline, stops_at - RESPONSE_S)
+
+
 def step(
     shutdown: state.Shutdown,
     event: Event,
--- a/packages/burdockdeal/burdockdeal/shutdown/tests/test_decisions.py
+++ b/packages/burdockdeal/burdockdeal/shutdown/tests/test_decisions.py
@@ -8,6 +8,22 @@
 from burdockdeal.shutdown import state
 
 TIMEOUTS = state.Timeouts(linger_s=1.0, stop_s=5.0)
+
+
+def test_a_request_during_a_stop_ends_before_the_stop_does() -> None:
+    """Guards against requests that are taken late and cut off."""
+    running, leaving = (
+        state.Shutdown(),
+        state.Shutdown(state.Phase.LEAVING, 100.0),
+    )
+    for deadline in (101.0, 107.0):
+        limited = decisions.limit_deadline(running, TIMEOUTS, deadline)
+        assert limited == deadline
+    assert decisions.limit_deadline(leaving, TIMEOUTS, 101.0) == 101.0
+    latest = decisions.limit_deadline(leaving, TIMEOUTS, 107.0)
+    assert latest == 105.0 - decisions.RESPONSE_S
+
+
 SCENARIOS = {
     "idle daemon": [(0, "TERM"), (0.5, 0), (1, 0), (1.1, 0)],
     "upload in flight": [
--- a/tests/test_operator_reports.py
+++ b/tests/test_operator_reports.py
@@ -6,10 +6,13 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import signal
 
+import conftest
 import pytest
 
+from burdockdeal_standins import fleet as standins
 from burdockdeal_standins import raw_http
 from burdockdeal_standins import scripted_upstream
 
@@ -117,6 +120,81 @@
     assert await asyncio.wait_for(process.wait(), 15) == 0
 
 
+@pytest.mark.parametrize("stopped", ["d1", "d2"])
+async def test_no_request_that_comes_late_in_a_stop_is_cut(
+    harness: raw_http.Harness, stopped: str
+) -> None:
+    """Guards against a stop that takes requests until its end.
+
+    Requests that may not be repeated come on kept and on new connections
+    until the process has ended. What is passed on is answered.
+    """
+    upstream = SlowUpstream(harness)
+    process = harness.fleet.nodes[stopped].daemon
+    answers: list[str] = []
+
+    async def ask(connection: raw_http.CallerConnection) -> bool:
+        """Send a request; return whether the connection goes on."""
+        connection.writer.write(_POST)
+        head, _ = await connection.read_response()
+        answers.append(head.start_line.split()[1])
+        return "close" not in head.values("Connection")
+
+    async def ask_on_kept_connection(pause_s: float) -> None:
+        async with harness.connect(b"", stopped) as connection:
+            with contextlib.suppress(
+                ConnectionError, asyncio.IncompleteReadError
+            ):
+                while await ask(connection):  # noqa: ASYNC110
+                    await asyncio.sleep(pause_s)
+
+    async def ask_on_new_connections() -> None:
+        while True:
+            try:
+                async with harness.connect(b"", stopped) as connection:
+                    await ask(connection)
+            except ConnectionRefusedError:
+                return
+            except (ConnectionError, asyncio.IncompleteReadError):
+                continue
+
+    kept = [
+        asyncio.ensure_future(ask_on_kept_connection(0.1 * number))
+        for number in range(12)
+    ]
+    await asyncio.sleep(_RUN_S)
+    process.send_signal(signal.SIGTERM)
+    async with asyncio.timeout(15):
+        await asyncio.gather(*kept, ask_on_new_connections())
+        assert await process.wait() == 0
+    assert answers.count("200") == len(upstream.runs)
+    assert set(answers) <= {"200", "503"}
+
+
+async def test_a_request_too_long_for_a_stop_gets_a_final_response(
+    fleet: standins.Fleet,
+) -> None:
+    """It came during the stop, and its upstream is still at work."""
+    limits = fleet.make_settings(standins.NodeSpec("x", "y")).limits
+    limits = dataclasses.replace(limits, grace_s=3.0)
+    node = await fleet.add_node(
+        standins.NodeSpec("d1", "shotton"), limits=limits
+    )
+    await fleet.add_node(
+        standins.NodeSpec("d2", "shotton", "bookings", service_ms=6000)
+    )
+    await conftest.declare_basic_resources(fleet, node)
+    node.daemon.terminate()
+    async with fleet.session.post(
+        f"{node.caller_url}/b",
+        data=b"hi",
+        headers={"Burdockdeal-Deadline-Ms": "20000"},
+    ) as response:
+        assert response.headers["Burdockdeal-Verdict"] == "MAY_HAVE_RUN"
+    assert await asyncio.wait_for(node.daemon.wait(), 3) == 0
+    assert "phase=CUT" not in fleet.read_log("d1")
+
+
 async def test_a_silent_owner_keeps_its_running_work(
     harness: raw_http.Harness,
 ) -> None:
