Let the test of the stop's limit wait until its upload runs

Cause: the test sent SIGTERM once its client had produced the first chunk.

Change: the test waits until the upstream runs the upload, which is the case that it is about. Its check is the same.

--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -348,6 +348,12 @@
     started = asyncio.Event()
     sent = asyncio.create_task(upload(fleet, "d1", 300, started))
     await started.wait()
+
+    async def runs() -> bool:
+        return await count_runs(fleet, "d2") > 0
+
+    # A request that arrives after the signal would end before the limit.
+    await fleet.wait_until(runs, "the upload runs")
     node.daemon.terminate()
     assert await wait_for_exit(node.daemon, 8) == 0
     await asyncio.gather(sent, return_exceptions=True)
