Bound what a health check reads of its response

Cause: check_health read the whole body until its time-out, up to 40 times a second, on a connection without the guard against endless framing.

Ruled out: the bodies of requests (they have flow control and the guard).

Change: a check reads 64 KiB at most; the client for control messages has guarded connections.

--- a/packages/burdockdeal/burdockdeal/daemon/assembly.py
+++ b/packages/burdockdeal/burdockdeal/daemon/assembly.py
@@ -26,6 +26,7 @@
 from burdockdeal.overload import load_shedder
 from burdockdeal.platform import state as rates
 from burdockdeal.platform import store
+from burdockdeal.serving import connection_guard
 from burdockdeal.serving import forwarding
 from burdockdeal.serving import http_server
 from burdockdeal.serving import owner
@@ -204,11 +205,12 @@
 async def _open_peer_session(
     stack: contextlib.AsyncExitStack, settings: model.Settings
 ) -> aiohttp.ClientSession:
-    """Open the HTTP client for control messages to other daemons."""
+    """Open the HTTP client for control messages and health checks."""
     connector = aiohttp.TCPConnector(
         limit=0,
         socket_factory=sockets.make_socket_factory(settings.listen.peer.host),
     )
+    connection_guard.guard_connections(connector)
     return await stack.enter_async_context(
         aiohttp.ClientSession(
             connector=connector, cookie_jar=aiohttp.DummyCookieJar()
--- a/packages/burdockdeal/burdockdeal/platform/discovery.py
+++ b/packages/burdockdeal/burdockdeal/platform/discovery.py
@@ -20,6 +20,10 @@
 INTERVAL_S = 0.2
 TIMEOUT_S = 0.5
 
+#: Maximum size of the body of a health check's response, in bytes. A faulty
+#: upstream may send a body without end.
+MAX_BODY_BYTES = 65_536
+
 #: Slots assumed for an upstream that does not report its load.
 _DEFAULT_SLOTS = 9
 
@@ -44,14 +48,18 @@
 ) -> Health | None:
     """Send a health check to the upstream.
 
-    :returns: the result, or None if no response arrived in time.
+    :returns: the result, or None if no response arrived in time, or one
+        with too long a body.
     """
     try:
         async with session.get(
             f"http://{address}{path}",
             timeout=aiohttp.ClientTimeout(total=TIMEOUT_S),
         ) as response:
-            await response.read()
+            if not await _skip_body(response):
+                event_log.warn("health_check_too_long", address=address)
+                response.close()
+                return None
             return Health(
                 name=response.headers.get(_INSTANCE_ID, ""),
                 healthy=response.status == 200,
@@ -62,6 +70,19 @@
         return None
 
 
+async def _skip_body(response: aiohttp.ClientResponse) -> bool:
+    """Read a body to its end, so that the connection can be used again.
+
+    :returns: False if it is longer than the limit.
+    """
+    size = 0
+    while chunk := await response.content.readany():
+        size += len(chunk)
+        if size > MAX_BODY_BYTES:
+            return False
+    return True
+
+
 class UpstreamDiscovery(mode.Service):
     """Sends health checks to the upstream until it is confirmed.
 
