Identify each request's workspace by its key

What callers saw: a deployment whose configuration has workspaces was served as if it had none.

Cause: nothing knew keys or workspaces.

Change: a Workspace resource with digests of its keys, its quota, priority, regions and weight; rules say whether they admit anonymous requests and which regions are allowed. The new slice workspaces decides who a request belongs to. The entry removes the key, the owner tells the upstream the workspace and refuses a waiting call whose key was withdrawn.

Ruled out: a read of the store before each refusal, which is priced and would grow with the daemons; keys in the configuration that peers exchange.

--- a/packages/burdockdeal/burdockdeal/configuration/decisions.py
+++ b/packages/burdockdeal/burdockdeal/configuration/decisions.py
@@ -11,6 +11,7 @@
 from burdockdeal.configuration import state
 from burdockdeal.core import codec
 from burdockdeal.core import errors
+from burdockdeal.workspaces import decisions as workspaces
 
 
 def _read_spec(kind: str, raw: msgspec.Raw) -> resources.Spec:
@@ -143,7 +144,8 @@
     :param key: the resource to be changed.
     :param spec: the new spec, None to delete the resource.
     :raises ResourceError: if a rule would refer to a service or a rank that
-        does not exist, or the floors of all ranks would exceed 1.
+        does not exist, the floors of all ranks would exceed 1, or two
+        workspaces would share a key.
     """
     faults: list[errors.FieldViolation] = []
     if isinstance(spec, resources.Rule):
@@ -178,5 +180,14 @@
                     "spec.floor", "the floors of all ranks exceed 1"
                 )
             )
+    if isinstance(spec, resources.Workspace):
+        faults += workspaces.find_shared_keys(
+            {
+                resource.name: resource.spec
+                for resource in configuration.of_kind("Workspace")
+                if resource.name != key.name
+            }
+            | {key.name: spec}
+        )
     if faults:
         raise errors.ResourceError(str(key), tuple(faults))
--- a/packages/burdockdeal/burdockdeal/configuration/resources.py
+++ b/packages/burdockdeal/burdockdeal/configuration/resources.py
@@ -23,12 +23,15 @@
         is buffered whole before it is forwarded don't count as uploads.
     :param health_path: the path at which an instance reports its health and
         its load, empty for none.
+    :param cold_starts_per_s: the rate at which an instance that is still
+        warming up may start calls; 0 for no limit.
     """
 
     max_ejected_share: Share = 0.5
     queue_limit: validation.PositiveInt = 64
     upload_share: Share = 0.34
     health_path: str = ""
+    cold_starts_per_s: validation.Quantity = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -97,6 +100,10 @@
         one service; empty for none.
     :param most_sends: the maximum number of instances to which one request
         may be sent.
+    :param allow_anonymous: whether a request may come without the key of a
+        workspace. Without any workspace, no request needs a key.
+    :param regions: the regions in which a request may be served and queued,
+        empty for all.
     """
 
     service: validation.Name
@@ -108,6 +115,34 @@
     deadline_ms: validation.PositiveFloat = 10_000.0
     split: tuple[WeightedService, ...] = ()
     most_sends: validation.PositiveInt = 3
+    allow_anonymous: bool = False
+    regions: tuple[validation.Name, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Workspace:
+    """A group of callers with its own keys, quota and priority.
+
+    :param key_digests: the SHA-256 digests of its keys. The keys themselves
+        are stored nowhere.
+    :param urgency: the order of priority of its requests, in place of that
+        of their rule's rank; None to keep the rank. It applies where a rank
+        of that urgency has the same target, floor and late share.
+    :param requests_per_s: the rate of requests that the whole fleet runs for
+        the workspace; 0 for no limit.
+    :param burst: requests that may run on top of that rate at once.
+    :param regions: the regions in which its requests may be served and
+        queued, empty for all.
+    :param weight: its share of an upstream's slots relative to the other
+        workspaces of a rank, while they compete.
+    """
+
+    key_digests: tuple[validation.Digest, ...] = ()
+    urgency: validation.NonNegativeInt | None = None
+    requests_per_s: validation.Quantity = 0.0
+    burst: validation.Quantity = 0.0
+    regions: tuple[validation.Name, ...] = ()
+    weight: validation.PositiveFloat = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -146,12 +181,13 @@
     idle_s: validation.PositiveFloat = 75.0
 
 
-Spec = Service | Rank | Rule | Budget | CallerLimits
+Spec = Service | Rank | Rule | Workspace | Budget | CallerLimits
 
 KINDS: dict[str, type[Spec]] = {
     "Service": Service,
     "Rank": Rank,
     "Rule": Rule,
+    "Workspace": Workspace,
     "Budget": Budget,
     "CallerLimits": CallerLimits,
 }
--- a/packages/burdockdeal/burdockdeal/core/call.py
+++ b/packages/burdockdeal/burdockdeal/core/call.py
@@ -25,6 +25,12 @@
     :param body_bytes: length of its body in bytes, 0 if it is unknown.
     :param repeated: whether an earlier send of it may have reached an
         upstream.
+    :param workspace: name of the workspace that it belongs to, empty for an
+        anonymous call.
+    :param key_id: identifies the workspace's key that it came with, without
+        disclosing it; empty for an anonymous call.
+    :param regions: the regions in which it may be served, empty for all.
+    :param revision: revision of the configuration by which it was accepted.
     """
 
     request_id: str
@@ -38,6 +44,10 @@
     max_sends: int = 3
     body_bytes: int = 0
     repeated: bool = False
+    workspace: str = ""
+    key_id: str = ""
+    regions: frozenset[str] = frozenset()
+    revision: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -58,6 +68,11 @@
     :param may_queue: whether the call queues if it can't start at once.
     :param repeated: whether an earlier send of the call may have reached an
         upstream.
+    :param workspace: name of the call's workspace, empty for an anonymous
+        call.
+    :param key_id: identifies the key that the call came with.
+    :param revision: revision of the configuration by which the call was
+        accepted.
     """
 
     request_id: str
@@ -75,6 +90,9 @@
     sent_at: float | None = None
     may_queue: bool = False
     repeated: bool = False
+    workspace: str = ""
+    key_id: str = ""
+    revision: int = 0
 
 
 def build_envelope(
@@ -109,6 +127,9 @@
         sent_at=sent_at,
         may_queue=may_queue,
         repeated=call.repeated,
+        workspace=call.workspace,
+        key_id=call.key_id,
+        revision=call.revision,
     )
 
 
@@ -133,4 +154,7 @@
         idempotent=envelope.idempotent,
         idempotency_key=envelope.idempotency_key,
         repeated=envelope.repeated,
+        workspace=envelope.workspace,
+        key_id=envelope.key_id,
+        revision=envelope.revision,
     )
--- a/packages/burdockdeal/burdockdeal/core/errors.py
+++ b/packages/burdockdeal/burdockdeal/core/errors.py
@@ -106,6 +106,11 @@
     verdict.Reason.STALE_INSTANCE: 0.1,
     verdict.Reason.UNREACHABLE: 0.1,
     verdict.Reason.NO_INSTANCE: 0.3,
+    verdict.Reason.NO_REGION: 0.3,
+    verdict.Reason.EVACUATED: 0.1,
+    verdict.Reason.COLD: 0.2,
+    verdict.Reason.KEY_UNCONFIRMED: 0.5,
+    verdict.Reason.QUOTA_EXCEEDED: 1.0,
     verdict.Reason.FENCED: 0.05,
     verdict.Reason.NOT_CONFIGURED: 0.5,
 }
--- a/packages/burdockdeal/burdockdeal/core/headers.py
+++ b/packages/burdockdeal/burdockdeal/core/headers.py
@@ -9,6 +9,9 @@
 RETRY_TOKENS = "Burdockdeal-Retry-Tokens"
 INCARNATION = "Burdockdeal-Incarnation"
 IDEMPOTENCY_KEY = "Idempotency-Key"
+AUTHORIZATION = "Authorization"
+#: Tells the upstream the workspace of a request.
+WORKSPACE = "Burdockdeal-Workspace"
 
 #: Headers that daemons exchange with each other only.
 ENVELOPE = "Burdockdeal-Envelope"
@@ -42,6 +45,7 @@
         DEPTH,
         RETRY_TOKENS,
         INCARNATION,
+        WORKSPACE,
         ENVELOPE,
         REPORT,
         PEER_TOKEN,
--- a/packages/burdockdeal/burdockdeal/core/validation.py
+++ b/packages/burdockdeal/burdockdeal/core/validation.py
@@ -14,6 +14,10 @@
     msgspec.Meta(pattern=r"^[a-z0-9]([a-z0-9-]*[a-z0-9])?$", max_length=63),
 ]
 PositiveFloat = typing.Annotated[float, msgspec.Meta(gt=0)]
+#: A rate per second or a number of requests; its bound keeps sums exact.
+Quantity = typing.Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+#: A SHA-256 digest in hexadecimal.
+Digest = typing.Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}$")]
 PositiveInt = typing.Annotated[int, msgspec.Meta(gt=0)]
 NonNegativeInt = typing.Annotated[int, msgspec.Meta(ge=0)]
 Port = typing.Annotated[int, msgspec.Meta(ge=1, le=65535)]
--- a/packages/burdockdeal/burdockdeal/daemon/assembly.py
+++ b/packages/burdockdeal/burdockdeal/daemon/assembly.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 from burdockdeal.bookings import assembly as bookings
+from burdockdeal.configuration import newer_lookup
 from burdockdeal.core import gauge
 from burdockdeal.daemon import components
 from burdockdeal.daemon import deployment_adapter
@@ -264,6 +265,12 @@
             shedder,
             refresher,
             daemon_metrics,
+            newer_lookup.NewerLookup(
+                shared.active_configuration,
+                membership_service.find_newest_revision,
+                lambda: shared.roster.active_count,
+                shared.clock,
+            ),
         )
         handle_peer = request_handlers.make_peer_dispatcher(
             settings.peer_token,
--- a/packages/burdockdeal/burdockdeal/daemon/request_handlers.py
+++ b/packages/burdockdeal/burdockdeal/daemon/request_handlers.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from burdockdeal.bookings import assembly as bookings
+from burdockdeal.configuration import newer_lookup
 from burdockdeal.core import errors
 from burdockdeal.core import headers
 from burdockdeal.core import verdict
@@ -76,6 +77,7 @@
     shedder: load_shedder.LoadShedder,
     refresher: load_refresher.LoadRefresher,
     daemon_metrics: metrics.Metrics,
+    lookup: newer_lookup.NewerLookup,
 ) -> RequestHandlers:
     """Build the handlers for callers and for the calls of other daemons.
 
@@ -86,6 +88,7 @@
     :param refresher: queries the upstream for its load when the known one
         is out of date.
     :param daemon_metrics: counts the outcomes of requests.
+    :param lookup: looks for a newer configuration before a key is refused.
     """
     settings = shared.settings
     choose = make_instance_chooser(shared)
@@ -143,6 +146,7 @@
         limit_deadline=lambda deadline: (
             shared.shutdown_controller.limit_deadline(deadline)
         ),
+        find_newer_configuration=lookup.find_newer_than,
     )
     return RequestHandlers(
         at_most_once.serve_key_requests(handle_entry, choose), handle_call
--- a/packages/burdockdeal/burdockdeal/membership/service.py
+++ b/packages/burdockdeal/burdockdeal/membership/service.py
@@ -31,6 +31,9 @@
 #: taken to have been paused.
 _PAUSE_THRESHOLD_PERIODS = 3.0
 
+#: Number of store readers that are asked for their configuration revision.
+_ASKED_READERS = 2
+
 
 #: Handles a message of another daemon.
 Handler = abc.Callable[[web.BaseRequest], abc.Awaitable[web.Response]]
@@ -190,6 +193,15 @@
         :param daemon: name of the daemon that must respond, empty for any.
         :returns: its record, None if it did not respond within the timeout.
         """
+        response = await self._exchange_pings(address, daemon)
+        if response is None:
+            return None
+        sender = response.sender
+        return sender if daemon in ("", sender.daemon) else None
+
+    async def _exchange_pings(
+        self, address: model.Address, daemon: str
+    ) -> messages.Ping | None:
         response = await self._post(
             address,
             "/v1/peer/ping",
@@ -197,11 +209,9 @@
             messages.Ping,
             self._timing.timeout_s,
         )
-        if response is None:
-            return None
-        self._apply_ping(response)
-        sender = response.sender
-        return sender if daemon in ("", sender.daemon) else None
+        if response is not None:
+            self._apply_ping(response)
+        return response
 
     def _make_ping(self, daemon: str = "") -> messages.Ping:
         own_roster = self._roster
@@ -249,6 +259,27 @@
             self._notifier.request(includes_remote=self._has_remote_revision)
         self._has_remote_revision = True
 
+    async def find_newest_revision(self) -> int:
+        """Ask the daemons that read the store which revision they have.
+
+        A newer configuration that one of them has is then fetched.
+
+        :returns: the highest revision, 0 if none of them responded.
+        """
+        own = self._roster.own.daemon
+        readers = [
+            self._roster.find(name)
+            for name in self._roster.choose_store_readers(_ASKED_READERS)
+            if name != own
+        ]
+        responses = await asyncio.gather(
+            *(self._exchange_pings(each.peer, each.daemon) for each in readers)
+        )
+        return max(
+            (response.revision for response in responses if response),
+            default=0,
+        )
+
     def _send_notifications(self, includes_remote: bool) -> None:
         for peer in targets.choose_push_targets(
             self._roster, self._rng, includes_remote=includes_remote
--- a/packages/burdockdeal/burdockdeal/platform/configuration.py
+++ b/packages/burdockdeal/burdockdeal/platform/configuration.py
@@ -1,13 +1,16 @@
 """Conversion of the platform's configuration document into resources."""
 
 import types
+import typing
 
 import msgspec
 
 from burdockdeal.configuration import resources
 from burdockdeal.configuration import state
 from burdockdeal.core import codec
+from burdockdeal.core import event_log
 from burdockdeal.core import validation
+from burdockdeal.workspaces import decisions as workspaces
 
 #: The key of the store that holds the current configuration.
 KEY = "op/config"
@@ -31,6 +34,12 @@
 
 _CHANGED_BY = "platform"
 
+#: Name of a workspace. It is sent in a header, so it has no control
+#: characters.
+WorkspaceName = typing.Annotated[
+    str, msgspec.Meta(pattern=r"^[!-~]+$", max_length=200)
+]
+
 #: Digits of a version; the greatest number has 16 (`validation.Counter`).
 _MAX_VERSION_DIGITS = 16
 
@@ -65,6 +74,9 @@
     :param service: the service that gets the requests; empty if they are
         split.
     :param traffic_split: the services that share the requests.
+    :param allow_anonymous: whether requests may come without a key.
+    :param allowed_regions: the regions in which requests may be served and
+        queued, empty for all.
     """
 
     name: str
@@ -77,6 +89,8 @@
     priority: validation.Counter = 0
     service: str = ""
     traffic_split: tuple[Portion, ...] = ()
+    allow_anonymous: bool = False
+    allowed_regions: tuple[validation.Name, ...] = ()
 
 
 class Service(_Message):
@@ -84,11 +98,33 @@
 
     :param health_path: the path of its instances' health check, empty for
         none.
+    :param cold_per_s: the rate of requests that an instance takes while it
+        is still slow after its start, 0 for no limit.
     """
 
     name: str
     health_path: str = ""
     max_connections: validation.Counter = 0
+    cold_per_s: validation.Quantity = 0.0
+
+
+class Tenant(_Message):
+    """A workspace: its keys, its quota and the priority of its requests.
+
+    :param api_keys: the keys with which its requests come.
+    :param priority: the urgency of its requests, None to keep the routes'.
+    :param rate_per_s: requests a second over all daemons, 0 for no limit.
+    :param burst: requests on top of that rate.
+    :param allowed_regions: the regions in which its requests may be served
+        and queued, empty for all.
+    """
+
+    name: WorkspaceName
+    api_keys: tuple[str, ...] = ()
+    priority: validation.Counter | None = None
+    rate_per_s: validation.Quantity = 0.0
+    burst: validation.Quantity = 0.0
+    allowed_regions: tuple[validation.Name, ...] = ()
 
 
 class Limits(_Message):
@@ -110,6 +146,7 @@
     version: str
     routes: tuple[Route, ...] = ()
     services: tuple[Service, ...] = ()
+    tenants: tuple[msgspec.Raw, ...] = ()
     limits: Limits = Limits()
 
 
@@ -124,14 +161,14 @@
     return int(digits)
 
 
-def _format_rank_name(route: Route) -> str:
-    return f"p{route.priority}-{route.target_latency_ms:.0f}"
+def _format_rank_name(route: Route, priority: int) -> str:
+    return f"p{priority}-{route.target_latency_ms:.0f}"
 
 
-def _build_rank(route: Route) -> resources.Rank:
-    steps = max(0, _LOWEST_URGENCY - route.priority)
+def _build_rank(route: Route, priority: int) -> resources.Rank:
+    steps = max(0, _LOWEST_URGENCY - priority)
     return resources.Rank(
-        urgency=route.priority,
+        urgency=priority,
         worth=_WORTH_STEP**steps,
         target_ms=_QUEUE_SHARE * (route.target_latency_ms or route.timeout_ms),
         late_share=_LATE_SHARE,
@@ -146,7 +183,7 @@
 def _build_rule(route: Route) -> resources.Rule:
     return resources.Rule(
         service=_find_service(route),
-        rank=_format_rank_name(route),
+        rank=_format_rank_name(route, route.priority),
         match=resources.Match(path_prefix=route.path_prefix, host=route.host),
         idempotent=route.kind == _IDEMPOTENT_KIND,
         safe_methods=False,
@@ -156,9 +193,56 @@
             for portion in route.traffic_split
         ),
         most_sends=max(1, route.max_attempts),
+        allow_anonymous=route.allow_anonymous,
+        regions=route.allowed_regions,
+    )
+
+
+def _decode_tenants(raw_tenants: tuple[msgspec.Raw, ...]) -> list[Tenant]:
+    """Decode the workspaces, and leave out those that are invalid.
+
+    One odd entry must not keep the others from being served.
+    """
+    tenants: dict[str, Tenant] = {}
+    for position, raw in enumerate(raw_tenants):
+        try:
+            tenant = codec.decode(raw, Tenant)
+        except codec.MalformedError as error:
+            event_log.warn("workspace_ignored", position=position, error=error)
+            continue
+        if tenant.name in tenants:
+            event_log.warn(
+                "workspace_ignored",
+                position=position,
+                error=f"a second workspace is named {tenant.name}",
+            )
+            continue
+        tenants[tenant.name] = tenant
+    return list(tenants.values())
+
+
+def _build_workspace(tenant: Tenant) -> resources.Workspace:
+    return resources.Workspace(
+        key_digests=tuple(
+            workspaces.compute_digest(key) for key in tenant.api_keys if key
+        ),
+        urgency=tenant.priority,
+        requests_per_s=tenant.rate_per_s,
+        burst=tenant.burst,
+        regions=tenant.allowed_regions,
     )
 
 
+def _build_workspaces(
+    tenants: list[Tenant],
+) -> dict[str, resources.Workspace]:
+    built = {tenant.name: _build_workspace(tenant) for tenant in tenants}
+    faults = workspaces.find_shared_keys(built)
+    if faults:
+        raise codec.MalformedError("; ".join(map(str, faults)))
+    return built
+
+
 def _build_limits(limits: Limits) -> resources.CallerLimits:
     return resources.CallerLimits(
         header_bytes=limits.max_header_bytes,
@@ -177,12 +261,23 @@
         )
     }
     for service in document.services:
-        spec = resources.Service(health_path=service.health_path)
+        spec = resources.Service(
+            health_path=service.health_path,
+            cold_starts_per_s=service.cold_per_s,
+        )
         specs[state.Key("Service", service.name)] = spec
+    tenants = _decode_tenants(document.tenants)
+    for name, workspace in _build_workspaces(tenants).items():
+        specs[state.Key("Workspace", name)] = workspace
+    tenant_priorities = {
+        tenant.priority for tenant in tenants if tenant.priority is not None
+    }
     for route in document.routes:
         if not route.service and not route.traffic_split:
             raise codec.MalformedError(f"route {route.name} names no service")
-        specs[state.Key("Rank", _format_rank_name(route))] = _build_rank(route)
+        for priority in {route.priority, *tenant_priorities}:
+            name = _format_rank_name(route, priority)
+            specs[state.Key("Rank", name)] = _build_rank(route, priority)
         specs[state.Key("Rule", route.name)] = _build_rule(route)
     return specs
 
--- a/packages/burdockdeal/burdockdeal/platform/headers.py
+++ b/packages/burdockdeal/burdockdeal/platform/headers.py
@@ -5,6 +5,7 @@
 from aiohttp import web
 
 from burdockdeal.core import errors
+from burdockdeal.core import headers
 from burdockdeal.core import verdict
 from burdockdeal.measurement import state as measurement
 from burdockdeal.serving import header_codec
@@ -21,6 +22,8 @@
 #: Set on a response if the upstream did not run the request.
 NOT_EXECUTED = "Not-Executed"
 SERVER_LOAD = "Server-Load"
+#: The workspace of a request.
+TENANT = "Tenant"
 
 _MISDIRECTED = 421
 _MAX_DEADLINE_MS = 1e9
@@ -40,6 +43,7 @@
     return header_codec.RequestMetadata(
         request_id=received.get(ATTEMPT_ID, ""),
         timeout_ms=_read_deadline(received),
+        workspace_key=header_codec.read_bearer_key(received),
     )
 
 
@@ -64,6 +68,8 @@
     added = {DEADLINE_MS: str(remaining_ms)}
     if name:
         added[TARGET_INSTANCE] = name
+    if send.request.workspace:
+        added[TENANT] = send.request.workspace
     return added
 
 
@@ -119,5 +125,8 @@
         is_response_to=_is_answer_to,
         read_load=read_load,
         hop_headers=frozenset({DEADLINE_MS.lower(), TARGET_INSTANCE.lower()}),
+        identity_headers=frozenset(
+            {headers.AUTHORIZATION.lower(), TENANT.lower()}
+        ),
         has_response_ids=True,
     )
--- a/packages/burdockdeal/burdockdeal/serving/classification.py
+++ b/packages/burdockdeal/burdockdeal/serving/classification.py
@@ -1,4 +1,4 @@
-"""Classification of a request: its rule, service, rank and deadline."""
+"""Classification of a request: rule, workspace, service, rank, deadline."""
 
 from collections import abc
 import dataclasses
@@ -11,10 +11,17 @@
 from burdockdeal.core import verdict
 from burdockdeal.retry import decisions as retry
 from burdockdeal.serving import header_codec
+from burdockdeal.workspaces import decisions as workspaces
+from burdockdeal.workspaces import state as workspaces_state
 
 #: Methods that HTTP defines as safe, and so as idempotent.
 _SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 
+_NO_WORKSPACE = resources.Workspace()
+
+#: Urgency, target, floor and late share of a rank.
+_RankTerms = tuple[int, float, float, float]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CompiledConfiguration:
@@ -25,6 +32,9 @@
     :param services: the services by name.
     :param ranks: the ranks by name.
     :param caller_limits: limits of callers, None if none are configured.
+    :param workspaces: the workspaces and their keys.
+    :param rank_names: the ranks that differ from others in urgency and worth
+        only, by urgency and the rest.
     """
 
     revision: int
@@ -32,6 +42,10 @@
     services: abc.Mapping[str, resources.Service]
     ranks: abc.Mapping[str, resources.Rank]
     caller_limits: resources.CallerLimits | None = None
+    workspaces: workspaces_state.WorkspaceIndex = workspaces_state.EMPTY_INDEX
+    rank_names: abc.Mapping[_RankTerms, str] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 def compile_configuration(
@@ -45,36 +59,76 @@
             for resource in configuration.of_kind(kind)
         }
 
+    ranks = index_specs("Rank")
     return CompiledConfiguration(
         revision=configuration.revision,
         match=rules.compile_rules(configuration),
         services=index_specs("Service"),
-        ranks=index_specs("Rank"),
+        ranks=ranks,
         caller_limits=index_specs("CallerLimits").get(
             resources.CALLER_LIMITS_NAME
         ),
+        workspaces=workspaces.index_workspaces(index_specs("Workspace")),
+        rank_names={
+            _find_terms(rank, rank.urgency): name
+            for name, rank in ranks.items()
+        },
     )
 
 
+def _find_terms(rank: resources.Rank, urgency: int) -> _RankTerms:
+    return (urgency, rank.target_ms, rank.floor, rank.late_share)
+
+
+def _apply_urgency(
+    configuration: CompiledConfiguration, name: str, urgency: int | None
+) -> str:
+    """Return the rank with the urgency of a workspace, if there is one."""
+    rank = configuration.ranks.get(name)
+    if rank is None or urgency is None:
+        return name
+    terms = _find_terms(rank, urgency)
+    return configuration.rank_names.get(terms, name)
+
+
 def _choose_rank(
     configuration: CompiledConfiguration,
     rule: resources.Rule,
     requested: str | None,
+    urgency: int | None = None,
 ) -> str:
-    """Choose the rank: a caller may lower its rule's rank, never raise it."""
+    """Choose the rank: a caller may lower it, never raise it.
+
+    :param requested: the rank that the caller asks for, None for none.
+    :param urgency: the urgency of the caller's workspace, None to keep that
+        of the rule.
+    """
+    own = _apply_urgency(configuration, rule.rank, urgency)
     if requested is None:
-        return rule.rank
+        return own
     if requested not in configuration.ranks:
         detail = f"no rank is named {requested!r}"
         raise errors.NotRunError(verdict.Reason.UNKNOWN_RANK, detail)
-    rule_urgency = configuration.ranks[rule.rank].urgency
+    own_urgency = configuration.ranks[own].urgency
     return (
         requested
-        if configuration.ranks[requested].urgency > rule_urgency
-        else rule.rank
+        if configuration.ranks[requested].urgency > own_urgency
+        else own
     )
 
 
+def _combine_regions(
+    rule: resources.Rule, workspace: resources.Workspace
+) -> frozenset[str]:
+    allowed = workspaces.combine_regions(rule.regions, workspace.regions)
+    if allowed is None:
+        raise errors.NotRunError(
+            verdict.Reason.NO_REGION,
+            "the rule and the workspace have no region in common",
+        )
+    return allowed
+
+
 def classify_request(
     configuration: CompiledConfiguration,
     method: str,
@@ -95,14 +149,22 @@
     :param now: monotonic time in seconds.
     :param body_bytes: length of the body, 0 if it is unknown.
     :param choose_service: chooses among the services of a rule.
-    :raises NotRunError: if no rule matches, or a name or the nesting depth
-        is invalid.
+    :raises NotRunError: if no rule matches, the key is refused, no region is
+        allowed, or a name or the nesting depth is invalid.
     """
     rule = configuration.match(method, path, host)
     if rule is None:
         raise errors.NotRunError(
             verdict.Reason.NO_RULE, f"no rule fits {method} {path}"
         )
+    identity = workspaces.identify(
+        configuration.workspaces,
+        metadata.workspace_key,
+        allow_anonymous=rule.allow_anonymous,
+    )
+    workspace = configuration.workspaces.workspaces.get(
+        identity.workspace, _NO_WORKSPACE
+    )
     service = choose_service(rule)
     if service not in configuration.services:
         raise errors.NotRunError(verdict.Reason.UNKNOWN_SERVICE)
@@ -115,7 +177,9 @@
     return call.Call(
         request_id=request_id,
         service=service,
-        rank=_choose_rank(configuration, rule, metadata.rank),
+        rank=_choose_rank(
+            configuration, rule, metadata.rank, workspace.urgency
+        ),
         deadline=now + timeout_ms / 1000,
         depth=metadata.depth,
         retry_tokens=retry.grant_tokens(metadata.depth, metadata.retry_tokens),
@@ -123,4 +187,8 @@
         idempotency_key=metadata.idempotency_key,
         max_sends=rule.most_sends,
         body_bytes=body_bytes,
+        workspace=identity.workspace,
+        key_id=identity.key_id,
+        regions=_combine_regions(rule, workspace),
+        revision=configuration.revision,
     )
--- a/packages/burdockdeal/burdockdeal/serving/entry.py
+++ b/packages/burdockdeal/burdockdeal/serving/entry.py
@@ -53,6 +53,7 @@
     startup_gate: startup.StartupGate,
     has_instance: abc.Callable[[str], bool],
     limit_deadline: abc.Callable[[float], float],
+    find_newer_configuration: abc.Callable[[int], abc.Awaitable[bool]],
 ) -> abc.Callable[[web.BaseRequest], abc.Awaitable[web.StreamResponse]]:
     """Build the handler of callers' requests.
 
@@ -74,6 +75,8 @@
     :param has_instance: returns whether an instance of a service is known.
     :param limit_deadline: limits a deadline to the time until the daemon
         ends, if it is stopping.
+    :param find_newer_configuration: looks whether a configuration newer than
+        a revision exists, and makes it active.
     """
 
     def log_send(send: messages.Send) -> None:
@@ -140,10 +143,15 @@
         request: web.BaseRequest,
         inbound: call.Call,
         caller_limits: resources.CallerLimits | None,
+        *,
+        has_workspaces: bool,
     ) -> web.StreamResponse:
         forwarded = forwarding.copy_end_to_end_headers(request.headers)
         for name in caller_headers.hop_headers:
             forwarded.popall(name, None)
+        if has_workspaces:
+            for name in caller_headers.identity_headers:
+                forwarded.popall(name, None)
         forwarded.update(caller_headers.build_origin_headers())
         outbound = messages.OutboundRequest(
             method=request.method,
@@ -172,6 +180,27 @@
         finally:
             await outbound.body.close()
 
+    def classify(
+        current: classification.CompiledConfiguration,
+        request: web.BaseRequest,
+        metadata: header_codec.RequestMetadata,
+        request_id: str,
+    ) -> call.Call:
+        inbound = classification.classify_request(
+            current,
+            request.method,
+            request.path,
+            request.headers.get("Host", ""),
+            metadata,
+            request_id=request_id,
+            now=clock(),
+            body_bytes=request.content_length or 0,
+            choose_service=choose_service,
+        )
+        return dataclasses.replace(
+            inbound, deadline=limit_deadline(inbound.deadline)
+        )
+
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
         request_id = generate_id()
         rank = ""
@@ -195,25 +224,23 @@
             current = configuration()
             if current is None:
                 raise errors.NotRunError(verdict.Reason.NOT_CONFIGURED)
-            inbound = classification.classify_request(
-                current,
-                request.method,
-                request.path,
-                request.headers.get("Host", ""),
-                metadata,
-                request_id=request_id,
-                now=clock(),
-                body_bytes=request.content_length or 0,
-                choose_service=choose_service,
-            )
-            inbound = dataclasses.replace(
-                inbound, deadline=limit_deadline(inbound.deadline)
-            )
+            try:
+                inbound = classify(current, request, metadata, request_id)
+            except errors.NotRunError as error:
+                if error.reason is not verdict.Reason.KEY_REFUSED:
+                    raise
+                if not await find_newer_configuration(current.revision):
+                    raise
+                current = configuration()
+                inbound = classify(current, request, metadata, request_id)
             rank = inbound.rank
             await startup_gate.wait_for(lambda: has_instance(inbound.service))
             with shedder.admit(inbound):
                 response = await forward_call(
-                    request, inbound, current.caller_limits
+                    request,
+                    inbound,
+                    current.caller_limits,
+                    has_workspaces=not current.workspaces.is_empty,
                 )
             count_outcome(rank, verdict.Verdict.RAN)
             log_end("request_answered", status=response.status)
--- a/packages/burdockdeal/burdockdeal/serving/header_codec.py
+++ b/packages/burdockdeal/burdockdeal/serving/header_codec.py
@@ -19,6 +19,11 @@
 
 Headers = abc.Mapping[str, str]
 
+_KEY_SCHEME = "bearer"
+
+#: Statuses of refusals after which a caller may come back.
+_RETRY_STATUSES = frozenset({429, 503})
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RequestMetadata:
@@ -32,6 +37,7 @@
     :param retry_tokens: number of further sends that the request may cause,
         None if the caller sets no limit.
     :param idempotency_key: the caller's idempotency key, None without one.
+    :param workspace_key: the key of the caller's workspace, None without one.
     """
 
     request_id: str = ""
@@ -40,6 +46,7 @@
     depth: int = 0
     retry_tokens: int | None = None
     idempotency_key: str | None = None
+    workspace_key: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -73,6 +80,9 @@
         if they report none.
     :param hop_headers: names, in lower case, of a caller's headers that are
         set anew for the upstream, so that other daemons need not get them.
+    :param identity_headers: names, in lower case, of the headers that carry
+        a workspace's key or its name. A daemon whose configuration has
+        workspaces removes them from a caller's request.
     :param has_response_ids: whether an upstream's responses name the request,
         so that a copy of another response is recognized.
     """
@@ -86,6 +96,7 @@
     is_response_to: abc.Callable[[messages.Send, Headers], bool]
     read_load: abc.Callable[[Headers], measurement.UpstreamLoad | None]
     hop_headers: frozenset[str] = frozenset()
+    identity_headers: frozenset[str] = frozenset()
     has_response_ids: bool = False
 
 
@@ -101,6 +112,17 @@
     return verdict.RETRYABLE_STATUS_REPLACEMENTS.get(status, status)
 
 
+def read_bearer_key(received: Headers) -> str | None:
+    """Return the key of an Authorization header, None without one.
+
+    Only the Bearer scheme (RFC 6750) carries the key of a workspace.
+    """
+    scheme, _, key = received.get(headers.AUTHORIZATION, "").partition(" ")
+    if scheme.lower() != _KEY_SCHEME:
+        return None
+    return key.strip() or None
+
+
 def _read_number(received: Headers, name: str) -> float | None:
     raw = received.get(name)
     if raw is None:
@@ -123,6 +145,7 @@
         depth=int(_read_number(received, headers.DEPTH) or 0),
         retry_tokens=None if tokens is None else int(tokens),
         idempotency_key=received.get(headers.IDEMPOTENCY_KEY),
+        workspace_key=read_bearer_key(received),
     )
 
 
@@ -139,7 +162,7 @@
     body = ErrorBody(error.outcome, error.reason, error.detail, request_id)
     status = choose_status(error)
     extra = {}
-    if status == 503:
+    if status in _RETRY_STATUSES:
         extra["Retry-After"] = str(max(1, math.ceil(error.retry_after_s)))
     return web.Response(
         status=status,
@@ -156,7 +179,11 @@
 
 def _build_send_headers(send: messages.Send, name: str, now: float) -> Headers:
     request = send.request
+    identity = (
+        {headers.WORKSPACE: request.workspace} if request.workspace else {}
+    )
     return {
+        **identity,
         headers.INCARNATION: str(send.incarnation),
         headers.REQUEST_ID: request.request_id,
         headers.RANK: request.rank,
@@ -180,4 +207,5 @@
     is_refusal=_is_refusal,
     is_response_to=lambda send, received: True,
     read_load=lambda received: None,
+    identity_headers=frozenset({headers.AUTHORIZATION.lower()}),
 )
--- a/packages/burdockdeal/burdockdeal/serving/owner.py
+++ b/packages/burdockdeal/burdockdeal/serving/owner.py
@@ -34,6 +34,7 @@
 from burdockdeal.serving import peer_responses
 from burdockdeal.serving import refused_calls as refusals
 from burdockdeal.settings import model
+from burdockdeal.workspaces import decisions as workspaces
 
 Clock = abc.Callable[[], float]
 
@@ -130,6 +131,16 @@
 
     refused_calls = refusals.RefusedCalls(clock)
 
+    def check_key(send: messages.Send) -> None:
+        current, request = configuration(), send.request
+        # By an older configuration than the entry's, a new key is unknown.
+        if current is None or current.revision <= request.revision:
+            return
+        if workspaces.is_key_withdrawn(
+            current.workspaces, request.workspace, request.key_id
+        ):
+            raise errors.NotRunError(verdict.Reason.KEY_REFUSED)
+
     def check(send: messages.Send) -> None:
         if not tracker.may_start_call():
             raise errors.NotRunError(verdict.Reason.DRAINING)
@@ -144,6 +155,7 @@
             send.incarnation, idempotent=send.request.idempotent
         ):
             raise errors.NotRunError(verdict.Reason.FAILING)
+        check_key(send)
         if not send.request.idempotent:
             registry.check(*_identify_send(send))
 
--- a/packages/burdockdeal/burdockdeal/serving/tests/test_owner.py
+++ b/packages/burdockdeal/burdockdeal/serving/tests/test_owner.py
@@ -84,7 +84,7 @@
         apply=lambda event: None,
     )
     configuration = types.SimpleNamespace(
-        ranks={_RANK: resources.Rank(0, 100.0, 500.0, 0.2)}
+        revision=0, ranks={_RANK: resources.Rank(0, 100.0, 500.0, 0.2)}
     )
     return owner.make_upstream_opener(
         tracker,
--- a/packages/burdockdeal/burdockdeal/settings/model.py
+++ b/packages/burdockdeal/burdockdeal/settings/model.py
@@ -187,6 +187,37 @@
     window_s: validation.PositiveFloat = 10.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuotaTerms:
+    """How closely the fleet keeps the quotas of workspaces.
+
+    In any window, the fleet may run what a quota allows, and on top of that a
+    share of it and a fixed number of requests.
+
+    :param window_s: the window over which requests are counted, in seconds.
+    :param over_share: the excess as a share of what the quota allows.
+    :param slack: the excess in requests, whatever the quota.
+    """
+
+    window_s: validation.PositiveFloat = 5.0
+    over_share: NonNegative = 0.1
+    slack: NonNegative = 20.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyTerms:
+    """How a daemon treats keys while it is out of touch with the store.
+
+    :param fail_closed: whether it then refuses requests that need a key.
+        Otherwise the keys that it knows remain valid.
+    :param revoke_s: seconds within which a withdrawn key stops being valid,
+        which a daemon that fails closed keeps also while out of touch.
+    """
+
+    fail_closed: bool = False
+    revoke_s: validation.PositiveFloat = 5.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Deployment:
     """A deployment on a platform that provides configuration and heartbeats.
@@ -200,6 +231,8 @@
         of the fleet polls, since a watch can miss a change.
     :param lease_s: seconds without a heartbeat after which the upstream
         gets no new calls.
+    :param has_evacuations: whether the operator may evacuate failure domains
+        through the store.
     """
 
     service: str
@@ -208,6 +241,7 @@
     watchers: validation.PositiveInt = 3
     read_s: validation.PositiveFloat = 1.3
     lease_s: validation.PositiveFloat = 10.0
+    has_evacuations: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -228,6 +262,8 @@
         announce themselves.
     :param fleet_retries: the fleet-wide retry budget; None if each daemon
         only applies its own.
+    :param quotas: how closely quotas are kept; None if they aren't enforced.
+    :param keys: how keys are treated without contact to the store.
     :param policy: the name of the routing policy.
     :param seed: the seed of the daemon's random numbers; None for a
         different sequence at each start.
@@ -245,6 +281,8 @@
     advertise: Address | None = None
     deployment: Deployment | None = None
     fleet_retries: FleetRetryBudget | None = None
+    quotas: QuotaTerms | None = None
+    keys: KeyTerms = KeyTerms()
     policy: Policy = "hot_cold"
     seed: int | None = None
     limits: Limits = Limits()
--- a/packages/standins/burdockdeal_standins/platform_fleet.py
+++ b/packages/standins/burdockdeal_standins/platform_fleet.py
@@ -101,6 +101,8 @@
         self._stack = contextlib.AsyncExitStack()
         self._processes: dict[str, asyncio.subprocess.Process] = {}
         self._config_revision = 0
+        #: The entries of the configuration's "tenants".
+        self.tenants: tuple[dict[str, object], ...] = ()
 
     async def __aenter__(self) -> "PlatformFleet":
         return self
@@ -166,6 +168,7 @@
             "version": f"r{version}",
             "routes": [{**route, **changed}],
             "services": [{"name": SERVICE, "healthPath": "/health"}],
+            "tenants": self.tenants,
         }
         self._config_revision = await self.write_entry(
             _CONFIG_KEY, codec.encode(document), self._config_revision
