Share slots fairly between workspaces, and keep work in its region

What callers saw: a workspace at several times its usual rate had the calls of the others refused, since the wait of a call was estimated with all that waits in its rank.

Change: within a rank, waiting calls start in the order of start-time fair queueing between workspaces; a call's wait is estimated by this order, and the newest call of the workspace with the most waiting makes room. The load shedder counts each workspace apart. An instance in another region has four times the penalty of one in another domain; a call that was refused as busy near by goes there only if that is expected to answer sooner than the best queue at home. Deployments with one region and without workspaces choose as before.

--- a/packages/burdockdeal/burdockdeal/admission/controller.py
+++ b/packages/burdockdeal/burdockdeal/admission/controller.py
@@ -3,9 +3,11 @@
 import asyncio
 from collections import abc
 import contextlib
+import dataclasses
 import itertools
 
 from burdockdeal.admission import decisions
+from burdockdeal.admission import fairness
 from burdockdeal.admission import queue
 from burdockdeal.admission import saturation
 from burdockdeal.admission import service_times
@@ -22,6 +24,9 @@
 }
 
 
+_NO_SHARES = fairness.FairShares()
+
+
 def _was_granted(granted: asyncio.Future[None]) -> bool:
     return (
         granted.done()
@@ -47,6 +52,7 @@
         self._numbers = itertools.count(1)
         self._ranks: dict[str, state.RankState] = {}
         self._queues: dict[str, queue.RankQueue] = {}
+        self._shares: dict[str, fairness.FairShares] = {}
         self._service_times = state.ServiceTimes()
         self.saturation = saturation.SaturationDetector()
         self.running = 0
@@ -83,12 +89,16 @@
         *,
         streamed: bool = False,
         may_queue: bool = True,
+        workspace: str = "",
+        weight: float = 1.0,
     ) -> abc.AsyncIterator[None]:
         """Hold a slot of the upstream while the block runs.
 
         :param deadline: monotonic time in seconds.
         :param streamed: whether the body is passed on as it arrives.
         :param may_queue: whether it waits if it can't start immediately.
+        :param workspace: the call's workspace, empty for none.
+        :param weight: the share of that workspace relative to the others.
         :raises NotRunError: if the call is refused.
         """
         request = state.AdmissionRequest(
@@ -98,6 +108,8 @@
             deadline,
             streamed,
             may_queue,
+            workspace,
+            weight,
         )
         await self._acquire(request)
         started = self._clock()
@@ -138,16 +150,17 @@
         self._update_policy(request.policy)
         if self.waiting:
             self._start_waiting()
-        admission = decisions.admit(
-            request, self._take_snapshot(), request.arrived_at
+        snapshot = dataclasses.replace(
+            self._take_snapshot(), position=self._find_position(request)
         )
+        admission = decisions.admit(request, snapshot, request.arrived_at)
         if admission.decision in _REASONS:
             raise errors.NotRunError(_REASONS[admission.decision])
         if admission.decision is decisions.Decision.RUN:
             self._count_running(request, 1)
             return
         if admission.shed_rank is not None:
-            self._shed(admission.shed_rank)
+            self._shed(admission.shed_rank, admission.shed_workspace)
         await self._wait(request)
 
     def _update_policy(self, policy: state.RankPolicy) -> None:
@@ -187,8 +200,22 @@
         if decision in _REASONS:
             raise errors.NotRunError(_REASONS[decision])
 
-    def _shed(self, rank: str) -> None:
-        waiter = self._queues[rank].pop_newest()
+    def _find_position(
+        self, request: state.AdmissionRequest
+    ) -> state.FairPosition | None:
+        """Find the place of a call among those that wait in its rank."""
+        name = request.policy.name
+        if name not in self._shares or not len(self._queues[name]):
+            return None
+        flows = self._queues[name].list_flows()
+        caller = (request.workspace, request.weight)
+        return state.FairPosition(
+            fairness.count_ahead(self._shares[name], flows, *caller),
+            fairness.choose_shed_workspace(flows, *caller),
+        )
+
+    def _shed(self, rank: str, workspace: str | None) -> None:
+        waiter = self._queues[rank].pop_newest(workspace)
         self._count_waiting(waiter.request, -1)
         if not waiter.granted.done():
             waiter.granted.set_exception(
@@ -207,6 +234,7 @@
             waiter = self._queues[rank.policy.name].pop_first(
                 uploads=decisions.has_upload_slot(self._take_snapshot()),
                 now=self._clock(),
+                shares=self._shares.get(rank.policy.name, _NO_SHARES),
             )
             request = waiter.request
             self._count_waiting(request, -1)
@@ -237,11 +265,22 @@
             now=self._clock(),
         )
 
+    def _record_share(self, request: state.AdmissionRequest) -> None:
+        name = request.policy.name
+        # Ranks without workspaces need no shares.
+        if request.workspace or name in self._shares:
+            self._shares[name] = fairness.record_start(
+                self._shares.get(name, _NO_SHARES),
+                request.workspace,
+                request.weight,
+            )
+
     def _count_running(
         self, request: state.AdmissionRequest, change: int
     ) -> None:
         now = self._clock()
         if change > 0:
+            self._record_share(request)
             self._service_times = service_times.record_start(
                 self._service_times, now
             )
--- a/packages/burdockdeal/burdockdeal/admission/decisions.py
+++ b/packages/burdockdeal/burdockdeal/admission/decisions.py
@@ -32,10 +32,12 @@
 
     :param shed_rank: the rank whose newest waiting call is shed to make
         room in the queue.
+    :param shed_workspace: the workspace of that call, None for any.
     """
 
     decision: Decision
     shed_rank: str | None = None
+    shed_workspace: str | None = None
 
 
 def compute_credit(
@@ -225,10 +227,14 @@
         service_s = snapshot.service_times.upload_s
         slots = snapshot.capacity.upload_slots
     else:
-        own_ahead = own.waiting - own.waiting_uploads
+        all_own = own.waiting - own.waiting_uploads
+        own_ahead = all_own
+        if snapshot.position is not None:
+            own_ahead = min(own_ahead, snapshot.position.ahead)
         total_ahead = sum(
             each.waiting - each.waiting_uploads for each in ahead
         )
+        total_ahead -= all_own - own_ahead
         service_s = estimate_service_s(snapshot, now)
         slots = snapshot.capacity.slots - snapshot.running_uploads
     modelled = (total_ahead + 1) * service_s / max(1, slots)
@@ -276,6 +282,9 @@
 ) -> Admission:
     """Decide on a call that arrives.
 
+    Answers a queue that one workspace has filled, too: a call of another one
+    is admitted by the calls that start before it in the fair order.
+
     The caller starts every waiting call that can start before it asks, so
     a call that finds a free slot overtakes no other.
 
@@ -292,11 +301,22 @@
         return Admission(Decision.RUN)
     if not request.may_queue:
         return Admission(Decision.REFUSE_BUSY)
-    if estimate_wait_s(request, snapshot, now) > request.wait_until - now:
+    allowed_s = request.wait_until - now
+    if estimate_wait_s(request, snapshot, now) > allowed_s:
         return Admission(Decision.REFUSE_TARGET)
-    if snapshot.waiting < capacity.queue_limit:
-        return Admission(Decision.WAIT)
     rank = snapshot.ranks[request.policy.name]
+    is_full = snapshot.waiting >= capacity.queue_limit
+    position = snapshot.position
+    if position is not None and position.shed_workspace is not None:
+        in_order = dataclasses.replace(snapshot, position=None)
+        if is_full or estimate_wait_s(request, in_order, now) > allowed_s:
+            # It delays the calls of workspaces that have more waiting. The
+            # last of them would miss its target, so it is refused at once.
+            return Admission(
+                Decision.WAIT, rank.policy.name, position.shed_workspace
+            )
+    if not is_full:
+        return Admission(Decision.WAIT)
     shed = select_shed_rank(
         rank, snapshot.ranks.values(), capacity.queue_limit
     )
--- a/packages/burdockdeal/burdockdeal/admission/queue.py
+++ b/packages/burdockdeal/burdockdeal/admission/queue.py
@@ -1,14 +1,21 @@
-"""The queue of one rank's waiting calls, ordered by target time."""
+"""The queue of one rank's waiting calls.
+
+The workspaces take turns by fairness.py; the calls of one workspace are in
+the order of their target times.
+"""
 
 import asyncio
 import dataclasses
 import heapq
 
+from burdockdeal.admission import fairness
 from burdockdeal.admission import state
 
 #: Stale heap entries tolerated before a heap is rebuilt.
 _STALE_ENTRIES = 32
 
+_NO_SHARES = fairness.FairShares()
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Waiter:
@@ -23,13 +30,15 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, order=True)
-class _Entry:
+class Entry:
+    """The place of a waiting call in the order of target times."""
+
     due_at: float
     number: int
 
 
-class RankQueue:
-    """Holds the waiting calls of one rank.
+class _WorkspaceQueue:
+    """Holds the waiting calls of one workspace in a rank.
 
     Deletion is lazy: the heap entries of calls that leave early stay until
     they reach the top or make up half of the heap, so that no operation
@@ -37,10 +46,11 @@
     body are in separate heaps, and so are those of overdue calls.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, weight: float) -> None:
+        self.weight = weight
         self._waiters: dict[int, Waiter] = {}
-        self._heaps: dict[bool, list[_Entry]] = {False: [], True: []}
-        self._overdue: dict[bool, list[_Entry]] = {False: [], True: []}
+        self._heaps: dict[bool, list[Entry]] = {False: [], True: []}
+        self._overdue: dict[bool, list[Entry]] = {False: [], True: []}
 
     def __len__(self) -> int:
         return len(self._waiters)
@@ -50,7 +60,7 @@
         request = waiter.request
         self._waiters[request.number] = waiter
         heap = self._heaps[request.streamed]
-        heapq.heappush(heap, _Entry(request.due_at, request.number))
+        heapq.heappush(heap, Entry(request.due_at, request.number))
         if len(heap) > 2 * len(self._waiters) + _STALE_ENTRIES:
             heap[:] = [p for p in heap if p.number in self._waiters]
             heapq.heapify(heap)
@@ -62,6 +72,10 @@
         """
         return self._waiters.pop(request.number, None)
 
+    def find_newest(self) -> int:
+        """Return the number of the call that arrived last."""
+        return next(reversed(self._waiters))
+
     def pop_newest(self) -> Waiter:
         """Remove the call that arrived last."""
         return self._waiters.popitem()[1]
@@ -71,26 +85,32 @@
 
         :param now: monotonic time in seconds.
         """
-        self._update_heaps(now)
+        self.update_heaps(now)
         return not any(self._heaps.values())
 
-    def pop_first(self, *, uploads: bool, now: float) -> Waiter:
-        """Remove the call with the earliest target time.
-
-        Calls that are not yet overdue go before those that are.
+    def find_first(self, *, uploads: bool, overdue: bool) -> Entry | None:
+        """Find the call with the earliest target time.
 
         :param uploads: whether a call with a streamed body may be taken.
-        :param now: monotonic time in seconds.
+        :param overdue: whether to look among the overdue calls, or among the
+            others.
         """
-        self._update_heaps(now)
-        kinds = (False, True) if uploads else (False,)
-        heaps = [self._heaps[kind] for kind in kinds]
-        if not any(heaps):
-            heaps = [self._overdue[kind] for kind in kinds]
-        heap = min(filter(None, heaps), key=lambda entries: entries[0])
+        entries = [heap[0] for heap in self._list_heaps(uploads, overdue)]
+        return min(entries, default=None)
+
+    def pop(self, *, uploads: bool, overdue: bool) -> Waiter:
+        """Remove the call that `find_first` finds."""
+        heap = min(
+            self._list_heaps(uploads, overdue), key=lambda entries: entries[0]
+        )
         return self._waiters.pop(heapq.heappop(heap).number)
 
-    def _update_heaps(self, now: float) -> None:
+    def _list_heaps(self, uploads: bool, overdue: bool) -> list[list[Entry]]:
+        heaps = self._overdue if overdue else self._heaps
+        kinds = (False, True) if uploads else (False,)
+        return [heaps[kind] for kind in kinds if heaps[kind]]
+
+    def update_heaps(self, now: float) -> None:
         """Drop stale entries and move overdue ones to their own heaps."""
         for kind, heap in self._heaps.items():
             while heap and self._is_past(heap[0], now):
@@ -101,5 +121,108 @@
             while heap and heap[0].number not in self._waiters:
                 heapq.heappop(heap)
 
-    def _is_past(self, entry: _Entry, now: float) -> bool:
+    def _is_past(self, entry: Entry, now: float) -> bool:
         return entry.due_at < now or entry.number not in self._waiters
+
+
+class RankQueue:
+    """Holds the waiting calls of one rank, by workspace."""
+
+    def __init__(self) -> None:
+        self._queues: dict[str, _WorkspaceQueue] = {}
+
+    def __len__(self) -> int:
+        return sum(map(len, self._queues.values()))
+
+    def push(self, waiter: Waiter) -> None:
+        """Add a call."""
+        request = waiter.request
+        own = self._queues.get(request.workspace)
+        if own is None:
+            own = _WorkspaceQueue(request.weight)
+            self._queues[request.workspace] = own
+        own.weight = request.weight
+        own.push(waiter)
+
+    def discard(self, request: state.AdmissionRequest) -> Waiter | None:
+        """Remove a call at any position.
+
+        :returns: None if it is not in the queue.
+        """
+        own = self._queues.get(request.workspace)
+        removed = own.discard(request) if own is not None else None
+        self._drop_if_empty(request.workspace)
+        return removed
+
+    def list_flows(self) -> list[fairness.Flow]:
+        """List the workspaces with waiting calls."""
+        return [
+            fairness.Flow(name, each.weight, len(each))
+            for name, each in self._queues.items()
+        ]
+
+    def pop_newest(self, workspace: str | None = None) -> Waiter:
+        """Remove the call that arrived last.
+
+        :param workspace: the workspace of the call, None for any.
+        """
+        if workspace is None:
+            workspace = max(
+                self._queues, key=lambda name: self._queues[name].find_newest()
+            )
+        waiter = self._queues[workspace].pop_newest()
+        self._drop_if_empty(workspace)
+        return waiter
+
+    def is_overdue(self, now: float) -> bool:
+        """Return whether every waiting call is overdue.
+
+        :param now: monotonic time in seconds.
+        """
+        return all(each.is_overdue(now) for each in self._queues.values())
+
+    def pop_first(
+        self,
+        *,
+        uploads: bool,
+        now: float,
+        shares: fairness.FairShares = _NO_SHARES,
+    ) -> Waiter:
+        """Remove the call that starts next.
+
+        Calls that are not yet overdue go before those that are. Of the
+        workspaces that have any, the one with the least service goes first.
+
+        :param uploads: whether a call with a streamed body may be taken.
+        :param now: monotonic time in seconds.
+        :param shares: the service that the workspaces have had.
+        """
+        for each in self._queues.values():
+            each.update_heaps(now)
+        overdue = False
+        firsts = self._find_firsts(uploads=uploads, overdue=overdue)
+        if not firsts:
+            overdue = True
+            firsts = self._find_firsts(uploads=uploads, overdue=overdue)
+        workspace = fairness.choose_workspace(
+            shares, sorted(firsts, key=firsts.__getitem__)
+        )
+        waiter = self._queues[workspace].pop(uploads=uploads, overdue=overdue)
+        self._drop_if_empty(workspace)
+        return waiter
+
+    def _find_firsts(
+        self, *, uploads: bool, overdue: bool
+    ) -> dict[str, Entry]:
+        found = {
+            name: each.find_first(uploads=uploads, overdue=overdue)
+            for name, each in self._queues.items()
+        }
+        return {name: entry for name, entry in found.items() if entry}
+
+    def _drop_if_empty(self, workspace: str) -> None:
+        if not self._queues.get(workspace, _NO_CALLS):
+            self._queues.pop(workspace, None)
+
+
+_NO_CALLS = _WorkspaceQueue(1.0)
--- a/packages/burdockdeal/burdockdeal/admission/state.py
+++ b/packages/burdockdeal/burdockdeal/admission/state.py
@@ -70,6 +70,8 @@
     :param streamed: whether its body is passed on as it arrives.
     :param may_queue: whether it waits if it can't start immediately, because
         no other instance can start it either.
+    :param workspace: its workspace, empty for none.
+    :param weight: the share of that workspace relative to the others.
     """
 
     number: int
@@ -78,6 +80,8 @@
     deadline: float
     streamed: bool = False
     may_queue: bool = True
+    workspace: str = ""
+    weight: float = 1.0
 
     @property
     def due_at(self) -> float:
@@ -139,18 +143,34 @@
     changed_at: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class FairPosition:
+    """The place of an arriving call among those that wait in its rank.
+
+    :param ahead: the number of calls that start before it.
+    :param shed_workspace: the workspace whose newest call makes room for it,
+        None if none has more waiting for its weight.
+    """
+
+    ahead: int
+    shed_workspace: str | None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Snapshot:
     """The complete input of the admission decisions at one moment.
 
     :param ranks: by the rank's name.
     :param overdue: the names of ranks whose waiting calls are all overdue.
+    :param position: the place of the call that arrives, None if calls of its
+        rank start in the order of their targets.
     """
 
     ranks: dict[str, RankState]
     capacity: Capacity
     service_times: ServiceTimes
     overdue: frozenset[str] = frozenset()
+    position: FairPosition | None = None
 
     @property
     def running(self) -> int:
--- a/packages/burdockdeal/burdockdeal/daemon/components.py
+++ b/packages/burdockdeal/burdockdeal/daemon/components.py
@@ -104,6 +104,7 @@
             settings.failure_domain,
             self.clock,
             self.build_load_report,
+            settings.region,
         )
         #: Whether a service is known to slow down when nearly full.
         self.is_saturating: abc.Callable[[str], bool] = lambda service: False
--- a/packages/burdockdeal/burdockdeal/daemon/request_handlers.py
+++ b/packages/burdockdeal/burdockdeal/daemon/request_handlers.py
@@ -147,6 +147,7 @@
             shared.shutdown_controller.limit_deadline(deadline)
         ),
         find_newer_configuration=lookup.find_newer_than,
+        region=settings.region,
     )
     return RequestHandlers(
         at_most_once.serve_key_requests(handle_entry, choose), handle_call
--- a/packages/burdockdeal/burdockdeal/overload/decisions.py
+++ b/packages/burdockdeal/burdockdeal/overload/decisions.py
@@ -35,6 +35,13 @@
 #: worth leaves free.
 _LOWEST_RANK_RESERVE = 0.5
 
+#: The part of the allowed requests in progress from which on workspaces get
+#: equal parts of them.
+_CONTENDED_SHARE = 0.7
+
+#: Decayed number of requests below which their counts say nothing.
+_NEGLIGIBLE_CALLS = 0.1
+
 
 def decay(counts: state.DecayedCounts, now: float) -> state.DecayedCounts:
     """Apply the decay since the last update.
@@ -147,6 +154,31 @@
     return free > position * _LOWEST_RANK_RESERVE * shared
 
 
+def has_fair_share(
+    in_progress: abc.Mapping[str, int], workspace: str, allowed: float
+) -> bool:
+    """Return whether a workspace may have one more request in progress.
+
+    Answers a workspace whose requests pile up at an entry that is short of
+    processor time: while most of the allowed requests are in progress, it may
+    have at most an equal part of them.
+
+    :param in_progress: the requests in progress of each workspace that has
+        any.
+    :param allowed: the requests that may be in progress in all.
+    """
+    own = in_progress.get(workspace, 0)
+    if sum(in_progress.values()) < _CONTENDED_SHARE * allowed:
+        return True
+    competing = len(in_progress) + (own == 0)
+    return own < max(1.0, allowed / competing)
+
+
+def is_decayed(counts: state.DecayedCounts, now: float) -> bool:
+    """Return whether nothing recent is left of decayed counts."""
+    return decay(counts, now).arrived < _NEGLIGIBLE_CALLS
+
+
 def _is_positive(number: int) -> bool:
     return number > 0
 
--- a/packages/burdockdeal/burdockdeal/overload/load_shedder.py
+++ b/packages/burdockdeal/burdockdeal/overload/load_shedder.py
@@ -1,8 +1,10 @@
 """Load shedding at the entry, before a request is sent to an instance."""
 
 import asyncio
+import collections
 from collections import abc
 import contextlib
+import dataclasses
 import random
 
 from burdockdeal.configuration import resources
@@ -24,13 +26,27 @@
 _UNCONTENDED_SHARE = 0.3
 
 
+#: Number of flows from which on those without recent requests are dropped.
+_MAX_FLOWS = 1024
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Flow:
+    """The requests of one workspace for a service, in one rank."""
+
+    service: str
+    rank: str
+    workspace: str
+
+
 class LoadShedder:
     """Sheds requests that this daemon or the instances have no capacity for.
 
     Two limits apply. The requests in progress are limited by the lag of
     the event loop and shared among the ranks. Requests of a service and
     rank that the instances keep refusing are shed at random, in proportion
-    to the refusals.
+    to the refusals. Both treat workspaces apart, so that one that sends
+    several times its usual rate does not have those of the others shed.
 
     :param get_ranks: returns the configured ranks by name.
     :param limit: requests that may be in progress.
@@ -49,9 +65,10 @@
         self._limit = limit
         self._clock = clock
         self._rng = rng
-        self._counts: dict[tuple[str, str], state.DecayedCounts] = {}
+        self._counts: dict[_Flow, state.DecayedCounts] = {}
         self._floods: dict[tuple[str, str], retry_after.Flood] = {}
         self._in_progress: dict[str, int] = {}
+        self._workspaces: collections.Counter[str] = collections.Counter()
         self._measures_lag = False
         self._timer: asyncio.TimerHandle | None = None
         self.in_progress = 0
@@ -108,6 +125,10 @@
         self, work: call.Call, counts: state.DecayedCounts
     ) -> bool:
         allowed = self.adaptive_limit.max_in_progress
+        if work.workspace and not decisions.has_fair_share(
+            self._workspaces, work.workspace, allowed
+        ):
+            return False
         if (
             self.in_progress >= allowed * _UNCONTENDED_SHARE
             and not decisions.has_capacity(
@@ -127,30 +148,35 @@
 
         :raises NotRunError: if the request is shed.
         """
-        key, rank = (work.service, work.rank), work.rank
-        counts = self._counts.get(key, _NO_CALLS)
+        key = (work.service, work.rank)
+        flow = _Flow(work.service, work.rank, work.workspace)
+        counts = self._counts.get(flow, _NO_CALLS)
         admitted = self._is_admitted(work, counts)
-        self._counts[key] = decisions.record_arrival(
-            counts, self._clock(), sent=admitted
+        self._record_counts(
+            flow,
+            decisions.record_arrival(counts, self._clock(), sent=admitted),
         )
         if not admitted:
             self.shed += 1
             error = errors.NotRunError(verdict.Reason.OVERLOADED)
             error.retry_after_s = self._choose_retry_after(key)
             raise error
-        self._count(rank, 1)
+        self._count(work, 1)
         try:
             yield
         except errors.NotRunError as error:
             if error.reason in verdict.OVERLOAD_REASONS:
-                self._counts[key] = decisions.record_refusal(
-                    self._counts[key], self._clock()
+                self._record_counts(
+                    flow,
+                    decisions.record_refusal(
+                        self._counts.get(flow, _NO_CALLS), self._clock()
+                    ),
                 )
             if error.reason in _FLOOD_REASONS:
                 error.retry_after_s = self._choose_retry_after(key)
             raise
         finally:
-            self._count(rank, -1)
+            self._count(work, -1)
 
     def _choose_retry_after(self, key: tuple[str, str]) -> float:
         now = self._clock()
@@ -158,12 +184,27 @@
         self._floods[key] = flood
         return retry_after.choose_retry_after(flood, now, self._rng)
 
-    def _count(self, rank: str, change: int) -> None:
+    def _record_counts(self, flow: _Flow, counts: state.DecayedCounts) -> None:
+        if len(self._counts) >= _MAX_FLOWS and flow not in self._counts:
+            now = self._clock()
+            self._counts = {
+                known: each
+                for known, each in self._counts.items()
+                if not decisions.is_decayed(each, now)
+            }
+        self._counts[flow] = counts
+
+    def _count(self, work: call.Call, change: int) -> None:
         self.in_progress += change
+        if work.workspace:
+            self._workspaces[work.workspace] += change
+            if not self._workspaces[work.workspace]:
+                del self._workspaces[work.workspace]
         if self._measures_lag and self._timer is None:
             # Without requests in progress, the lag does not matter.
             self._schedule_tick()
-        self._in_progress[rank] = self._in_progress.get(rank, 0) + change
+        in_progress = self._in_progress.get(work.rank, 0)
+        self._in_progress[work.rank] = in_progress + change
 
 
 _NO_CALLS = state.DecayedCounts()
--- a/packages/burdockdeal/burdockdeal/retry/attempts.py
+++ b/packages/burdockdeal/burdockdeal/retry/attempts.py
@@ -64,6 +64,7 @@
     :param open_response: opens the response of each send.
     :param budget: pays for the sends after the first.
     :param clock: returns monotonic time in seconds.
+    :param region: the region of this daemon, empty if there is only one.
     """
 
     def __init__(
@@ -76,8 +77,10 @@
         open_response: OpenResponse,
         budget: budgets.Budget,
         clock: abc.Callable[[], float],
+        region: str = "",
     ) -> None:
         self._work = work
+        self._region = region
         self._outbound = outbound
         self._choose = choose
         self._exclusions = exclusions
@@ -159,13 +162,23 @@
         account = self._budget.find_account(self._work)
         if decisions.may_ask_another(progress, account):
             member = self._choose(self._work, progress.tried)
-            if member is not None or not progress.busy_refusals:
+            if member is None and not progress.busy_refusals:
+                return None
+            if member is not None and not self._stays_home(member):
                 return member
         if progress.may_queue:
             return self._choose(self._work, progress.tried)
         self._progress = decisions.allow_queueing(progress)
         return self._choose(self._work, frozenset())
 
+    def _stays_home(self, untried: membership.Member) -> bool:
+        if not self._progress.busy_refusals or not self._region:
+            return False
+        best = self._choose(self._work, frozenset())
+        return best is not None and decisions.may_queue_at_home(
+            self._progress, untried.region, best.daemon, self._region
+        )
+
     def _spend_for_nested_retry(self) -> None:
         if not self._budget.spend(self._work):
             raise errors.NotRunError(
@@ -351,6 +364,7 @@
     open_response: OpenResponse,
     budget: budgets.Budget,
     clock: abc.Callable[[], float],
+    region: str = "",
 ) -> abc.Callable[[call.Call, messages.OutboundRequest], Attempts]:
     """Make the function that creates the attempts of a call.
 
@@ -358,6 +372,7 @@
     :param open_response: opens the response of each send.
     :param budget: pays for the sends after the first.
     :param clock: returns monotonic time in seconds.
+    :param region: the region of this daemon, empty if there is only one.
     """
 
     exclusions = exclusion.Exclusions(clock)
@@ -374,6 +389,7 @@
             open_response=open_response,
             budget=budget,
             clock=clock,
+            region=region,
         )
 
     return make_attempts
--- a/packages/burdockdeal/burdockdeal/retry/decisions.py
+++ b/packages/burdockdeal/burdockdeal/retry/decisions.py
@@ -213,6 +213,24 @@
     )
 
 
+def may_queue_at_home(
+    progress: state.Progress, untried_region: str, best: str, region: str
+) -> bool:
+    """Return whether a call queues where it was refused, near by.
+
+    Otherwise the next untried instance is asked to start it at once. Answers
+    demand that fills one region while others have room: a call crosses to
+    another region only if the response is expected to come sooner that way.
+
+    :param untried_region: the region of the untried instance with the lowest
+        estimate.
+    :param best: the daemon with the lowest estimate of all, tried or not.
+    :param region: the region of this daemon, empty if there is only one.
+    """
+    is_far = region not in ("", untried_region)
+    return is_far and progress.busy_refusals > 0 and best in progress.tried
+
+
 def record_ask(account: state.Account, *, is_full: bool) -> state.Account:
     """Return the account after an instance was asked to start a call.
 
--- a/packages/burdockdeal/burdockdeal/routing/decisions.py
+++ b/packages/burdockdeal/burdockdeal/routing/decisions.py
@@ -81,6 +81,10 @@
 REMOTE_PENALTY_S = 0.015
 REMOTE_PENALTY_S_PER_BYTE = 5e-6
 
+#: Factor of that penalty for a call to another region. All calls between two
+#: regions share one link, so that a body on it delays the others.
+FAR_PENALTY_FACTOR = 4.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Estimate:
@@ -299,6 +303,21 @@
     return REMOTE_PENALTY_S + REMOTE_PENALTY_S_PER_BYTE * body_bytes
 
 
+def find_penalty(view: state.View, remote_penalty_s: float) -> float:
+    """Return the penalty for the distance of an instance, in seconds.
+
+    Answers demand that moves from region to region: work leaves its region
+    only once the wait there exceeds what the way costs.
+
+    :param remote_penalty_s: the penalty for another failure domain of the
+        same region.
+    """
+    if view.is_local:
+        return 0.0
+    factor = 1.0 if view.is_in_region else FAR_PENALTY_FACTOR
+    return factor * remote_penalty_s
+
+
 def choose(
     views: abc.Sequence[state.View],
     baseline: state.Baseline,
@@ -314,7 +333,7 @@
     :param now: monotonic time in seconds.
     :param trial_delay_factor: see ejection.is_trial_due.
     :param remote_penalty_s: penalty for an instance in another failure
-        domain, in seconds.
+        domain of the region, in seconds.
     :returns: the instance with the lowest estimate, or one that is due for
         a trial call.
     """
@@ -327,7 +346,7 @@
             return trial
     costs = [
         one.total_s * (1 + _JITTER_SHARE * rng.random())
-        + (0.0 if view.is_local else remote_penalty_s)
+        + find_penalty(view, remote_penalty_s)
         for one, view in zip(estimates, eligible, strict=True)
     ]
     return eligible[costs.index(min(costs))]
--- a/packages/burdockdeal/burdockdeal/routing/instance_group.py
+++ b/packages/burdockdeal/burdockdeal/routing/instance_group.py
@@ -18,7 +18,9 @@
 
 #: Number of random candidates in the own failure domain and in all of them.
 #: Asking one in the own domain costs little, so that several are compared.
+#: Where there are several regions, so are some of the own one.
 _RANDOM_LOCAL_CANDIDATES = 4
+_RANDOM_REGION_CANDIDATES = 3
 _RANDOM_CANDIDATES = 2
 _TRIAL_CANDIDATES = 2
 _UTILIZATION_SMOOTHING = 0.1
@@ -50,11 +52,16 @@
 
     :param own_daemon: the name of this daemon.
     :param failure_domain: the failure domain of this daemon.
+    :param region: the region of this daemon, empty if there is only one.
     """
 
-    def __init__(self, own_daemon: str, failure_domain: str) -> None:
+    def __init__(
+        self, own_daemon: str, failure_domain: str, region: str = ""
+    ) -> None:
         self._own_daemon = own_daemon
         self._failure_domain = failure_domain
+        self._region = region
+        self._region_members: tuple[messages.Member, ...] = ()
         self._own_member: tuple[messages.Member, ...] = ()
         self._local_members: tuple[messages.Member, ...] = ()
         self._by_key: dict[InstanceKey, messages.Member] = {}
@@ -85,6 +92,9 @@
             for member in members
             if member.failure_domain == self._failure_domain
         )
+        self._region_members = tuple(
+            member for member in members if member.region == self._region
+        )
         self._own_member = tuple(
             member
             for member in self._local_members
@@ -142,6 +152,14 @@
             + _UTILIZATION_SMOOTHING * (utilization - before),
         )
 
+    def _draw_from_region(self, rng: random.Random) -> list[messages.Member]:
+        """Draw instances of the own region, if there is another region."""
+        if len(self._region_members) == len(self.members):
+            return []
+        return _draw_random(
+            self._region_members, _RANDOM_REGION_CANDIDATES, rng
+        )
+
     def sample(
         self, tried: frozenset[str], rng: random.Random
     ) -> list[messages.Member]:
@@ -150,7 +168,8 @@
         Returns all instances of a small service. For a large one returns a
         bounded number, so that the cost of a choice does not grow with the
         service: this daemon's own instance, the latest reporters, some
-        random ones and ejected ones that may be due for a trial call.
+        random ones of the own failure domain, the own region and all, and
+        ejected ones that may be due for a trial call.
 
         :param tried: names of the daemons that are left out.
         """
@@ -170,6 +189,7 @@
                     *_draw_random(
                         self._local_members, _RANDOM_LOCAL_CANDIDATES, rng
                     ),
+                    *self._draw_from_region(rng),
                     *_draw_random(self.members, _RANDOM_CANDIDATES, rng),
                     *due,
                 ]
--- a/packages/burdockdeal/burdockdeal/routing/state.py
+++ b/packages/burdockdeal/burdockdeal/routing/state.py
@@ -51,6 +51,7 @@
 
     :param member: its membership record.
     :param is_local: whether it is in this daemon's failure domain.
+    :param is_in_region: whether it is in this daemon's region.
     :param outstanding: calls that this daemon has in flight to it.
     :param report: the latest load report, None before the first.
     :param report_age_s: seconds since the report arrived.
@@ -78,3 +79,4 @@
     failure_penalty: float = 0.0
     health: InstanceHealth = InstanceHealth()
     calls_since_ejection: int = 0
+    is_in_region: bool = True
--- a/packages/burdockdeal/burdockdeal/routing/tracking.py
+++ b/packages/burdockdeal/burdockdeal/routing/tracking.py
@@ -40,6 +40,7 @@
     :param failure_domain: the failure domain of this daemon.
     :param clock: returns monotonic time in seconds.
     :param load: returns the current load of this daemon's own upstream.
+    :param region: the region of this daemon, empty if there is only one.
     """
 
     def __init__(
@@ -48,9 +49,11 @@
         failure_domain: str,
         clock: abc.Callable[[], float],
         load: abc.Callable[[], load_report.LoadReport],
+        region: str = "",
     ) -> None:
         self._own_daemon = own_daemon
         self._failure_domain = failure_domain
+        self._region = region
         self._load = load
         self._stats_by_key: dict[
             instance_group.InstanceKey, instance_stats.InstanceStats
@@ -77,7 +80,7 @@
         group = self.groups.get(service)
         if group is None:
             group = instance_group.InstanceGroup(
-                self._own_daemon, self._failure_domain
+                self._own_daemon, self._failure_domain, self._region
             )
             self.groups[service] = group
         group.update_members(members, share)
@@ -361,6 +364,7 @@
             failure_penalty=stats.get_failure_penalty(now),
             health=stats.health,
             calls_since_ejection=self._count_calls_since_ejection(stats),
+            is_in_region=self._region in ("", member.region),
         )
 
     def view(self, member: messages.Member) -> state.View:
--- a/packages/burdockdeal/burdockdeal/serving/entry.py
+++ b/packages/burdockdeal/burdockdeal/serving/entry.py
@@ -54,6 +54,7 @@
     has_instance: abc.Callable[[str], bool],
     limit_deadline: abc.Callable[[float], float],
     find_newer_configuration: abc.Callable[[int], abc.Awaitable[bool]],
+    region: str,
 ) -> abc.Callable[[web.BaseRequest], abc.Awaitable[web.StreamResponse]]:
     """Build the handler of callers' requests.
 
@@ -77,6 +78,7 @@
         ends, if it is stopping.
     :param find_newer_configuration: looks whether a configuration newer than
         a revision exists, and makes it active.
+    :param region: the region of this daemon.
     """
 
     def log_send(send: messages.Send) -> None:
@@ -132,7 +134,11 @@
         )
 
     begin_sends = attempts.make_factory(
-        choose=choose, open_response=open_send, budget=budget, clock=clock
+        choose=choose,
+        open_response=open_send,
+        budget=budget,
+        clock=clock,
+        region=region,
     )
     dispatch = pinning.make_dispatcher(
         begin_sends,
--- a/packages/burdockdeal/burdockdeal/serving/owner.py
+++ b/packages/burdockdeal/burdockdeal/serving/owner.py
@@ -236,6 +236,10 @@
             send.request.deadline,
             streamed=send.outbound.body.is_streamed,
             may_queue=send.may_queue,
+            workspace=send.request.workspace,
+            weight=workspaces.find_weight(
+                current.workspaces, send.request.workspace
+            ),
         ):
             await prepare(send)
             # The state may have changed during the waits above. From here
--- a/packages/burdockdeal/burdockdeal/serving/tests/test_owner.py
+++ b/packages/burdockdeal/burdockdeal/serving/tests/test_owner.py
@@ -24,6 +24,7 @@
 from burdockdeal.serving import messages
 from burdockdeal.serving import owner
 from burdockdeal.settings import model
+from burdockdeal.workspaces import state as workspaces
 from burdockdeal_standins import clocks
 from burdockdeal_standins import raw_upstream
 
@@ -84,7 +85,9 @@
         apply=lambda event: None,
     )
     configuration = types.SimpleNamespace(
-        revision=0, ranks={_RANK: resources.Rank(0, 100.0, 500.0, 0.2)}
+        revision=0,
+        workspaces=workspaces.EMPTY_INDEX,
+        ranks={_RANK: resources.Rank(0, 100.0, 500.0, 0.2)},
     )
     return owner.make_upstream_opener(
         tracker,
--- a/packages/burdockdeal/burdockdeal/workspaces/decisions.py
+++ b/packages/burdockdeal/burdockdeal/workspaces/decisions.py
@@ -115,6 +115,12 @@
     return bool(workspace) and index.by_key_id.get(key_id) != workspace
 
 
+def find_weight(index: state.WorkspaceIndex, workspace: str) -> float:
+    """Return the weight of a workspace, 1 for calls without one."""
+    found = index.workspaces.get(workspace)
+    return found.weight if found is not None else 1.0
+
+
 def combine_regions(
     first: abc.Collection[str], second: abc.Collection[str]
 ) -> frozenset[str] | None:
