Let the operator limit second sends against slow responses

Change: hedging.share in the settings, off unless set. An idempotent call whose response takes longer than nearly all of its rank is sent once more, to another instance, which starts it at once or refuses it; a refused hedge is refunded. The share of first sends, the fleet's retry budget and the rule's sends all bind. Without the setting calls are hedged as before.

--- a/packages/burdockdeal/burdockdeal/daemon/components.py
+++ b/packages/burdockdeal/burdockdeal/daemon/components.py
@@ -24,6 +24,7 @@
 from burdockdeal.overload import load_shedder
 from burdockdeal.retry import budget as budgets
 from burdockdeal.retry import fleet_budget
+from burdockdeal.retry import hedging
 from burdockdeal.retry import running
 from burdockdeal.routing import tracking
 from burdockdeal.serving import classification
@@ -111,6 +112,7 @@
         self._slot_limit = _SlotLimit()
         self.running_calls = running.RunningCalls()
         self.retry_budget = self._build_retry_budget()
+        self.hedges = self._build_hedge_limiter()
         self.listener_limiters = connections.limit_listeners(
             settings.limits, self.clock
         )
@@ -146,6 +148,16 @@
             get_urgency=self._get_urgency,
         )
 
+    def _build_hedge_limiter(self) -> hedging.HedgeLimiter | None:
+        if self.settings.hedging is None:
+            return None
+        return hedging.HedgeLimiter(self._get_hedge_share)
+
+    def _get_hedge_share(self) -> float:
+        # A reload of the settings may have removed the limit.
+        terms = self.settings.hedging
+        return terms.share if terms is not None else 0.0
+
     def _get_urgency(self, rank: str) -> int:
         current = self.compiled_configuration
         known = current.ranks.get(rank) if current else None
--- a/packages/burdockdeal/burdockdeal/daemon/request_handlers.py
+++ b/packages/burdockdeal/burdockdeal/daemon/request_handlers.py
@@ -148,6 +148,7 @@
         ),
         find_newer_configuration=lookup.find_newer_than,
         region=settings.region,
+        hedges=shared.hedges,
     )
     return RequestHandlers(
         at_most_once.serve_key_requests(handle_entry, choose), handle_call
--- a/packages/burdockdeal/burdockdeal/retry/attempts.py
+++ b/packages/burdockdeal/burdockdeal/retry/attempts.py
@@ -1,6 +1,5 @@
 """Sends a call, with retries and hedges, until it is answered."""
 
-import asyncio
 from collections import abc
 import contextlib
 import dataclasses
@@ -12,6 +11,8 @@
 from burdockdeal.retry import budget as budgets
 from burdockdeal.retry import decisions
 from burdockdeal.retry import exclusion
+from burdockdeal.retry import hedging
+from burdockdeal.retry import outcomes
 from burdockdeal.retry import pending_send
 from burdockdeal.retry import state
 from burdockdeal.serving import messages
@@ -38,22 +39,6 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Outcome:
-    """The outcome of one send, or of a send and its hedge.
-
-    :param progress: the progress of the call after the send.
-    :param response: the response; None if the send failed.
-    :param context: closes the response; None if the send failed.
-    :param error: why the send failed; None if there is a response.
-    """
-
-    progress: state.Progress
-    response: messages.Response | None = None
-    context: pending_send.ResponseContext | None = None
-    error: errors.CallError | None = None
-
-
 class Attempts:
     """The sends of one call.
 
@@ -65,6 +50,8 @@
     :param budget: pays for the sends after the first.
     :param clock: returns monotonic time in seconds.
     :param region: the region of this daemon, empty if there is only one.
+    :param hedges: limits the hedges to the operator's share, None to pay for
+        them as for retries.
     """
 
     def __init__(
@@ -78,8 +65,10 @@
         budget: budgets.Budget,
         clock: abc.Callable[[], float],
         region: str = "",
+        hedges: hedging.HedgeLimiter | None = None,
     ) -> None:
         self._work = work
+        self._hedges = hedges
         self._region = region
         self._outbound = outbound
         self._choose = choose
@@ -128,8 +117,8 @@
     async def _get_response(
         self, stack: contextlib.AsyncExitStack
     ) -> messages.Response:
-        fallback: Outcome | None = None
-        outcome: Outcome | None = None
+        fallback: outcomes.Outcome | None = None
+        outcome: outcomes.Outcome | None = None
         while member := self._choose_instance():
             outcome = await self._attempt(member, self._progress)
             self._record_ask(outcome)
@@ -148,7 +137,7 @@
                 break
         if fallback is not None:
             return fallback.response
-        raise _give_up(self._progress, outcome)
+        raise outcomes.choose_final_error(self._progress, outcome)
 
     def _choose_instance(self) -> membership.Member | None:
         """Choose the instance for the next send, None if there is none.
@@ -188,18 +177,24 @@
 
     async def _attempt(
         self, member: membership.Member, progress: state.Progress
-    ) -> Outcome:
-        delay_s = decisions.find_hedge_delay(
-            self._work,
-            progress,
-            self._budget.find_account(self._work),
-            replayable=not self._outbound.body.is_streamed,
-            now=self._clock(),
-        )
+    ) -> outcomes.Outcome:
+        delay_s = self._find_hedge_delay(progress)
         if delay_s is None:
             return await self._send(member, progress)
         return await self._send_hedged(member, progress, delay_s)
 
+    def _find_hedge_delay(self, progress: state.Progress) -> float | None:
+        replayable = not self._outbound.body.is_streamed
+        now = self._clock()
+        terms = {"replayable": replayable, "now": now}
+        if self._hedges is not None:
+            account = self._hedges.find_account(self._work)
+            return hedging.find_delay(account, self._work, progress, **terms)
+        account = self._budget.find_account(self._work)
+        return decisions.find_hedge_delay(
+            self._work, progress, account, **terms
+        )
+
     def _open(
         self, member: membership.Member, progress: state.Progress
     ) -> pending_send.ResponseContext:
@@ -213,7 +208,7 @@
 
     async def _send(
         self, member: membership.Member, progress: state.Progress
-    ) -> Outcome:
+    ) -> outcomes.Outcome:
         context = self._open(member, progress)
         progress = decisions.record_send(progress, member.daemon)
         started = self._clock()
@@ -222,18 +217,18 @@
             response = await context.__aenter__()
         except errors.CallError as caught:
             error = caught
-            return Outcome(progress, error=error)
+            return outcomes.Outcome(progress, error=error)
         finally:
             self._record_send(error)
         self._record_latency(started)
-        return Outcome(progress, response, context)
+        return outcomes.Outcome(progress, response, context)
 
     async def _send_hedged(
         self,
         member: membership.Member,
         progress: state.Progress,
         delay_s: float,
-    ) -> Outcome:
+    ) -> outcomes.Outcome:
         started = self._clock()
         sends = [pending_send.PendingSend(self._open(member, progress))]
         progress = decisions.record_send(progress, member.daemon)
@@ -243,15 +238,18 @@
             if winner is None:
                 progress = self._hedge(sends, progress)
                 winner = await pending_send.race(sends)
+                self._refund_refused_hedge(sends)
         finally:
             for other in sends:
                 if other is not winner:
                     await other.close()
-            self._record_send(_find_error(sends[0].task))
+            self._record_send(outcomes.find_error(sends[0].task))
         self._record_latency(started)
         if not winner.responded:
-            return Outcome(progress, error=_find_error(winner.task))
-        return Outcome(progress, winner.task.result(), winner.context)
+            return outcomes.Outcome(
+                progress, error=outcomes.find_error(winner.task)
+            )
+        return outcomes.Outcome(progress, winner.task.result(), winner.context)
 
     def _hedge(
         self, sends: list[pending_send.PendingSend], progress: state.Progress
@@ -260,20 +258,39 @@
         if member is None or not self._budget.spend(self._work):
             return progress
         self._budget.record_hedge()
+        if self._hedges is not None:
+            self._hedges.add_tokens(self._work, -1.0)
         self._budget.record_send(self._work, first=False)
         self._budget.record_arrival(self._work, first=False)
         # The first send may still run.
         progress = dataclasses.replace(
             progress, may_have_run=True, reached_upstream=True
         )
-        sends.append(pending_send.PendingSend(self._open(member, progress)))
+        # Where the operator limits hedges, one never waits in a queue.
+        asked = dataclasses.replace(
+            progress, may_queue=progress.may_queue and self._hedges is None
+        )
+        sends.append(pending_send.PendingSend(self._open(member, asked)))
         return decisions.record_send(progress, member.daemon)
 
+    def _refund_refused_hedge(
+        self, sends: list[pending_send.PendingSend]
+    ) -> None:
+        """Give back the tokens of a hedge that has reached no upstream."""
+        if self._hedges is None or len(sends) < 2:
+            return
+        error = outcomes.find_error(sends[1].task)
+        if error is not None and error.reason in decisions.FREE_RETRY_REASONS:
+            self._hedges.add_tokens(self._work, 1.0)
+            self._budget.refund_hedge(self._work)
+
     def _record_send(self, error: errors.CallError | None) -> None:
         if error is None or error.reason not in _NOT_SENT_REASONS:
             self._budget.record_send(
                 self._work, first=not self._first_send_recorded
             )
+            if self._hedges is not None and not self._first_send_recorded:
+                self._hedges.record_first_send(self._work)
             self._first_send_recorded = True
         if error is None or decisions.may_have_arrived(
             error.outcome, error.reason
@@ -283,7 +300,7 @@
             )
             self._first_arrival_recorded = True
 
-    def _record_ask(self, outcome: Outcome) -> None:
+    def _record_ask(self, outcome: outcomes.Outcome) -> None:
         reason = outcome.error.reason if outcome.error else None
         if not outcome.progress.may_queue and reason not in _NO_SLOT_INFO:
             self._budget.record_ask(
@@ -292,13 +309,16 @@
 
     def _record_latency(self, started: float) -> None:
         if not self._outbound.body.is_streamed:
-            self._budget.record_latency(self._work, self._clock() - started)
+            latency_s = self._clock() - started
+            self._budget.record_latency(self._work, latency_s)
+            if self._hedges is not None:
+                self._hedges.record_latency(self._work, latency_s)
 
-    def _is_final(self, outcome: Outcome) -> bool:
+    def _is_final(self, outcome: outcomes.Outcome) -> bool:
         failed = decisions.is_retriable_status(outcome.response.status)
         return not (failed and self._work.idempotent)
 
-    def _record_failure(self, outcome: Outcome) -> state.Progress:
+    def _record_failure(self, outcome: outcomes.Outcome) -> state.Progress:
         error = outcome.error
         if error is None:
             return decisions.record_failure(
@@ -311,7 +331,7 @@
             outcome.progress, error.outcome, error.reason
         )
 
-    def _may_resend(self, outcome: Outcome) -> bool:
+    def _may_resend(self, outcome: outcomes.Outcome) -> bool:
         now = self._clock()
         replayable = self._outbound.body.is_replayable
         if not decisions.may_resend(
@@ -333,31 +353,6 @@
         return self._budget.spend(self._work)
 
 
-def _find_error(task: asyncio.Task) -> errors.CallError | None:
-    """Return the call error that a send ended with, None if there is none.
-
-    :raises Exception: if the send failed for another reason.
-    """
-    if not task.done() or task.cancelled():
-        return None
-    error = task.exception()
-    if error is None or isinstance(error, errors.CallError):
-        return error
-    raise error
-
-
-def _give_up(
-    progress: state.Progress, outcome: Outcome | None
-) -> errors.CallError:
-    error = outcome.error if outcome else None
-    if error is None:
-        return errors.NotRunError(verdict.Reason.NO_INSTANCE)
-    if progress.may_have_run and error.outcome is verdict.Verdict.NOT_RUN:
-        # The last send did not run, but an earlier one may have.
-        return errors.MayHaveRunError(error.reason, error.detail)
-    return error
-
-
 def make_factory(
     *,
     choose: exclusion.Chooser,
@@ -365,6 +360,7 @@
     budget: budgets.Budget,
     clock: abc.Callable[[], float],
     region: str = "",
+    hedges: hedging.HedgeLimiter | None = None,
 ) -> abc.Callable[[call.Call, messages.OutboundRequest], Attempts]:
     """Make the function that creates the attempts of a call.
 
@@ -373,6 +369,8 @@
     :param budget: pays for the sends after the first.
     :param clock: returns monotonic time in seconds.
     :param region: the region of this daemon, empty if there is only one.
+    :param hedges: limits the hedges to the operator's share, None to pay for
+        them as for retries.
     """
 
     exclusions = exclusion.Exclusions(clock)
@@ -390,6 +388,7 @@
             budget=budget,
             clock=clock,
             region=region,
+            hedges=hedges,
         )
 
     return make_attempts
--- a/packages/burdockdeal/burdockdeal/retry/budget.py
+++ b/packages/burdockdeal/burdockdeal/retry/budget.py
@@ -128,6 +128,13 @@
         hedges = self.counters.hedges + 1
         self.counters = dataclasses.replace(self.counters, hedges=hedges)
 
+    def refund_hedge(self, work: call.Call) -> None:
+        """Give back the cost of a hedge that has reached no upstream."""
+        account = self.find_account(work)
+        self._store_account(work, decisions.add_tokens(account, 1.0))
+        if self._fleet_budget is not None:
+            self._fleet_budget.refund(work.service)
+
     def record_saturation(self, work: call.Call, now: float) -> None:
         """Mark the service of a call as saturated.
 
--- a/packages/burdockdeal/burdockdeal/retry/fleet_budget.py
+++ b/packages/burdockdeal/burdockdeal/retry/fleet_budget.py
@@ -96,6 +96,13 @@
             last.number, last.first_sends + first, last.retries + retries
         )
 
+    def refund(self, service: str) -> None:
+        """Take back a retry that has reached no upstream."""
+        last = self._advance(service)[-1]
+        self._buckets[service][-1] = dataclasses.replace(
+            last, retries=max(0.0, last.retries - 1)
+        )
+
     def may_retry(self, service: str, *, is_most_urgent: bool = True) -> bool:
         """Return whether one more retry to a service is allowed.
 
--- a/packages/burdockdeal/burdockdeal/retry/tests/test_attempts.py
+++ b/packages/burdockdeal/burdockdeal/retry/tests/test_attempts.py
@@ -17,6 +17,7 @@
 from burdockdeal.retry import attempts
 from burdockdeal.retry import budget as budgets
 from burdockdeal.retry import decisions
+from burdockdeal.retry import outcomes
 from burdockdeal.retry import state
 from burdockdeal_standins import virtual_time
 
@@ -262,9 +263,9 @@
 
 
 def test_verdict_covers_every_send() -> None:
-    error = attempts._give_up(
+    error = outcomes.choose_final_error(
         state.Progress(sends_left=0, may_have_run=True),
-        attempts.Outcome(
+        outcomes.Outcome(
             state.Progress(sends_left=0),
             error=errors.NotRunError(Reason.QUEUE_FULL),
         ),
--- a/packages/burdockdeal/burdockdeal/serving/entry.py
+++ b/packages/burdockdeal/burdockdeal/serving/entry.py
@@ -19,6 +19,7 @@
 from burdockdeal.retry import attempts
 from burdockdeal.retry import budget as budgets
 from burdockdeal.retry import exclusion
+from burdockdeal.retry import hedging
 from burdockdeal.routing import tracking
 from burdockdeal.serving import bodies
 from burdockdeal.serving import classification
@@ -55,6 +56,7 @@
     limit_deadline: abc.Callable[[float], float],
     find_newer_configuration: abc.Callable[[int], abc.Awaitable[bool]],
     region: str,
+    hedges: hedging.HedgeLimiter | None,
 ) -> abc.Callable[[web.BaseRequest], abc.Awaitable[web.StreamResponse]]:
     """Build the handler of callers' requests.
 
@@ -79,6 +81,8 @@
     :param find_newer_configuration: looks whether a configuration newer than
         a revision exists, and makes it active.
     :param region: the region of this daemon.
+    :param hedges: limits second sends, None to limit them by the retry budget
+        only.
     """
 
     def log_send(send: messages.Send) -> None:
@@ -139,6 +143,7 @@
         budget=budget,
         clock=clock,
         region=region,
+        hedges=hedges,
     )
     dispatch = pinning.make_dispatcher(
         begin_sends,
--- a/packages/burdockdeal/burdockdeal/settings/model.py
+++ b/packages/burdockdeal/burdockdeal/settings/model.py
@@ -187,6 +187,17 @@
     window_s: validation.PositiveFloat = 10.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hedging:
+    """The limit on second sends that are made because a response is slow.
+
+    :param share: second sends as a share of the first sends of idempotent
+        calls, for each service.
+    """
+
+    share: typing.Annotated[float, msgspec.Meta(gt=0, le=0.5)] = 0.05
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class QuotaTerms:
     """How closely the fleet keeps the quotas of workspaces.
@@ -262,6 +273,8 @@
         announce themselves.
     :param fleet_retries: the fleet-wide retry budget; None if each daemon
         only applies its own.
+    :param hedging: the limit on second sends against slow responses; None to
+        limit them by the retry budget only.
     :param quotas: how closely quotas are kept; None if they aren't enforced.
     :param keys: how keys are treated without contact to the store.
     :param policy: the name of the routing policy.
@@ -281,6 +294,7 @@
     advertise: Address | None = None
     deployment: Deployment | None = None
     fleet_retries: FleetRetryBudget | None = None
+    hedging: Hedging | None = None
     quotas: QuotaTerms | None = None
     keys: KeyTerms = KeyTerms()
     policy: Policy = "hot_cold"
