Pace the starts on a cold upstream at its owner

Cause: an upstream that is cold handles cold_starts_per_s requests a second and crashes well above that. The growing share of slots bounds how many calls run at once, not how many start.

Change: the admission controller counts the starts of the last second and the calls that hold a slot and have not started. A call beyond the rate that may run elsewhere gets COLD at once, which costs no retry budget; one that may queue waits only if the pace starts it within its target. Waiting calls that can't start within their target are shed, least worth first. How long the upstream is cold is kept apart from its announcement; it is unknown, and counts as cold, until a heartbeat or a health response says otherwise.

Ruled out: a token bucket (rate plus burst within one second) and fewer slots (the rate then depends on the service time). A window of exactly one second put a sixth start into a second by rounding (1.9323 and 2.9323 in a test), so it has a margin of 10 ms.

Without the pace, the check at the start, the reservation, the timer, the shedding or the margin at least one test fails.

--- a/packages/burdockdeal/burdockdeal/admission/controller.py
+++ b/packages/burdockdeal/burdockdeal/admission/controller.py
@@ -5,7 +5,9 @@
 import contextlib
 import itertools
 
+from burdockdeal.admission import cold_start
 from burdockdeal.admission import decisions
+from burdockdeal.admission import pacer
 from burdockdeal.admission import queue
 from burdockdeal.admission import saturation
 from burdockdeal.admission import service_times
@@ -19,8 +21,13 @@
     decisions.Decision.REFUSE_TARGET: verdict.Reason.TARGET_MISSED,
     decisions.Decision.REFUSE_SLOW: verdict.Reason.SLOWED,
     decisions.Decision.REFUSE_BUSY: verdict.Reason.BUSY,
+    decisions.Decision.REFUSE_COLD: verdict.Reason.COLD,
 }
 
+#: Minimum delay in seconds until waiting calls are considered again, so that
+#: rounding can't make the loop spin.
+_MIN_RESUME_S = 0.001
+
 
 def _was_granted(granted: asyncio.Future[None]) -> bool:
     return (
@@ -48,7 +55,9 @@
         self._ranks: dict[str, state.RankState] = {}
         self._queues: dict[str, queue.RankQueue] = {}
         self._service_times = state.ServiceTimes()
+        self._resume_timer: asyncio.TimerHandle | None = None
         self.saturation = saturation.SaturationDetector()
+        self.pacer = pacer.Pacer(clock, lambda: get_capacity().pace)
         self.running = 0
         self.waiting = 0
 
@@ -83,9 +92,13 @@
         *,
         streamed: bool = False,
         may_queue: bool = True,
-    ) -> abc.AsyncIterator[None]:
+    ) -> abc.AsyncIterator[abc.Callable[[], None]]:
         """Hold a slot of the upstream while the block runs.
 
+        The block gets a function to call just before the call starts, which
+        raises NotRunError if an upstream that has turned cold allows no
+        further start.
+
         :param deadline: monotonic time in seconds.
         :param streamed: whether the body is passed on as it arrives.
         :param may_queue: whether it waits if it can't start immediately.
@@ -103,7 +116,7 @@
         started = self._clock()
         fill = self.running / max(1, self._get_capacity().total_slots)
         try:
-            yield
+            yield lambda: self.pacer.start(request.number)
         finally:
             now = self._clock()
             if not streamed:
@@ -123,6 +136,12 @@
         if self.waiting:
             self._start_waiting()
 
+    def refuse_waiting(self, reason: verdict.Reason) -> None:
+        """Refuse all calls that wait."""
+        for rank, waiting in self._queues.items():
+            while len(waiting):
+                self._shed(rank, reason)
+
     def _take_snapshot(self) -> state.Snapshot:
         now = self._clock()
         overdue = frozenset(
@@ -131,7 +150,11 @@
             if len(waiting) and waiting.is_overdue(now)
         )
         return state.Snapshot(
-            self._ranks, self._get_capacity(), self._service_times, overdue
+            self._ranks,
+            self._get_capacity(),
+            self._service_times,
+            overdue,
+            self.pacer.get_starts(),
         )
 
     async def _acquire(self, request: state.AdmissionRequest) -> None:
@@ -144,6 +167,7 @@
         if admission.decision in _REASONS:
             raise errors.NotRunError(_REASONS[admission.decision])
         if admission.decision is decisions.Decision.RUN:
+            self.pacer.reserve(request.number)
             self._count_running(request, 1)
             return
         if admission.shed_rank is not None:
@@ -165,6 +189,7 @@
         waiter = queue.Waiter(request, granted)
         self._queues[request.policy.name].push(waiter)
         self._count_waiting(request, 1)
+        self._keep_pace()
         try:
             async with asyncio.timeout(request.wait_until - self._clock()):
                 await granted
@@ -187,15 +212,40 @@
         if decision in _REASONS:
             raise errors.NotRunError(_REASONS[decision])
 
-    def _shed(self, rank: str) -> None:
+    def _shed(
+        self, rank: str, reason: verdict.Reason = verdict.Reason.SHED
+    ) -> None:
         waiter = self._queues[rank].pop_newest()
         self._count_waiting(waiter.request, -1)
         if not waiter.granted.done():
-            waiter.granted.set_exception(
-                errors.NotRunError(verdict.Reason.SHED)
+            waiter.granted.set_exception(errors.NotRunError(reason))
+
+    def _keep_pace(self) -> None:
+        """Shed calls that a cold upstream starts too late; await the next.
+
+        The timer is due at the next start that the pace allows, and exists
+        only while calls wait.
+        """
+        if self._resume_timer is not None:
+            self._resume_timer.cancel()
+            self._resume_timer = None
+        now, starts = self._clock(), self.pacer.get_starts()
+        while excess := cold_start.select_excess(
+            self._ranks.values(), starts, now
+        ):
+            self._shed(excess.policy.name)
+        wait_s = cold_start.find_start(starts, 0, now) - now
+        if self.waiting and wait_s > 0:
+            self._resume_timer = asyncio.get_running_loop().call_later(
+                max(_MIN_RESUME_S, wait_s), self._resume
             )
 
+    def _resume(self) -> None:
+        self._resume_timer = None
+        self.notify_capacity_change()
+
     def _release(self, request: state.AdmissionRequest) -> None:
+        self.pacer.release(request.number)
         self._count_running(request, -1)
         if self.waiting:
             self._start_waiting()
@@ -221,13 +271,18 @@
             self._ranks[request.policy.name] = decisions.record_dequeue(
                 self._ranks[request.policy.name], now
             )
+            self.pacer.reserve(request.number)
             self._count_running(request, 1)
             waiter.granted.set_result(None)
+        self._keep_pace()
 
     def _count_waiting(
         self, request: state.AdmissionRequest, change: int
     ) -> None:
         self.waiting += change
+        if not self.waiting and self._resume_timer is not None:
+            self._resume_timer.cancel()
+            self._resume_timer = None
         self._ranks[request.policy.name] = decisions.record_waiting(
             self._ranks[request.policy.name],
             request,
--- a/packages/burdockdeal/burdockdeal/admission/decisions.py
+++ b/packages/burdockdeal/burdockdeal/admission/decisions.py
@@ -4,6 +4,7 @@
 import dataclasses
 import enum
 
+from burdockdeal.admission import cold_start
 from burdockdeal.admission import service_times
 from burdockdeal.admission import state
 
@@ -24,6 +25,7 @@
     REFUSE_TARGET = "REFUSE_TARGET"
     REFUSE_SLOW = "REFUSE_SLOW"
     REFUSE_BUSY = "REFUSE_BUSY"
+    REFUSE_COLD = "REFUSE_COLD"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -177,6 +179,8 @@
     slots = snapshot.capacity.slots
     if snapshot.running >= slots or snapshot.capacity.is_slow:
         return None
+    if not cold_start.may_start(snapshot.starts, now):
+        return None
     fits = has_upload_slot(snapshot)
     ready = [
         each for each in snapshot.ranks.values() if _has_startable(each, fits)
@@ -208,7 +212,8 @@
     The model divides the service time of the calls ahead by the slots; the
     rank's floor puts an upper bound on it. The estimate is at least what
     the rank's recent dequeue intervals give, because these include all
-    delays that the model leaves out.
+    delays that the model leaves out, and at least what the pace of a cold
+    upstream gives.
 
     :param now: monotonic time in seconds.
     :returns: seconds.
@@ -235,7 +240,28 @@
     share = request.policy.floor * slots
     if share > 0:
         modelled = min(modelled, (own_ahead + 1) * service_s / share)
-    return max(modelled, own_ahead * own.dequeue_interval_s)
+    paced = cold_start.estimate_wait_s(
+        snapshot.starts,
+        own.policy,
+        sum(each.waiting for each in ahead),
+        own.waiting,
+        now,
+    )
+    return max(modelled, paced, own_ahead * own.dequeue_interval_s)
+
+
+def _find_latest_start(
+    request: state.AdmissionRequest, snapshot: state.Snapshot, now: float
+) -> float:
+    """Return when a call must be able to start for it to be queued.
+
+    On a cold upstream the queue is not for overdue calls.
+
+    :returns: monotonic time in seconds.
+    """
+    pace = snapshot.starts.pace
+    is_cold = pace is not None and pace.is_cold(now)
+    return request.due_at if is_cold else request.wait_until
 
 
 def _is_within_queue_floor(
@@ -288,11 +314,16 @@
         return Admission(Decision.REFUSE_SLOW)
     fits = not request.streamed or has_upload_slot(snapshot)
     slots = capacity.slots if request.may_queue else capacity.ramped_slots
-    if snapshot.running < slots and fits and not capacity.is_slow:
+    is_free = snapshot.running < slots and fits and not capacity.is_slow
+    is_paced = not cold_start.may_start(snapshot.starts, now)
+    if is_free and not is_paced:
         return Admission(Decision.RUN)
     if not request.may_queue:
-        return Admission(Decision.REFUSE_BUSY)
-    if estimate_wait_s(request, snapshot, now) > request.wait_until - now:
+        return Admission(
+            Decision.REFUSE_COLD if is_paced else Decision.REFUSE_BUSY
+        )
+    latest_start = _find_latest_start(request, snapshot, now)
+    if estimate_wait_s(request, snapshot, now) > latest_start - now:
         return Admission(Decision.REFUSE_TARGET)
     if snapshot.waiting < capacity.queue_limit:
         return Admission(Decision.WAIT)
--- a/packages/burdockdeal/burdockdeal/admission/state.py
+++ b/packages/burdockdeal/burdockdeal/admission/state.py
@@ -3,6 +3,40 @@
 import dataclasses
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pace:
+    """How many calls may start on the upstream while it is cold.
+
+    :param starts_per_s: starts per second, above 0.
+    :param cold_until: when it stops being cold, as monotonic time in
+        seconds; infinite if that isn't known.
+    """
+
+    starts_per_s: float
+    cold_until: float
+
+    def is_cold(self, now: float) -> bool:
+        """Return whether the pace applies.
+
+        :param now: monotonic time in seconds.
+        """
+        return now < self.cold_until
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Starts:
+    """The recent starts on the upstream.
+
+    :param pace: None if calls may start at any rate.
+    :param times: the latest starts, as monotonic times in seconds.
+    :param reserved: calls that hold a slot and have not started yet.
+    """
+
+    pace: Pace | None = None
+    times: tuple[float, ...] = ()
+    reserved: int = 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RankPolicy:
     """How admission control treats the calls of one rank.
@@ -40,6 +74,8 @@
         ``slots`` while some are left free to avoid saturation.
     :param warm_up_share: the share of the slots for calls that may run on
         another instance; less than 1 while the upstream warms up.
+    :param pace: the pace of starts while the upstream is cold; None if the
+        service has no rate for that.
     """
 
     slots: int
@@ -48,6 +84,7 @@
     is_slow: bool = False
     announced_slots: int = 0
     warm_up_share: float = 1.0
+    pace: Pace | None = None
 
     @property
     def ramped_slots(self) -> int:
@@ -145,12 +182,14 @@
 
     :param ranks: by the rank's name.
     :param overdue: the names of ranks whose waiting calls are all overdue.
+    :param starts: the recent starts on the upstream.
     """
 
     ranks: dict[str, RankState]
     capacity: Capacity
     service_times: ServiceTimes
     overdue: frozenset[str] = frozenset()
+    starts: Starts = Starts()
 
     @property
     def running(self) -> int:
--- a/packages/burdockdeal/burdockdeal/announce/api.py
+++ b/packages/burdockdeal/burdockdeal/announce/api.py
@@ -23,6 +23,7 @@
     def __init__(self, clock: abc.Callable[[], float]) -> None:
         self.clock = clock
         self._listeners: list[abc.Callable[[], None]] = []
+        self._cold_listeners: list[abc.Callable[[], None]] = []
         self.upstream = state.Upstream()
         self._rejects_new_calls = False
 
@@ -30,10 +31,20 @@
         """Register a callback for changes of phase or incarnation."""
         self._listeners.append(listener)
 
+    def on_cold_report(self, listener: abc.Callable[[], None]) -> None:
+        """Register a callback for reports of how long it is still cold."""
+        self._cold_listeners.append(listener)
+
     def apply(self, event: decisions.Event) -> None:
         """Apply an event and notify the listeners if it had an effect."""
         before = self.upstream
         self.upstream = decisions.step(before, event, self.clock())
+        self._notify_phase(before)
+        if before.cold_until != self.upstream.cold_until:
+            for listener in self._cold_listeners:
+                listener()
+
+    def _notify_phase(self, before: state.Upstream) -> None:
         changed = (
             before.phase is not self.upstream.phase
             or before.incarnation != self.upstream.incarnation
--- a/packages/burdockdeal/burdockdeal/announce/decisions.py
+++ b/packages/burdockdeal/burdockdeal/announce/decisions.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 import dataclasses
+import math
 
 from burdockdeal.announce import messages
 from burdockdeal.announce import state
@@ -26,12 +27,30 @@
     """A connection attempt to the upstream's address failed."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ColdReport:
+    """A health response says for how long the upstream is still cold.
+
+    :param cold_ms: milliseconds, 0 if it is warm.
+    """
+
+    incarnation: int
+    cold_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ColdUnknown:
+    """What the upstream has reported on being cold is no longer valid."""
+
+
 Event = (
     messages.Announce
     | messages.Heartbeat
     | messages.Drain
     | Unreachable
     | Tick
+    | ColdReport
+    | ColdUnknown
 )
 
 
@@ -69,9 +88,32 @@
         last_alive_at=last_alive_at,
         reported_in_flight=event.in_flight,
         reported_healthy=event.healthy,
+        cold_until=upstream.cold_until
+        if event.cold_ms is None
+        else _find_cold_end(event.cold_ms, now),
+    )
+
+
+def _find_cold_end(cold_ms: float, now: float) -> float:
+    return now + max(0.0, cold_ms) / 1000
+
+
+def _report_cold(
+    upstream: state.Upstream, event: ColdReport, now: float
+) -> state.Upstream:
+    if event.incarnation != upstream.incarnation:
+        return upstream
+    return dataclasses.replace(
+        upstream, cold_until=_find_cold_end(event.cold_ms, now)
     )
 
 
+def _forget_cold(
+    upstream: state.Upstream, event: ColdUnknown, now: float
+) -> state.Upstream:
+    return dataclasses.replace(upstream, cold_until=None)
+
+
 def _drain(
     upstream: state.Upstream, event: messages.Drain, now: float
 ) -> state.Upstream:
@@ -105,6 +147,8 @@
     messages.Drain: _drain,
     Unreachable: _back_off,
     Tick: _check_lease,
+    ColdReport: _report_cold,
+    ColdUnknown: _forget_cold,
 }
 
 
@@ -134,6 +178,17 @@
     )
 
 
+def find_cold_end(upstream: state.Upstream) -> float:
+    """Find when the upstream stops being cold.
+
+    Handles a restart of the daemon under load: until the upstream has
+    reported, it counts as cold.
+
+    :returns: monotonic time in seconds, infinite if it isn't known.
+    """
+    return math.inf if upstream.cold_until is None else upstream.cold_until
+
+
 def compute_warm_up_share(upstream: state.Upstream, now: float) -> float:
     """Compute the share of its slots that a warming upstream may use.
 
--- a/packages/burdockdeal/burdockdeal/announce/messages.py
+++ b/packages/burdockdeal/burdockdeal/announce/messages.py
@@ -49,6 +49,8 @@
     :param echo: `Accepted.clock` of the latest response that the upstream
         received. It proves that the upstream was alive at that time, even if
         the heartbeat itself waited in a buffer.
+    :param cold_ms: milliseconds for which the upstream is still cold; None
+        if it doesn't say.
     """
 
     incarnation: validation.PositiveInt
@@ -56,6 +58,7 @@
     in_flight: validation.NonNegativeInt = 0
     healthy: bool = True
     draining: bool = False
+    cold_ms: validation.Milliseconds | None = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/burdockdeal/burdockdeal/announce/state.py
+++ b/packages/burdockdeal/burdockdeal/announce/state.py
@@ -33,6 +33,8 @@
     :param reported_in_flight: number of running calls that the upstream
         reported; a hint.
     :param reported_healthy: health that the upstream reported; a hint.
+    :param cold_until: monotonic time, in seconds, at which the upstream
+        stops being cold; None if it has not reported that.
     """
 
     phase: Phase = Phase.ABSENT
@@ -42,6 +44,7 @@
     announced_at: float = 0.0
     reported_in_flight: int = 0
     reported_healthy: bool = True
+    cold_until: float | None = None
 
     @property
     def incarnation(self) -> int:
--- a/packages/burdockdeal/burdockdeal/overload/load_shedder.py
+++ b/packages/burdockdeal/burdockdeal/overload/load_shedder.py
@@ -18,7 +18,10 @@
 TICK_S = 0.05
 
 #: Refusals for lack of capacity.
-_FLOOD_REASONS = verdict.OVERLOAD_REASONS | {verdict.Reason.BUSY}
+_FLOOD_REASONS = verdict.OVERLOAD_REASONS | {
+    verdict.Reason.BUSY,
+    verdict.Reason.COLD,
+}
 
 #: The part of the adaptive limit below which every rank has capacity.
 _UNCONTENDED_SHARE = 0.3
--- a/packages/burdockdeal/burdockdeal/platform/discovery.py
+++ b/packages/burdockdeal/burdockdeal/platform/discovery.py
@@ -36,11 +36,14 @@
     :param healthy: whether the upstream reports that it is healthy; the
         report can be wrong.
     :param load: the load that it reports, None if it reports none.
+    :param cold_ms: milliseconds for which it is still cold, None if it
+        doesn't say.
     """
 
     name: str
     healthy: bool
     load: measurement.UpstreamLoad | None
+    cold_ms: float | None = None
 
 
 async def check_health(
@@ -64,6 +67,7 @@
                 name=response.headers.get(_INSTANCE_ID, ""),
                 healthy=response.status == 200,
                 load=headers.read_load(response.headers),
+                cold_ms=headers.read_cold_ms(response.headers),
             )
     except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
         event_log.debug("health_check_failed", error=repr(error))
@@ -130,3 +134,5 @@
             return
         slots = health.load.slots if health.load else _DEFAULT_SLOTS
         self._receiver.record_discovered(health.name, slots)
+        if health.cold_ms is not None:
+            self._receiver.record_cold(health.name, health.cold_ms)
--- a/packages/burdockdeal/burdockdeal/platform/headers.py
+++ b/packages/burdockdeal/burdockdeal/platform/headers.py
@@ -22,11 +22,15 @@
 #: Set on a response if the upstream did not run the request.
 NOT_EXECUTED = "Not-Executed"
 SERVER_LOAD = "Server-Load"
+#: Milliseconds for which the upstream that sends a health response is cold.
+COLD_MS = "Cold-Ms"
 #: The workspace of a request.
 TENANT = "Tenant"
 
 _MISDIRECTED = 421
 _MAX_DEADLINE_MS = 1e9
+#: The longest time that an upstream may report to be cold: a day.
+_MAX_COLD_MS = 86_400_000
 
 
 def _read_deadline(received: header_codec.Headers) -> float | None:
@@ -110,6 +114,18 @@
     )
 
 
+def read_cold_ms(received: header_codec.Headers) -> float | None:
+    """Parse for how long an upstream says that it is still cold.
+
+    :returns: milliseconds, or None if the header is missing or invalid.
+    """
+    try:
+        cold_ms = float(received.get(COLD_MS, ""))
+    except ValueError:
+        return None
+    return cold_ms if 0 <= cold_ms <= _MAX_COLD_MS else None
+
+
 def make_dialect(settings: model.Settings) -> header_codec.HeaderCodec:
     """Make the dialect of a daemon beside an upstream of one service."""
     origin: abc.Mapping[str, str] = {
--- a/packages/burdockdeal/burdockdeal/platform/heartbeats.py
+++ b/packages/burdockdeal/burdockdeal/platform/heartbeats.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from burdockdeal.announce import api as announce
+from burdockdeal.announce import decisions
 from burdockdeal.announce import messages
 from burdockdeal.core import codec
 from burdockdeal.core import event_log
@@ -160,7 +161,19 @@
         self.is_upstream_confirmed = True
         event_log.record("upstream_discovered", name=name, slots=slots)
         self._report_announce(name, slots, 0.0)
-        self._report_heartbeat(draining=False)
+        self._report_heartbeat(draining=False, cold_ms=None)
+
+    def record_cold(self, name: str, cold_ms: float) -> None:
+        """Record for how long a health response says the upstream is cold.
+
+        :param name: the name in the response, which may be of an upstream
+            that has taken the place of the known one.
+        :param cold_ms: milliseconds.
+        """
+        if name == self._known.name:
+            self._tracker.apply(
+                decisions.ColdReport(self._known.incarnation, cold_ms)
+            )
 
     def receive(self, name: str, heartbeat: Heartbeat) -> None:
         """Process a heartbeat; an outdated one is only logged."""
@@ -197,7 +210,9 @@
         self._report_announce(
             name, heartbeat.slots, heartbeat.cold_remaining_ms / 1000
         )
-        self._report_heartbeat(draining=draining)
+        self._report_heartbeat(
+            draining=draining, cold_ms=heartbeat.cold_remaining_ms
+        )
 
     def _is_past_start(self) -> bool:
         """Return whether a heartbeat that arrives now was sent to this run."""
@@ -250,12 +265,15 @@
             )
         )
 
-    def _report_heartbeat(self, *, draining: bool) -> None:
+    def _report_heartbeat(
+        self, *, draining: bool, cold_ms: float | None
+    ) -> None:
         self._tracker.apply(
             messages.Heartbeat(
                 incarnation=self._known.incarnation,
                 echo=self._tracker.clock(),
                 draining=draining,
+                cold_ms=cold_ms,
             )
         )
 
--- a/packages/burdockdeal/burdockdeal/platform/tests/test_headers.py
+++ b/packages/burdockdeal/burdockdeal/platform/tests/test_headers.py
@@ -109,3 +109,23 @@
     assert load.slowdown == 1.0
     slowed = headers.read_load({"Server-Load": "3,1,9,480"})
     assert slowed.slowdown == pytest.approx(4.8)
+
+
+@pytest.mark.parametrize(
+    ("value", "expected"),
+    [
+        ("1500", 1500.0),
+        ("0", 0.0),
+        ("-1", None),
+        ("", None),
+        ("nan", None),
+        ("inf", None),
+        ("1e12", None),
+        ("soon", None),
+    ],
+)
+def test_odd_cold_times_are_ignored(
+    value: str, expected: float | None
+) -> None:
+    assert headers.read_cold_ms({"Cold-Ms": value}) == expected
+    assert headers.read_cold_ms({}) is None
--- a/packages/burdockdeal/burdockdeal/platform/tests/test_heartbeats.py
+++ b/packages/burdockdeal/burdockdeal/platform/tests/test_heartbeats.py
@@ -1,11 +1,13 @@
 """Heartbeats of the upstream beside a daemon."""
 
 import json
+import math
 
 from aiohttp import test_utils
 import pytest
 
 from burdockdeal.announce import api as announce
+from burdockdeal.announce import decisions
 from burdockdeal.announce import state
 from burdockdeal.platform import heartbeats
 from burdockdeal.settings import model
@@ -292,3 +294,36 @@
     restarted.receive("i-2", make_heartbeat(0, born=2000))
     assert tracker.upstream.incarnation == 2000
     assert tracker.may_start_call()
+
+
+async def test_how_long_the_upstream_is_cold_outlives_announcements(
+    client, tracker
+) -> None:
+    """Each heartbeat announces it again, and a health response is between."""
+    now = tracker.clock()
+    assert tracker.upstream.cold_until is None
+    await put(client, coldRemainingMs=0)
+    assert tracker.upstream.cold_until == now
+    tracker.apply(decisions.ColdReport(1000, 4000.0))
+    tracker.apply(tracker.upstream.announce)
+    assert tracker.upstream.cold_until == now + 4
+    tracker.apply(decisions.ColdReport(999, 0.0))
+    await put(client, sequence=5, coldRemainingMs=2500)
+    assert tracker.upstream.cold_until == now + 2.5
+    await put(client, sequence=6, born=1001, coldRemainingMs=None)
+    assert tracker.upstream.cold_until == now
+
+
+def test_a_restarted_daemon_knows_no_cold_time_before_a_report(
+    tracker,
+) -> None:
+    receiver = heartbeats.HeartbeatReceiver(tracker, DEPLOYMENT)
+    receiver.record_discovered("i-1", 9)
+    assert tracker.may_start_call()
+    assert decisions.find_cold_end(tracker.upstream) == math.inf
+    receiver.record_cold("i-0", 0.0)
+    assert decisions.find_cold_end(tracker.upstream) == math.inf
+    receiver.record_cold("i-1", 0.0)
+    assert decisions.find_cold_end(tracker.upstream) == tracker.clock()
+    tracker.apply(decisions.ColdUnknown())
+    assert decisions.find_cold_end(tracker.upstream) == math.inf
--- a/packages/burdockdeal/burdockdeal/retry/attempts.py
+++ b/packages/burdockdeal/burdockdeal/retry/attempts.py
@@ -274,7 +274,7 @@
         reason = outcome.error.reason if outcome.error else None
         if not outcome.progress.may_queue and reason not in _NO_SLOT_INFO:
             self._budget.record_ask(
-                self._work, is_full=reason is verdict.Reason.BUSY
+                self._work, is_full=reason in decisions.FULL_REASONS
             )
 
     def _record_latency(self, started: float) -> None:
--- a/packages/burdockdeal/burdockdeal/retry/decisions.py
+++ b/packages/burdockdeal/burdockdeal/retry/decisions.py
@@ -43,6 +43,7 @@
 UNAVAILABLE_REASONS = frozenset(
     {
         verdict.Reason.DRAINING,
+        verdict.Reason.EVACUATED,
         verdict.Reason.STALE_INSTANCE,
         verdict.Reason.UNREACHABLE,
     }
@@ -54,9 +55,17 @@
 
 #: Refusals by an instance that can't start a call at once.
 BUSY_REASONS = frozenset(
-    {verdict.Reason.SLOWED, verdict.Reason.BUSY, verdict.Reason.FAILING}
+    {
+        verdict.Reason.SLOWED,
+        verdict.Reason.BUSY,
+        verdict.Reason.COLD,
+        verdict.Reason.FAILING,
+    }
 )
 
+#: Those by an instance that has no room for another call.
+FULL_REASONS = frozenset({verdict.Reason.BUSY, verdict.Reason.COLD})
+
 #: Immediate refusals: the call has neither reached an upstream nor queued, so
 #: that trying another instance costs no token.
 FREE_RETRY_REASONS = UNAVAILABLE_REASONS | BUSY_REASONS
@@ -191,7 +200,7 @@
         progress,
         sends_left=progress.sends_left + 1,
         busy_refusals=progress.busy_refusals + (reason in BUSY_REASONS),
-        full_refusals=progress.full_refusals + (reason is verdict.Reason.BUSY),
+        full_refusals=progress.full_refusals + (reason in FULL_REASONS),
     )
 
 
--- a/packages/burdockdeal/burdockdeal/serving/owner.py
+++ b/packages/burdockdeal/burdockdeal/serving/owner.py
@@ -13,7 +13,6 @@
 from burdockdeal.announce import decisions as announce
 from burdockdeal.bookings import messages as bookings_messages
 from burdockdeal.bookings import send_registry
-from burdockdeal.bookings import state as bookings
 from burdockdeal.configuration import resources
 from burdockdeal.core import call
 from burdockdeal.core import codec
@@ -33,8 +32,8 @@
 from burdockdeal.serving import messages
 from burdockdeal.serving import peer_responses
 from burdockdeal.serving import refused_calls as refusals
+from burdockdeal.serving import start_checks
 from burdockdeal.settings import model
-from burdockdeal.workspaces import decisions as workspaces
 
 Clock = abc.Callable[[], float]
 
@@ -67,14 +66,6 @@
     )
 
 
-def _identify_send(
-    send: messages.Send,
-) -> tuple[bookings.SendId, int, float]:
-    request = send.request
-    name = bookings.SendId(request.request_id, send.attempt)
-    return name, send.daemon_incarnation, request.deadline
-
-
 def _check_response(
     upstream_headers: header_codec.HeaderCodec,
     send: messages.Send,
@@ -99,9 +90,7 @@
     tracker: announce_api.UpstreamTracker,
     slots: controller.AdmissionController,
     sessions: UpstreamSessions,
-    configuration: abc.Callable[
-        [], classification.CompiledConfiguration | None
-    ],
+    configuration: start_checks.GetConfiguration,
     clock: Clock,
     registry: send_registry.SendRegistry,
     prepare: abc.Callable[[messages.Send], abc.Awaitable[None]],
@@ -110,6 +99,7 @@
     upstream_headers: header_codec.HeaderCodec,
     circuit_breaker: breaker.CircuitBreaker,
     running_calls: running.RunningCalls,
+    is_evacuated: abc.Callable[[], bool] = lambda: False,
 ) -> messages.OpenResponse:
     """Build the function that sends calls to the upstream beside us.
 
@@ -127,37 +117,14 @@
     :param circuit_breaker: the circuit breaker of the upstream.
     :param running_calls: counts the calls in progress and the repeated ones
         among them.
+    :param is_evacuated: returns whether this failure domain is evacuated.
     """
 
     refused_calls = refusals.RefusedCalls(clock)
 
-    def check_key(send: messages.Send) -> None:
-        current, request = configuration(), send.request
-        # By an older configuration than the entry's, a new key is unknown.
-        if current is None or current.revision <= request.revision:
-            return
-        if workspaces.is_key_withdrawn(
-            current.workspaces, request.workspace, request.key_id
-        ):
-            raise errors.NotRunError(verdict.Reason.KEY_REFUSED)
-
-    def check(send: messages.Send) -> None:
-        if not tracker.may_start_call():
-            raise errors.NotRunError(verdict.Reason.DRAINING)
-        announced = tracker.upstream.announce
-        if (
-            send.incarnation != tracker.upstream.incarnation
-            or announced is None
-            or announced.service != send.request.service
-        ):
-            raise errors.NotRunError(verdict.Reason.STALE_INSTANCE)
-        if not circuit_breaker.allows_call(
-            send.incarnation, idempotent=send.request.idempotent
-        ):
-            raise errors.NotRunError(verdict.Reason.FAILING)
-        check_key(send)
-        if not send.request.idempotent:
-            registry.check(*_identify_send(send))
+    check = start_checks.make_start_check(
+        tracker, configuration, registry, circuit_breaker, is_evacuated
+    )
 
     def log_start(send: messages.Send, waited_s: float) -> None:
         reported_load = response_times.upstream_load
@@ -236,13 +203,14 @@
             send.request.deadline,
             streamed=send.outbound.body.is_streamed,
             may_queue=send.may_queue,
-        ):
+        ) as record_start:
             await prepare(send)
             # The state may have changed during the waits above. From here
             # until the first byte is written nothing else runs on the loop.
             check(send)
+            record_start()
             if not send.request.idempotent:
-                registry.start(*_identify_send(send))
+                registry.start(*start_checks.identify_send(send))
             now = clock()
             announced = tracker.upstream.announce
             log_start(send, now - arrived)
--- a/packages/burdockdeal/burdockdeal/serving/tests/test_owner.py
+++ b/packages/burdockdeal/burdockdeal/serving/tests/test_owner.py
@@ -57,7 +57,7 @@
 
     @contextlib.asynccontextmanager
     async def hold_slot(self, *args: object, **kwargs: object):
-        yield
+        yield lambda: None
 
 
 class _Refresher:
