Keep requests out of evacuated domains and of regions not allowed

Workspaces and routes allow regions, which the choice of an instance ignored.

Change: the readers of the store read and watch all keys below op/ where a deployment has evacuations. The set of evacuated domains goes with the pings and is pushed when it differs; the higher revision of the store holds. The owner refuses what comes and, at once, what waits; entries choose other instances. At its end, the cold time of the upstreams there is unknown. A listing of several pages has the revision of its first page, so that a watch after it reports what later pages may lack; the startup listing is read to its end, since an incomplete one would end evacuations. A call with regions is sent to members in these regions only, and is refused before its body is read if there are none. The pace of cold upstreams is connected, with gauges.

Ruled out: merging two sets (one that was taken back would come back), a push for a higher revision of the same set, and naming the members elsewhere as already tried (a set of the size of the service for each call).

--- a/packages/burdockdeal/burdockdeal/bookings/pinning.py
+++ b/packages/burdockdeal/burdockdeal/bookings/pinning.py
@@ -131,6 +131,13 @@
         return member
 
 
+def _check_region(work: call.Call, holder: membership.Member) -> None:
+    """Check that a call may be sent to the region of its key's holder."""
+    if work.regions and holder.region not in work.regions:
+        # Only the holder knows whether an earlier send with the key ran.
+        raise errors.MayHaveRunError(verdict.Reason.NO_REGION)
+
+
 def make_dispatcher(
     begin_sends: BeginSends, pin_resolver: PinResolver
 ) -> Dispatch:
@@ -168,6 +175,7 @@
         async with contextlib.AsyncExitStack() as stack:
             found = await find_holder_or_open(sends, work, outbound, stack)
             if isinstance(found, membership.Member):
+                _check_region(work, found)
                 try:
                     found = await stack.enter_async_context(sends.open(found))
                 except errors.CallError as error:
--- a/packages/burdockdeal/burdockdeal/daemon/assembly.py
+++ b/packages/burdockdeal/burdockdeal/daemon/assembly.py
@@ -89,6 +89,7 @@
         shared.clock,
         revision=lambda: shared.active_configuration.revision,
         on_newer=control_plane.on_newer_configuration,
+        evacuations=shared.evacuations,
     )
 
 
@@ -174,7 +175,11 @@
 ) -> tuple[gauge.Gauge, ...]:
     return (
         *gauges.make_gauges(
-            shared.admission, shared.roster, shared.active_configuration
+            shared.admission,
+            shared.roster,
+            shared.active_configuration,
+            shared.compute_cold_s,
+            shared.is_evacuated,
         ),
         *control_plane.gauges,
         *load_probing.make_gauges(),
--- a/packages/burdockdeal/burdockdeal/daemon/components.py
+++ b/packages/burdockdeal/burdockdeal/daemon/components.py
@@ -2,11 +2,13 @@
 
 from collections import abc
 import dataclasses
+import math
 import random
 import time
 
 import mode
 
+from burdockdeal.admission import cold_start
 from burdockdeal.admission import controller
 from burdockdeal.admission import saturation
 from burdockdeal.admission import state as admission
@@ -16,6 +18,9 @@
 from burdockdeal.configuration import resources
 from burdockdeal.core import clock
 from burdockdeal.core import load_report
+from burdockdeal.core import verdict
+from burdockdeal.evacuation import active
+from burdockdeal.evacuation import state as evacuation
 from burdockdeal.measurement import breaker
 from burdockdeal.measurement import meter
 from burdockdeal.membership import messages as membership
@@ -92,6 +97,14 @@
                 incarnation=read_wall_clock_ms(),
             )
         )
+        deployment = settings.deployment
+        self.evacuations = active.ActiveEvacuation(
+            is_enabled=deployment is not None and deployment.has_evacuations
+        )
+        #: Lists the instances of a service that may get requests.
+        self.list_serving = active.make_lister(
+            self.roster.list_serving, self.evacuations
+        )
         self.upstream_tracker = announce_api.UpstreamTracker(self.clock)
         self.active_configuration = configuration.ActiveConfiguration()
         self.admission = controller.AdmissionController(
@@ -122,6 +135,8 @@
         self.services: tuple[mode.Service, ...] = ()
         self.meter.on_upstream_load(self.admission.notify_capacity_change)
         self.upstream_tracker.on_change(self._update_own_member)
+        self.upstream_tracker.on_cold_report(self._handle_cold_report)
+        self.evacuations.on_change(self._handle_evacuations)
         self.active_configuration.on_change(self._handle_configuration_change)
         self.roster.on_change(self._handle_member_change)
 
@@ -159,6 +174,40 @@
             self.upstream_tracker.upstream, self.clock()
         )
 
+    def _build_pace(self, spec: resources.Service) -> admission.Pace | None:
+        if not spec.cold_starts_per_s:
+            return None
+        return admission.Pace(
+            spec.cold_starts_per_s,
+            announce.find_cold_end(self.upstream_tracker.upstream),
+        )
+
+    def compute_cold_s(self) -> float:
+        """Compute for how long the upstream is still cold.
+
+        :returns: seconds; -1 if it isn't known, 0 without a rate of starts.
+        """
+        pace = self._compute_capacity().pace
+        if pace is None:
+            return 0.0
+        remaining_s = max(0.0, pace.cold_until - self.clock())
+        return remaining_s if math.isfinite(remaining_s) else -1.0
+
+    def is_evacuated(self) -> bool:
+        """Return whether this failure domain is evacuated."""
+        return self.evacuations.is_evacuated(self.settings.failure_domain)
+
+    def _handle_evacuations(self, change: evacuation.Change) -> None:
+        domain = self.settings.failure_domain
+        if domain in change.started:
+            self.admission.refuse_waiting(verdict.Reason.EVACUATED)
+        if domain in change.ended:
+            self.upstream_tracker.apply(announce.ColdUnknown())
+
+    def _handle_cold_report(self) -> None:
+        self.admission.pacer.log_change()
+        self.admission.notify_capacity_change()
+
     def _compute_capacity(self) -> admission.Capacity:
         service = self.roster.own.service
         services = (
@@ -169,13 +218,33 @@
         spec = services.get(service, _DEFAULT_SERVICE)
         announced_slots = self._get_announced_slots()
         slots = self._limit_slots(service, announced_slots)
+        pace = self._build_pace(spec)
         return admission.Capacity(
             is_slow=self.meter.is_slow,
             announced_slots=announced_slots,
             slots=slots,
             upload_slots=max(1, int(slots * spec.upload_share)),
             queue_limit=spec.queue_limit,
-            warm_up_share=self._compute_warm_up_share(),
+            # The pace takes the place of the growing share.
+            warm_up_share=1.0 if pace else self._compute_warm_up_share(),
+            pace=pace,
+        )
+
+    def _count_offered_slots(self) -> int:
+        """Count the slots that are offered to other daemons.
+
+        While the upstream is cold, these are no more than the pace keeps
+        busy, so that they don't send calls that would only be refused.
+        """
+        capacity = self._compute_capacity()
+        pace = capacity.pace
+        if pace is None or not pace.is_cold(self.clock()):
+            return capacity.ramped_slots
+        return min(
+            capacity.ramped_slots,
+            cold_start.count_busy_slots(
+                pace, self.admission.expected_service_s
+            ),
         )
 
     def _limit_slots(self, service: str, announced_slots: int) -> int:
@@ -269,7 +338,7 @@
         return load_report.LoadReport(
             in_flight=self.admission.running,
             waiting=self.admission.waiting,
-            slots=self._compute_capacity().ramped_slots,
+            slots=self._count_offered_slots(),
             service_ms=self.meter.service_ms(),
             failed_share=self.meter.failed_share,
             slowdown=upstream_load.slowdown if upstream_load else 1.0,
--- a/packages/burdockdeal/burdockdeal/daemon/request_handlers.py
+++ b/packages/burdockdeal/burdockdeal/daemon/request_handlers.py
@@ -14,6 +14,7 @@
 from burdockdeal.core import verdict
 from burdockdeal.daemon import components
 from burdockdeal.daemon import metrics
+from burdockdeal.evacuation import placement
 from burdockdeal.measurement import load_refresher
 from burdockdeal.overload import load_shedder
 from burdockdeal.retry import exclusion
@@ -43,7 +44,7 @@
         shared.settings.policy,
         shared.rng,
         shared.instance_tracker,
-        list_serving=shared.roster.list_serving,
+        list_serving=shared.list_serving,
         services=lambda: (
             shared.compiled_configuration.services
             if shared.compiled_configuration
@@ -91,6 +92,10 @@
     :param lookup: looks for a newer configuration before a key is refused.
     """
     settings = shared.settings
+    has_instance = selection.make_instance_check(shared.list_serving)
+    check_placement = placement.make_placement_check(
+        has_instance, shared.evacuations
+    )
     choose = make_instance_chooser(shared)
     open_local = at_most_once.deduplicate_keyed_calls(
         owner.make_upstream_opener(
@@ -106,6 +111,7 @@
             shared.header_codec,
             shared.circuit_breaker,
             shared.running_calls,
+            shared.is_evacuated,
         )
     )
     open_remote = at_most_once.fence_lost_sends(
@@ -142,7 +148,8 @@
         caller_headers=shared.header_codec,
         choose_service=shared.traffic_splitter.choose_service,
         startup_gate=shared.startup_gate,
-        has_instance=lambda name: bool(shared.roster.list_serving(name)),
+        has_instance=has_instance,
+        check_placement=check_placement,
         limit_deadline=lambda deadline: (
             shared.shutdown_controller.limit_deadline(deadline)
         ),
--- /dev/null
+++ b/packages/burdockdeal/burdockdeal/evacuation/__init__.py
@@ -0,0 +1,1 @@
+"""Failure domains that the operator has evacuated."""
--- a/packages/burdockdeal/burdockdeal/membership/contacts.py
+++ b/packages/burdockdeal/burdockdeal/membership/contacts.py
@@ -21,6 +21,11 @@
 FIRST_REVIEW_INTERVAL_S = 0.5
 
 
+#: Maximum number of keys that a starting daemon reads: more than there are,
+#: since what it learns from an incomplete listing would be wrong.
+_MAX_STARTUP_KEYS = 100_000
+
+
 def _ignore_listing(listing: platform_messages.Listing) -> None:
     """Ignore a listing that holds contacts only."""
 
@@ -90,7 +95,9 @@
 
     async def find_contacts(self) -> tuple[messages.Contact, ...]:
         """Read the contacts of all failure domains from the store."""
-        listing = await self._store.list(self._source.startup_prefix)
+        listing = await self._store.list(
+            self._source.startup_prefix, limit=_MAX_STARTUP_KEYS
+        )
         self._source.on_startup_listing(listing)
         return self._read_listing(listing)
 
--- a/packages/burdockdeal/burdockdeal/membership/messages.py
+++ b/packages/burdockdeal/burdockdeal/membership/messages.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from burdockdeal.announce import state as announce_state
+from burdockdeal.evacuation import messages as evacuation
 from burdockdeal.settings import model
 
 
@@ -73,12 +74,14 @@
     :param revision: configuration revision in force at the sender.
     :param members: records that changed recently.
     :param claims: claims about daemons whose health changed recently.
+    :param evacuated: the evacuated failure domains that the sender knows.
     """
 
     sender: Member
     revision: int
     members: tuple[Member, ...] = ()
     claims: tuple[Claim, ...] = ()
+    evacuated: evacuation.EvacuatedDomains = evacuation.NONE_KNOWN
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/burdockdeal/burdockdeal/membership/service.py
+++ b/packages/burdockdeal/burdockdeal/membership/service.py
@@ -10,6 +10,8 @@
 from burdockdeal.core import codec
 from burdockdeal.core import errors
 from burdockdeal.core import event_log
+from burdockdeal.evacuation import active
+from burdockdeal.evacuation import state as evacuation
 from burdockdeal.membership import contacts
 from burdockdeal.membership import decisions
 from burdockdeal.membership import joining
@@ -48,6 +50,7 @@
     :param revision: returns the configuration revision in force here.
     :param on_newer: called with the address of a peer whose configuration
         is newer.
+    :param evacuations: the evacuations that this daemon applies.
     """
 
     def __init__(
@@ -61,6 +64,7 @@
         *,
         revision: abc.Callable[[], int],
         on_newer: abc.Callable[[model.Address], None],
+        evacuations: active.ActiveEvacuation,
     ) -> None:
         super().__init__()
         self._settings = settings
@@ -80,6 +84,7 @@
         self._clock = clock
         self._revision = revision
         self._on_newer = on_newer
+        self._evacuations = evacuations
         self._probe_order = targets.ProbeOrder(local_roster, rng)
         self._notifier = notification.ChangeNotifier(self._send_notifications)
         #: Number of changes of records that were known before.
@@ -87,9 +92,12 @@
         #: Whether a newer configuration comes from another failure domain or
         #: from the store.
         self._has_remote_revision = True
+        #: Whether a newer set of evacuations comes from there.
+        self._has_remote_evacuations = True
         self._suspects: dict[str, float] = {}
         self._inactive_since: dict[str, float] = {}
         local_roster.on_change(self._handle_change)
+        evacuations.on_change(self._handle_evacuations)
 
     @property
     def peer_handlers(self) -> dict[str, Handler]:
@@ -231,6 +239,7 @@
             revision=self._revision(),
             members=tuple(filter(None, members)),
             claims=tuple(map(decisions.make_claim, claimed_members)),
+            evacuated=self._evacuations.current,
         )
 
     def _apply_ping(self, ping: messages.Ping) -> None:
@@ -244,6 +253,9 @@
             # Few probes cross from one domain to another, so this daemon may
             # be the first of its domain to learn of the change.
             self._notifier.request(includes_remote=False)
+        self._has_remote_evacuations = not is_local
+        self._evacuations.apply(ping.evacuated, source=ping.sender.daemon)
+        self._has_remote_evacuations = True
         if ping.revision > self._revision():
             self._has_remote_revision = not is_local
             self._on_newer(ping.sender.peer)
@@ -259,6 +271,12 @@
             self._notifier.request(includes_remote=self._has_remote_revision)
         self._has_remote_revision = True
 
+    def _handle_evacuations(self, change: evacuation.Change) -> None:
+        if self.started:
+            self._notifier.request(
+                includes_remote=self._has_remote_evacuations
+            )
+
     async def find_newest_revision(self) -> int:
         """Ask the daemons that read the store which revision they have.
 
--- a/packages/burdockdeal/burdockdeal/platform/assembly.py
+++ b/packages/burdockdeal/burdockdeal/platform/assembly.py
@@ -13,6 +13,7 @@
 from burdockdeal.membership import contacts
 from burdockdeal.membership import transport
 from burdockdeal.platform import discovery
+from burdockdeal.platform import evacuations
 from burdockdeal.platform import headers
 from burdockdeal.platform import heartbeats
 from burdockdeal.platform import indirect_reads
@@ -71,7 +72,11 @@
         health = await discovery.check_health(
             session, deployment.upstream, path
         )
-        return health.load if health else None
+        if health is None:
+            return None
+        if health.cold_ms is not None:
+            receiver.record_cold(health.name, health.cold_ms)
+        return health.load
 
     def is_store_reader(count: int) -> bool:
         return settings.daemon in shared.roster.choose_store_readers(count)
@@ -82,6 +87,7 @@
     shared.active_configuration.on_change(upstream_discovery.check_path)
     puller = peers.PeerSync(settings, shared.active_configuration, session)
 
+    evacuation_reader = evacuations.EvacuationReader(shared.evacuations)
     store_watcher = watcher.Watcher(
         platform.derive_unlimited_client(),
         shared.active_configuration,
@@ -94,6 +100,9 @@
             shared.rng,
         ),
         poll_interval_s=deployment.read_s,
+        apply_operator_keys=evacuation_reader.apply_listing
+        if deployment.has_evacuations
+        else None,
     )
 
     profiles = saturation_profiles.SaturationProfiles(
@@ -105,6 +114,7 @@
     shared.is_saturating = profiles.is_saturating
 
     def apply_startup_listing(listing: messages.Listing) -> None:
+        evacuation_reader.apply_listing(listing)
         store_watcher.apply_listing(listing)
         profiles.apply_listing(listing)
 
--- a/packages/burdockdeal/burdockdeal/platform/store.py
+++ b/packages/burdockdeal/burdockdeal/platform/store.py
@@ -300,29 +300,33 @@
         after: str = "",
         limit: int = _MAX_LISTED,
         stale: bool = False,
+        timeout_s: float | None = None,
     ) -> messages.Listing:
         """List the entries whose keys start with a prefix, in key order.
 
         The pages are read one after another, so that the listing is not a
-        snapshot of a single revision.
+        snapshot of a single revision. Its revision is that of the first
+        page: a watch after it reports whatever later pages lack.
 
         :param after: list only keys that sort after this one.
         :param limit: the maximum number of entries.
         :param stale: whether the entries may be some seconds out of date;
             such a read costs the store a tenth of a current one.
+        :param timeout_s: seconds to wait for each page, None for the
+            default.
         """
         found: list[messages.Entry] = []
+        revision: int | None = None
         while True:
-            page = await self._read_page(prefix, after, stale)
+            page = await self._read_page(prefix, after, stale, timeout_s)
             found += page.decode_items()
+            revision = page.store_revision if revision is None else revision
             if not page.more_pages or len(found) >= limit:
-                return messages.Listing(
-                    tuple(found[:limit]), page.store_revision
-                )
+                return messages.Listing(tuple(found[:limit]), revision)
             after = page.items[-1].key
 
     async def _read_page(
-        self, prefix: str, after: str, stale: bool
+        self, prefix: str, after: str, stale: bool, timeout_s: float | None
     ) -> wire.Page:
         query = {"pathPrefix": prefix}
         if after:
@@ -330,7 +334,9 @@
         if stale:
             query["staleOk"] = "1"
         answer = await self._send(
-            "GET", f"/api/kv-range?{parse.urlencode(query)}"
+            "GET",
+            f"/api/kv-range?{parse.urlencode(query)}",
+            timeout_s=timeout_s or _TIMEOUT_S,
         )
         return wire.decode_message(answer.body, wire.Page)
 
--- a/packages/burdockdeal/burdockdeal/platform/watcher.py
+++ b/packages/burdockdeal/burdockdeal/platform/watcher.py
@@ -12,6 +12,7 @@
 from burdockdeal.core import event_log
 from burdockdeal.platform import configuration
 from burdockdeal.platform import decisions
+from burdockdeal.platform import evacuations
 from burdockdeal.platform import messages
 from burdockdeal.platform import store
 
@@ -38,6 +39,10 @@
 #: it has become a watcher.
 _ROLE_CHECK_INTERVAL_S = 1.0
 
+#: Maximum number of the operator's keys that are read. It only bounds a
+#: listing that never ends.
+_MAX_OPERATOR_KEYS = 100_000
+
 #: Timeout of a poll in seconds, after which other daemons are asked to read.
 POLL_TIMEOUT_S = 0.3
 
@@ -61,6 +66,9 @@
     :param ask_to_read: asks other daemons to read the configuration.
     :param poll_interval_s: seconds between two polls.
     :param settling_s: seconds before this daemon first reads by itself.
+    :param apply_operator_keys: applies a listing of the operator's other
+        keys, all of which are then read and watched with the configuration;
+        None if there are none.
     """
 
     def __init__(
@@ -74,6 +82,8 @@
         ask_to_read: abc.Callable[[], abc.Awaitable[None]],
         poll_interval_s: float,
         settling_s: float = SETTLING_S,
+        apply_operator_keys: abc.Callable[[messages.Listing], None]
+        | None = None,
     ) -> None:
         super().__init__()
         self._store = platform
@@ -84,6 +94,7 @@
         self._ask_to_read = ask_to_read
         self._poll_interval_s = poll_interval_s
         self._settling_s = settling_s
+        self._apply_operator_keys = apply_operator_keys
         self._failures = 0
         self._is_stopping = False
         self._pending_watch: asyncio.Future[messages.Listing] | None = None
@@ -131,10 +142,24 @@
         :param timeout_s: seconds to wait for the store, None for the default.
         :raises PlatformError: if the store did not answer.
         """
+        if self._apply_operator_keys is not None:
+            await self._read_operator_keys(timeout_s)
+            return
         entry = await self._store.get(configuration.KEY, timeout_s=timeout_s)
         if entry is not None:
             self._apply(entry)
 
+    async def _read_operator_keys(self, timeout_s: float | None = None) -> int:
+        """Read and apply all keys of the operator; return the revision."""
+        listing = await self._store.list(
+            evacuations.OPERATOR_PREFIX,
+            limit=_MAX_OPERATOR_KEYS,
+            timeout_s=timeout_s,
+        )
+        self.apply_listing(listing)
+        self._apply_operator_keys(listing)
+        return listing.revision
+
     def apply_listing(self, listing: messages.Listing) -> None:
         """Put the configuration in force that a listing contains."""
         for entry in listing.entries:
@@ -152,6 +177,8 @@
             have been applied, None if it isn't known.
         :returns: the updated revision, None to read the configuration next.
         """
+        if known_revision is None and self._apply_operator_keys is not None:
+            return await self._read_operator_keys()
         if known_revision is None:
             entry = await self._store.get(configuration.KEY)
             if entry is None:
@@ -167,9 +194,13 @@
         )
 
     async def _watch(self, known_revision: int) -> int | None:
+        reads_all = self._apply_operator_keys is not None
+        prefix = (
+            evacuations.OPERATOR_PREFIX if reads_all else configuration.KEY
+        )
         pending_watch = asyncio.ensure_future(
             self._store.watch(
-                configuration.KEY, after=known_revision, wait_s=WATCH_TIMEOUT_S
+                prefix, after=known_revision, wait_s=WATCH_TIMEOUT_S
             )
         )
         self._pending_watch = pending_watch
@@ -180,7 +211,9 @@
                 return known_revision
             raise
         self.apply_listing(listing)
-        return listing.revision if listing.entries else None
+        # A watch does not report the deletion of a key.
+        is_complete = listing.entries and not reads_all
+        return listing.revision if is_complete else None
 
     def _apply(self, entry: messages.Entry) -> None:
         try:
--- a/packages/burdockdeal/burdockdeal/routing/instance_group.py
+++ b/packages/burdockdeal/burdockdeal/routing/instance_group.py
@@ -37,6 +37,20 @@
     return InstanceKey(member.daemon, member.upstream_incarnation)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Pool:
+    """The instances that a call may be sent to, and the local ones of them."""
+
+    members: tuple[messages.Member, ...] = ()
+    local: tuple[messages.Member, ...] = ()
+
+
+def _restrict(
+    members: tuple[messages.Member, ...], regions: frozenset[str]
+) -> tuple[messages.Member, ...]:
+    return tuple(member for member in members if member.region in regions)
+
+
 def _draw_random(
     members: abc.Sequence[messages.Member], count: int, rng: random.Random
 ) -> list[messages.Member]:
@@ -57,6 +71,7 @@
         self._failure_domain = failure_domain
         self._own_member: tuple[messages.Member, ...] = ()
         self._local_members: tuple[messages.Member, ...] = ()
+        self._pools: dict[frozenset[str], _Pool] = {}
         self._by_key: dict[InstanceKey, messages.Member] = {}
         self._recent_reports: dict[InstanceKey, float] = {}
         self._ejected: dict[InstanceKey, None] = {}
@@ -79,6 +94,7 @@
         if members is self.members:
             return
         self.members = members
+        self._pools = {}
         self._by_key = {make_key(member): member for member in members}
         self._local_members = tuple(
             member
@@ -94,6 +110,24 @@
             for key in held.keys() - self._by_key.keys():
                 del held[key]
 
+    def _find_pool(self, regions: frozenset[str]) -> _Pool:
+        """Find the instances in some regions, in all if none is given."""
+        if not regions:
+            return _Pool(self.members, self._local_members)
+        pool = self._pools.get(regions)
+        if pool is None:
+            pool = self._pools[regions] = _Pool(
+                _restrict(self.members, regions),
+                _restrict(self._local_members, regions),
+            )
+        return pool
+
+    def list_members(
+        self, regions: frozenset[str]
+    ) -> tuple[messages.Member, ...]:
+        """List the instances in some regions, in all if none is given."""
+        return self._find_pool(regions).members
+
     @property
     def recent_reporters(self) -> tuple[messages.Member, ...]:
         """The instances with the latest load reports, in order of arrival."""
@@ -143,7 +177,10 @@
         )
 
     def sample(
-        self, tried: frozenset[str], rng: random.Random
+        self,
+        tried: frozenset[str],
+        rng: random.Random,
+        regions: frozenset[str] = frozenset(),
     ) -> list[messages.Member]:
         """Draw the candidates for a call.
 
@@ -153,9 +190,11 @@
         random ones and ejected ones that may be due for a trial call.
 
         :param tried: names of the daemons that are left out.
+        :param regions: the regions of the candidates, empty for all.
         """
-        if len(self.members) <= SMALL_SERVICE_INSTANCES:
-            drawn: abc.Iterable[messages.Member] = self.members
+        pool = self._find_pool(regions)
+        if len(pool.members) <= SMALL_SERVICE_INSTANCES:
+            drawn: abc.Iterable[messages.Member] = pool.members
         else:
             due = [
                 self._by_key[key]
@@ -167,16 +206,16 @@
                 [
                     *self._own_member,
                     *self.recent_reporters,
-                    *_draw_random(
-                        self._local_members, _RANDOM_LOCAL_CANDIDATES, rng
-                    ),
-                    *_draw_random(self.members, _RANDOM_CANDIDATES, rng),
+                    *_draw_random(pool.local, _RANDOM_LOCAL_CANDIDATES, rng),
+                    *_draw_random(pool.members, _RANDOM_CANDIDATES, rng),
                     *due,
                 ]
             )
+            if regions:
+                drawn = [each for each in drawn if each.region in regions]
         if not tried:
             return list(drawn)
         untried = [member for member in drawn if member.daemon not in tried]
         return untried or [
-            member for member in self.members if member.daemon not in tried
+            member for member in pool.members if member.daemon not in tried
         ]
--- a/packages/burdockdeal/burdockdeal/routing/policies.py
+++ b/packages/burdockdeal/burdockdeal/routing/policies.py
@@ -122,7 +122,7 @@
         work: call.Call, members: Members, tried: frozenset[str]
     ) -> messages.Member | None:
         group = tracker.groups[work.service]
-        candidates = group.sample(tried, rng)
+        candidates = group.sample(tried, rng, work.regions)
         if not candidates:
             return None
         views = [tracker.evaluate(member) for member in candidates]
--- a/packages/burdockdeal/burdockdeal/routing/selection.py
+++ b/packages/burdockdeal/burdockdeal/routing/selection.py
@@ -39,6 +39,29 @@
     return _DELAY_LESS_URGENT if less_urgent else _DELAY_MOST_URGENT
 
 
+def make_instance_check(
+    list_serving: abc.Callable[[str], tuple[messages.Member, ...]],
+) -> abc.Callable[[call.Call], bool]:
+    """Make the check whether a call has an instance in its regions.
+
+    :param list_serving: lists the serving instances of a service; must
+        return the same tuple as long as nothing has changed.
+    """
+    known: dict[str, tuple[object, frozenset[str]]] = {}
+
+    def has_instance(work: call.Call) -> bool:
+        members = list_serving(work.service)
+        if not work.regions:
+            return bool(members)
+        listed, regions = known.get(work.service, (None, frozenset()))
+        if listed is not members:
+            regions = frozenset(member.region for member in members)
+            known[work.service] = (members, regions)
+        return not work.regions.isdisjoint(regions)
+
+    return has_instance
+
+
 def make_chooser(
     policy: str,
     rng: random.Random,
@@ -70,7 +93,7 @@
         group = tracker.update_members(work.service, members, share)
         group.last_call_at = tracker.clock()
         group.calls += 1
-        chosen = pick(work, members, tried)
+        chosen = pick(work, group.list_members(work.regions), tried)
         if chosen is not None:
             tracker.ensure_stats(chosen)
         return chosen
--- a/packages/burdockdeal/burdockdeal/routing/tests/test_policies.py
+++ b/packages/burdockdeal/burdockdeal/routing/tests/test_policies.py
@@ -1,5 +1,6 @@
 """Tests of the table of routing policies."""
 
+import dataclasses
 import random
 import typing
 
@@ -52,3 +53,42 @@
         for work in (WORK, urgent, once)
     ]
     assert trial_delay_factor == sorted(set(trial_delay_factor))
+
+
+@pytest.mark.parametrize("name", sorted(policies.POLICIES))
+@pytest.mark.parametrize("count", [6, 60])
+def test_a_call_stays_in_its_regions(name: str, count: int) -> None:
+    """Not even the last instance that is left may be elsewhere."""
+    members = tuple(
+        dataclasses.replace(
+            simulation.make_member(index, "shotton"),
+            region=("north", "south", "east")[index % 3],
+        )
+        for index in range(count)
+    )
+    tracker = tracking.InstanceTracker(
+        "own", "shotton", lambda: 10.0, lambda: load_report.LoadReport(0, 0, 0)
+    )
+    choose = selection.make_chooser(
+        name,
+        random.Random(1),
+        tracker,
+        list_serving=lambda service: members,
+        services=dict,
+        ranks=dict,
+    )
+    choose(WORK, frozenset())
+    for member in reversed(members):
+        tracker.ensure_stats(member)
+        tracker.record_report(
+            member.daemon,
+            member.upstream_incarnation,
+            load_report.LoadReport(0, 0, 9),
+        )
+    limited = dataclasses.replace(WORK, regions=frozenset({"north", "south"}))
+    tried: frozenset[str] = frozenset()
+    while chosen := choose(limited, tried):
+        assert chosen.region in limited.regions
+        tried |= {chosen.daemon}
+    assert len(tried) == 2 * count // 3
+    assert choose(WORK, tried).region == "east"
--- a/packages/burdockdeal/burdockdeal/serving/entry.py
+++ b/packages/burdockdeal/burdockdeal/serving/entry.py
@@ -51,7 +51,8 @@
     caller_headers: header_codec.HeaderCodec,
     choose_service: abc.Callable[[resources.Rule], str],
     startup_gate: startup.StartupGate,
-    has_instance: abc.Callable[[str], bool],
+    has_instance: abc.Callable[[call.Call], bool],
+    check_placement: abc.Callable[[call.Call], None],
     limit_deadline: abc.Callable[[float], float],
     find_newer_configuration: abc.Callable[[int], abc.Awaitable[bool]],
 ) -> abc.Callable[[web.BaseRequest], abc.Awaitable[web.StreamResponse]]:
@@ -72,7 +73,9 @@
     :param caller_headers: codec for the callers' headers.
     :param choose_service: chooses among the services of a rule.
     :param startup_gate: delays requests just after the daemon's start.
-    :param has_instance: returns whether an instance of a service is known.
+    :param has_instance: returns whether an instance for a call is known.
+    :param check_placement: raises NotRunError if a call may not be sent to
+        any instance.
     :param limit_deadline: limits a deadline to the time until the daemon
         ends, if it is stopping.
     :param find_newer_configuration: looks whether a configuration newer than
@@ -234,7 +237,8 @@
                 current = configuration()
                 inbound = classify(current, request, metadata, request_id)
             rank = inbound.rank
-            await startup_gate.wait_for(lambda: has_instance(inbound.service))
+            await startup_gate.wait_for(lambda: has_instance(inbound))
+            check_placement(inbound)
             with shedder.admit(inbound):
                 response = await forward_call(
                     request,
--- a/packages/burdockdeal/burdockdeal/serving/tests/test_owner.py
+++ b/packages/burdockdeal/burdockdeal/serving/tests/test_owner.py
@@ -4,6 +4,7 @@
 platform.
 """
 
+from collections import abc
 import contextlib
 import types
 
@@ -70,7 +71,9 @@
 
 
 def build_opener(
-    port: int, sessions: owner.UpstreamSessions
+    port: int,
+    sessions: owner.UpstreamSessions,
+    is_evacuated: abc.Callable[[], bool] = lambda: False,
 ) -> messages.OpenResponse:
     clock = clocks.Clock()
     announced = types.SimpleNamespace(
@@ -99,6 +102,7 @@
         headers.make_dialect(_SETTINGS),
         breaker.CircuitBreaker(clock),
         running.RunningCalls(),
+        is_evacuated,
     )
 
 
@@ -121,14 +125,14 @@
 
 
 @contextlib.asynccontextmanager
-async def run_owner():
+async def run_owner(is_evacuated: abc.Callable[[], bool] = lambda: False):
     async with (
         raw_upstream.run_upstream() as upstream,
         forwarding.build_session(_HEADER_BYTES) as pooled,
         forwarding.build_session(_HEADER_BYTES, single_use=True) as single_use,
     ):
         sessions = owner.UpstreamSessions(pooled, single_use)
-        yield upstream, build_opener(upstream.port, sessions)
+        yield upstream, build_opener(upstream.port, sessions, is_evacuated)
 
 
 async def run(open_response: messages.OpenResponse, send) -> str:
@@ -213,3 +217,15 @@
         assert caught.value.outcome is not verdict.Verdict.NOT_RUN
         for name in ("c", "d"):
             assert await run(open_response, make_send(name)) == name
+
+
+@pytest.mark.parametrize("checks", [(True,), (False, True)])
+async def test_nothing_is_sent_once_the_domain_is_evacuated(
+    checks: tuple[bool, ...],
+) -> None:
+    """The second begins while the call waits for its slot or a claim."""
+    async with run_owner(iter(checks).__next__) as (upstream, open_response):
+        with pytest.raises(errors.NotRunError) as caught:
+            await run(open_response, make_send("a"))
+        assert caught.value.reason is verdict.Reason.EVACUATED
+        assert not upstream.connections
--- a/packages/standins/burdockdeal_standins/memory_store.py
+++ b/packages/standins/burdockdeal_standins/memory_store.py
@@ -124,6 +124,7 @@
         after: str = "",
         limit: int = 1000,
         stale: bool = False,
+        timeout_s: float | None = None,
     ) -> messages.Listing:
         """List the entries whose keys start with a prefix."""
         visible = self._visible_entries(self._begin_call("list", prefix))
