Play an evacuation and a cold upstream through real daemons

The fixture can delete keys, enable evacuations, add terms of the service and let a health check report a cold time.

--- a/packages/standins/burdockdeal_standins/platform_fleet.py
+++ b/packages/standins/burdockdeal_standins/platform_fleet.py
@@ -51,6 +51,8 @@
         self.name = name
         self.server = server
         self.is_healthy = True
+        #: Milliseconds for which its health check reports it as cold.
+        self.cold_ms = 0
         self.runs: list[Run] = []
         server.handler = self._handle
 
@@ -62,6 +64,7 @@
                 writer.write(
                     f"HTTP/1.1 {status}\r\nInstance-Id: {self.name}\r\n"
                     "Server-Load: 0,0,4,100\r\nContent-Length: 0\r\n"
+                    f"Cold-Ms: {self.cold_ms}\r\n"
                     "\r\n".encode()
                 )
                 continue
@@ -103,6 +106,9 @@
         self._config_revision = 0
         #: The entries of the configuration's "tenants".
         self.tenants: tuple[dict[str, object], ...] = ()
+        #: Fields of the configuration's only service besides the usual ones.
+        self.service_terms: dict[str, object] = {}
+        self.has_evacuations = False
 
     async def __aenter__(self) -> "PlatformFleet":
         return self
@@ -121,6 +127,7 @@
                 service=SERVICE,
                 upstream=model.Address("127.0.0.1", server.port),
                 metrics=model.Address("127.0.0.1", ports.free_port()),
+                has_evacuations=self.has_evacuations,
             ),
         )
         place = Place(settings, Worker(f"i-{name}", server))
@@ -167,7 +174,9 @@
         document = {
             "version": f"r{version}",
             "routes": [{**route, **changed}],
-            "services": [{"name": SERVICE, "healthPath": "/health"}],
+            "services": [
+                {"name": SERVICE, "healthPath": "/health"} | self.service_terms
+            ],
             "tenants": self.tenants,
         }
         self._config_revision = await self.write_entry(
@@ -182,9 +191,21 @@
         :param revision: the store's revision of its last change, 0 for none.
         :returns: the store's revision of this change.
         """
+        put = {"key": key, "value": base64.b64encode(value).decode()}
+        return await self._commit(key, revision, puts=[put])
+
+    async def delete_entry(self, key: str, revision: int) -> int:
+        """Delete a key of the store.
+
+        :param revision: the store's revision of its last change.
+        :returns: the store's revision of this change.
+        """
+        return await self._commit(key, revision, remove=[key])
+
+    async def _commit(self, key: str, revision: int, **changes: object) -> int:
         transaction = {
             "expected": [{"key": key, "revision": revision}],
-            "puts": [{"key": key, "value": base64.b64encode(value).decode()}],
+            **changes,
         }
         async with self.fleet.session.post(
             f"http://{ports.HOST}:{self.fleet.store_port}/api/kv-txn",
