Cover the connections of slow start and evacuation by tests

Cause: with the refusal of waiting calls, or the owner's check, not connected, or COLD not free to be tried elsewhere, no test failed.

--- a/packages/burdockdeal/burdockdeal/admission/controller.py
+++ b/packages/burdockdeal/burdockdeal/admission/controller.py
@@ -149,12 +149,13 @@
             for name, waiting in self._queues.items()
             if len(waiting) and waiting.is_overdue(now)
         )
+        capacity = self._get_capacity()
         return state.Snapshot(
             self._ranks,
-            self._get_capacity(),
+            capacity,
             self._service_times,
             overdue,
-            self.pacer.get_starts(),
+            self.pacer.get_starts(capacity.pace),
         )
 
     async def _acquire(self, request: state.AdmissionRequest) -> None:
@@ -229,7 +230,8 @@
         if self._resume_timer is not None:
             self._resume_timer.cancel()
             self._resume_timer = None
-        now, starts = self._clock(), self.pacer.get_starts()
+        now = self._clock()
+        starts = self.pacer.get_starts(self._get_capacity().pace)
         while excess := cold_start.select_excess(
             self._ranks.values(), starts, now
         ):
--- a/packages/burdockdeal/burdockdeal/admission/pacer.py
+++ b/packages/burdockdeal/burdockdeal/admission/pacer.py
@@ -31,9 +31,12 @@
         self._reserved: set[int] = set()
         self._was_cold = False
 
-    def get_starts(self) -> state.Starts:
-        """Return the recent starts and the current pace."""
-        return state.Starts(self._get_pace(), self._times, len(self._reserved))
+    def get_starts(self, pace: state.Pace | None) -> state.Starts:
+        """Return the recent starts.
+
+        :param pace: the current pace, None if there is none.
+        """
+        return state.Starts(pace, self._times, len(self._reserved))
 
     def reserve(self, number: int) -> None:
         """Reserve a start for a call that gets a slot."""
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -6,6 +6,10 @@
 
 import pytest_asyncio
 
+from burdockdeal.core import call
+from burdockdeal.core import codec
+from burdockdeal.core import headers
+from burdockdeal.serving import messages
 from burdockdeal_standins import fleet as standins
 from burdockdeal_standins import platform_fleet
 
@@ -55,6 +59,27 @@
     await platform.fleet.wait_until(has_results, label, within_s=_BOUND_S)
 
 
+async def send_to_owner(
+    platform: platform_fleet.PlatformFleet, name: str
+) -> str | None:
+    """Send a call as an entry does that doesn't know of an evacuation.
+
+    :returns: the reason of its refusal.
+    """
+    settings = platform.places[name].settings
+    work = call.Call("stale", platform_fleet.SERVICE, "p1-500", 1.0)
+    envelope = call.build_envelope(work, name, 1000, 1, 0.0)
+    async with platform.fleet.session.post(
+        f"http://{settings.listen.peer}/shop/1",
+        headers={
+            headers.PEER_TOKEN: settings.peer_token,
+            headers.ENVELOPE: codec.encode_compact(envelope).decode(),
+        },
+    ) as response:
+        report = response.headers[headers.REPORT]
+        return codec.decode_compact(report, messages.OwnerReport).reason
+
+
 async def test_an_evacuated_domain_gets_no_request(
     platform: platform_fleet.PlatformFleet,
 ) -> None:
@@ -64,6 +89,7 @@
     await platform.write_entry("op/evacuate/odd/name", b"{}")
     await wait_for(platform, "b", from_a)
     assert await ask_all(platform) == from_a
+    assert await send_to_owner(platform, "b1") == "EVACUATED"
     operator = platform.places["b1"].settings.listen.operator
     async with platform.fleet.session.get(
         f"http://{operator}/api/readiness"
