--- a/packages/burdockdeal/burdockdeal/admission/queue.py
+++ b/packages/burdockdeal/burdockdeal/admission/queue.py
@@ -72,10 +72,6 @@
         """
         return self._waiters.pop(request.number, None)
 
-    def find_newest(self) -> int:
-        """Return the number of the call that arrived last."""
-        return next(reversed(self._waiters))
-
     def pop_newest(self) -> Waiter:
         """Remove the call that arrived last."""
         return self._waiters.popitem()[1]
@@ -162,14 +158,14 @@
         ]
 
     def pop_newest(self, workspace: str | None = None) -> Waiter:
-        """Remove the call that arrived last.
+        """Remove the call of a workspace that arrived last.
 
-        :param workspace: the workspace of the call, None for any.
+        :param workspace: None for the one with the most waiting for its
+            weight.
         """
         if workspace is None:
-            workspace = max(
-                self._queues, key=lambda name: self._queues[name].find_newest()
-            )
+            flows = self.list_flows()
+            workspace = max(flows, key=lambda flow: flow.backlog).workspace
         waiter = self._queues[workspace].pop_newest()
         self._drop_if_empty(workspace)
         return waiter
--- a/packages/burdockdeal/burdockdeal/platform/tests/test_headers.py
+++ b/packages/burdockdeal/burdockdeal/platform/tests/test_headers.py
@@ -109,3 +109,10 @@
     assert load.slowdown == 1.0
     slowed = headers.read_load({"Server-Load": "3,1,9,480"})
     assert slowed.slowdown == pytest.approx(4.8)
+
+
+def test_odd_cold_times_are_ignored() -> None:
+    assert headers.read_cold_ms({"Cold-Ms": "1500"}) == 1500
+    for value in ("-1", "", "nan", "inf", "1e12", "soon"):
+        assert headers.read_cold_ms({"Cold-Ms": value}) is None
+    assert headers.read_cold_ms({}) is None
--- a/packages/burdockdeal/burdockdeal/routing/instance_group.py
+++ b/packages/burdockdeal/burdockdeal/routing/instance_group.py
@@ -39,6 +39,21 @@
     return InstanceKey(member.daemon, member.upstream_incarnation)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Pool:
+    """The instances that a call may be sent to, and the near ones of them."""
+
+    members: tuple[messages.Member, ...] = ()
+    local: tuple[messages.Member, ...] = ()
+    in_region: tuple[messages.Member, ...] = ()
+
+
+def _restrict(
+    members: tuple[messages.Member, ...], regions: frozenset[str]
+) -> tuple[messages.Member, ...]:
+    return tuple(member for member in members if member.region in regions)
+
+
 def _draw_random(
     members: abc.Sequence[messages.Member], count: int, rng: random.Random
 ) -> list[messages.Member]:
@@ -47,6 +62,15 @@
     return [members[int(rng.random() * len(members))] for _ in range(count)]
 
 
+def _draw_from_region(
+    pool: _Pool, rng: random.Random
+) -> list[messages.Member]:
+    """Draw instances of the own region, if there is another region."""
+    if len(pool.in_region) == len(pool.members):
+        return []
+    return _draw_random(pool.in_region, _RANDOM_REGION_CANDIDATES, rng)
+
+
 class InstanceGroup:
     """Holds the instances of a service, their baseline and the ejected ones.
 
@@ -64,6 +88,7 @@
         self._region_members: tuple[messages.Member, ...] = ()
         self._own_member: tuple[messages.Member, ...] = ()
         self._local_members: tuple[messages.Member, ...] = ()
+        self._pools: dict[frozenset[str], _Pool] = {}
         self._by_key: dict[InstanceKey, messages.Member] = {}
         self._recent_reports: dict[InstanceKey, float] = {}
         self._ejected: dict[InstanceKey, None] = {}
@@ -86,6 +111,7 @@
         if members is self.members:
             return
         self.members = members
+        self._pools = {}
         self._by_key = {make_key(member): member for member in members}
         self._local_members = tuple(
             member
@@ -104,6 +130,27 @@
             for key in held.keys() - self._by_key.keys():
                 del held[key]
 
+    def _find_pool(self, regions: frozenset[str]) -> _Pool:
+        """Find the instances in some regions, in all if none is given."""
+        if not regions:
+            return _Pool(
+                self.members, self._local_members, self._region_members
+            )
+        pool = self._pools.get(regions)
+        if pool is None:
+            pool = self._pools[regions] = _Pool(
+                _restrict(self.members, regions),
+                _restrict(self._local_members, regions),
+                _restrict(self._region_members, regions),
+            )
+        return pool
+
+    def list_members(
+        self, regions: frozenset[str]
+    ) -> tuple[messages.Member, ...]:
+        """List the instances in some regions, in all if none is given."""
+        return self._find_pool(regions).members
+
     @property
     def recent_reporters(self) -> tuple[messages.Member, ...]:
         """The instances with the latest load reports, in order of arrival."""
@@ -152,16 +199,11 @@
             + _UTILIZATION_SMOOTHING * (utilization - before),
         )
 
-    def _draw_from_region(self, rng: random.Random) -> list[messages.Member]:
-        """Draw instances of the own region, if there is another region."""
-        if len(self._region_members) == len(self.members):
-            return []
-        return _draw_random(
-            self._region_members, _RANDOM_REGION_CANDIDATES, rng
-        )
-
     def sample(
-        self, tried: frozenset[str], rng: random.Random
+        self,
+        tried: frozenset[str],
+        rng: random.Random,
+        regions: frozenset[str] = frozenset(),
     ) -> list[messages.Member]:
         """Draw the candidates for a call.
 
@@ -172,9 +214,11 @@
         ejected ones that may be due for a trial call.
 
         :param tried: names of the daemons that are left out.
+        :param regions: the regions of the candidates, empty for all.
         """
-        if len(self.members) <= SMALL_SERVICE_INSTANCES:
-            drawn: abc.Iterable[messages.Member] = self.members
+        pool = self._find_pool(regions)
+        if len(pool.members) <= SMALL_SERVICE_INSTANCES:
+            drawn: abc.Iterable[messages.Member] = pool.members
         else:
             due = [
                 self._by_key[key]
@@ -186,17 +230,17 @@
                 [
                     *self._own_member,
                     *self.recent_reporters,
-                    *_draw_random(
-                        self._local_members, _RANDOM_LOCAL_CANDIDATES, rng
-                    ),
-                    *self._draw_from_region(rng),
-                    *_draw_random(self.members, _RANDOM_CANDIDATES, rng),
+                    *_draw_random(pool.local, _RANDOM_LOCAL_CANDIDATES, rng),
+                    *_draw_from_region(pool, rng),
+                    *_draw_random(pool.members, _RANDOM_CANDIDATES, rng),
                     *due,
                 ]
             )
+            if regions:
+                drawn = [each for each in drawn if each.region in regions]
         if not tried:
             return list(drawn)
         untried = [member for member in drawn if member.daemon not in tried]
         return untried or [
-            member for member in self.members if member.daemon not in tried
+            member for member in pool.members if member.daemon not in tried
         ]
