Let the virtual-time loop skip cancelled timers

Cause: the loop jumped to the time of a cancelled timer and then waited for the next one in real time.

Change: cancelled timers at the front are removed before the jump.

Ruled out: looking through all timers for the next one that is not cancelled, which costs a pass over them each time.

--- a/packages/standins/burdockdeal_standins/virtual_time.py
+++ b/packages/standins/burdockdeal_standins/virtual_time.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import abc
+import heapq
 import typing
 
 T = typing.TypeVar("T")
@@ -19,6 +20,11 @@
         return self._now
 
     def _run_once(self) -> None:
+        # A cancelled timer at the front would hide the next one, for which
+        # the loop would then wait in real time.
+        while self._scheduled and self._scheduled[0].cancelled():
+            self._timer_cancelled_count -= 1
+            heapq.heappop(self._scheduled)._scheduled = False
         if not self._ready and self._scheduled:
             self._now = max(self._now, self._scheduled[0].when())
         super()._run_once()
