--- /dev/null
+++ b/packages/burdockdeal/burdockdeal/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Quotas of workspaces that apply to all daemons together."""
