Charge each request of a workspace before it is sent

Cause: the entry did not use the quotas.

Change: the entry charges a request after it was classified and admitted by the load shedder and its body was read, around all its sends, so that retries and hedges take no further credit. Only with Settings.quotas.

Ruled out: charging before the body is read; slow bodies could then save up credit and be sent together.

--- a/packages/burdockdeal/burdockdeal/daemon/assembly.py
+++ b/packages/burdockdeal/burdockdeal/daemon/assembly.py
@@ -27,6 +27,7 @@
 from burdockdeal.overload import load_shedder
 from burdockdeal.platform import state as rates
 from burdockdeal.platform import store
+from burdockdeal.quotas import api as quotas
 from burdockdeal.serving import connection_guard
 from burdockdeal.serving import forwarding
 from burdockdeal.serving import http_server
@@ -92,6 +93,27 @@
     )
 
 
+def _build_quotas(
+    shared: components.Components, peer_session: aiohttp.ClientSession
+) -> quotas.Quotas | None:
+    """Build what enforces quotas, None if they aren't enforced."""
+    settings = shared.settings
+    if settings.quotas is None:
+        return None
+    return quotas.Quotas(
+        settings.quotas,
+        shared.roster,
+        transport.make_post(peer_session, settings.peer_token),
+        lambda: (
+            shared.compiled_configuration.workspaces.workspaces
+            if shared.compiled_configuration
+            else {}
+        ),
+        shared.clock,
+        shared.rng,
+    )
+
+
 def _build_probing(
     shared: components.Components, peer_session: aiohttp.ClientSession
 ) -> probing.Probing:
@@ -171,6 +193,7 @@
     control_plane: deployment_adapter.ControlPlane,
     load_probing: probing.Probing,
     shedder: load_shedder.LoadShedder,
+    workspace_quotas: quotas.Quotas | None,
 ) -> tuple[gauge.Gauge, ...]:
     return (
         *gauges.make_gauges(
@@ -180,6 +203,7 @@
         *load_probing.make_gauges(),
         *metrics.make_retry_gauges(shared.retry_budget),
         *metrics.make_overload_gauges(shared.listener_limiters, shedder),
+        *(workspace_quotas.make_gauges() if workspace_quotas else ()),
     )
 
 
@@ -247,8 +271,13 @@
             membership_service.notify_configuration
         )
         load_probing = _build_probing(shared, peer_session)
+        workspace_quotas = _build_quotas(shared, peer_session)
+        if workspace_quotas is not None:
+            await stack.enter_async_context(workspace_quotas)
         daemon_metrics = metrics.Metrics(
-            _make_gauges(shared, control_plane, load_probing, shedder)
+            _make_gauges(
+                shared, control_plane, load_probing, shedder, workspace_quotas
+            )
         )
         at_most_once = bookings.AtMostOnceExecution(
             settings, shared.roster, platform, peer_session, shared.clock
@@ -271,6 +300,9 @@
                 lambda: shared.roster.active_count,
                 shared.clock,
             ),
+            workspace_quotas.charge
+            if workspace_quotas
+            else quotas.charge_nothing,
         )
         handle_peer = request_handlers.make_peer_dispatcher(
             settings.peer_token,
@@ -279,6 +311,7 @@
                 **at_most_once.peer_handlers,
                 **control_plane.peer_handlers,
                 **membership_service.peer_handlers,
+                **(workspace_quotas.peer_handlers if workspace_quotas else {}),
                 prober.PATH: load_probing.receiver.handle,
             },
         )
--- a/packages/burdockdeal/burdockdeal/daemon/request_handlers.py
+++ b/packages/burdockdeal/burdockdeal/daemon/request_handlers.py
@@ -16,6 +16,7 @@
 from burdockdeal.daemon import metrics
 from burdockdeal.measurement import load_refresher
 from burdockdeal.overload import load_shedder
+from burdockdeal.quotas import api as quotas
 from burdockdeal.retry import exclusion
 from burdockdeal.routing import selection
 from burdockdeal.serving import entry
@@ -78,6 +79,7 @@
     refresher: load_refresher.LoadRefresher,
     daemon_metrics: metrics.Metrics,
     lookup: newer_lookup.NewerLookup,
+    charge: quotas.Charge,
 ) -> RequestHandlers:
     """Build the handlers for callers and for the calls of other daemons.
 
@@ -89,6 +91,7 @@
         is out of date.
     :param daemon_metrics: counts the outcomes of requests.
     :param lookup: looks for a newer configuration before a key is refused.
+    :param charge: charges a request against its workspace's quota.
     """
     settings = shared.settings
     choose = make_instance_chooser(shared)
@@ -147,6 +150,7 @@
             shared.shutdown_controller.limit_deadline(deadline)
         ),
         find_newer_configuration=lookup.find_newer_than,
+        charge=charge,
     )
     return RequestHandlers(
         at_most_once.serve_key_requests(handle_entry, choose), handle_call
--- a/packages/burdockdeal/burdockdeal/serving/entry.py
+++ b/packages/burdockdeal/burdockdeal/serving/entry.py
@@ -16,6 +16,7 @@
 from burdockdeal.core import verdict
 from burdockdeal.membership import messages as membership
 from burdockdeal.overload import load_shedder
+from burdockdeal.quotas import api as quotas
 from burdockdeal.retry import attempts
 from burdockdeal.retry import budget as budgets
 from burdockdeal.retry import exclusion
@@ -54,6 +55,7 @@
     has_instance: abc.Callable[[str], bool],
     limit_deadline: abc.Callable[[float], float],
     find_newer_configuration: abc.Callable[[int], abc.Awaitable[bool]],
+    charge: quotas.Charge,
 ) -> abc.Callable[[web.BaseRequest], abc.Awaitable[web.StreamResponse]]:
     """Build the handler of callers' requests.
 
@@ -77,6 +79,9 @@
         ends, if it is stopping.
     :param find_newer_configuration: looks whether a configuration newer than
         a revision exists, and makes it active.
+    :param charge: charges a request against its workspace's quota. That is
+        done after its body was read, so that slow bodies can't save up
+        credit for a later moment.
     """
 
     def log_send(send: messages.Send) -> None:
@@ -167,9 +172,12 @@
             inbound.request_id
         )
         try:
-            async with final_response.open_in_time(
-                dispatch(inbound, outbound), inbound.deadline, clock
-            ) as response:
+            async with (
+                charge(inbound),
+                final_response.open_in_time(
+                    dispatch(inbound, outbound), inbound.deadline, clock
+                ) as response,
+            ):
                 return await forwarding.relay_response(
                     request,
                     response,
--- a/packages/standins/burdockdeal_standins/platform_fleet.py
+++ b/packages/standins/burdockdeal_standins/platform_fleet.py
@@ -103,6 +103,8 @@
         self._config_revision = 0
         #: The entries of the configuration's "tenants".
         self.tenants: tuple[dict[str, object], ...] = ()
+        #: How closely the daemons that are added keep quotas.
+        self.quotas: model.QuotaTerms | None = None
 
     async def __aenter__(self) -> "PlatformFleet":
         return self
@@ -122,6 +124,7 @@
                 upstream=model.Address("127.0.0.1", server.port),
                 metrics=model.Address("127.0.0.1", ports.free_port()),
             ),
+            quotas=self.quotas,
         )
         place = Place(settings, Worker(f"i-{name}", server))
         self.places[name] = place
