--- a/packages/burdockdeal/burdockdeal/quotas/borrowing.py
+++ b/packages/burdockdeal/burdockdeal/quotas/borrowing.py
@@ -289,19 +289,18 @@
         del self._returns[workspace]
         now = self._clock()
         holding = self._holdings.get(workspace)
-        if holding is None:
+        usable = decisions.count_usable(holding, now) if holding else 0
+        if not usable:
             return
         if holding.expires_at - now > 2 * decisions.RETURN_MARGIN_S:
             # Newer credit has replaced what the timer was set for.
             self._schedule_return(workspace)
             return
-        usable = decisions.count_usable(holding, now)
         self._holdings[workspace] = dataclasses.replace(holding, held=0)
-        if usable and workspace not in self._questions:
-            request = messages.CreditRequest(workspace, 0, usable)
-            task = asyncio.create_task(self._ask(request))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+        request = messages.CreditRequest(workspace, 0, usable)
+        task = asyncio.create_task(self._ask(request))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     def _sweep(self, now: float) -> None:
         """Forget the workspaces that have had no request for a while."""
--- a/packages/burdockdeal/burdockdeal/quotas/lending.py
+++ b/packages/burdockdeal/burdockdeal/quotas/lending.py
@@ -184,7 +184,7 @@
         rate = limit.requests_per_s * self._view.compute_alive_share()
         since = self._view.lends_since
         if substitution is not None:
-            since = substitution.since
+            since = max(since, substitution.since)
             if now < substitution.held_until:
                 rate = decisions.compute_held_rate(self._terms, rate)
         bucket = self._buckets.get(workspace)
