--- a/packages/standins/burdockdeal_standins/platform_fleet.py
+++ b/packages/standins/burdockdeal_standins/platform_fleet.py
@@ -109,6 +109,8 @@
         #: Fields of the configuration's only service besides the usual ones.
         self.service_terms: dict[str, object] = {}
         self.has_evacuations = False
+        #: How closely the daemons that are added keep quotas.
+        self.quotas: model.QuotaTerms | None = None
 
     async def __aenter__(self) -> "PlatformFleet":
         return self
@@ -129,6 +131,7 @@
                 metrics=model.Address("127.0.0.1", ports.free_port()),
                 has_evacuations=self.has_evacuations,
             ),
+            quotas=self.quotas,
         )
         place = Place(settings, Worker(f"i-{name}", server))
         self.places[name] = place
