--- a/packages/burdockdeal/burdockdeal/admission/saturation_profiles.py
+++ b/packages/burdockdeal/burdockdeal/admission/saturation_profiles.py
@@ -8,6 +8,7 @@
 
 from collections import abc
 import dataclasses
+import random
 
 import mode
 
@@ -15,6 +16,7 @@
 from burdockdeal.core import codec
 from burdockdeal.core import errors
 from burdockdeal.core import event_log
+from burdockdeal.platform import decisions as platform_decisions
 from burdockdeal.platform import messages as platform_messages
 from burdockdeal.platform import store
 
@@ -57,6 +59,7 @@
     :param platform: the client of the store.
     :param list_evidence: lists what this daemon has heard of each service.
     :param is_writer: returns whether this daemon writes for the fleet.
+    :param rng: spreads the writes after a restore of the store.
     """
 
     def __init__(
@@ -65,6 +68,7 @@
         platform: store.StoreClient,
         list_evidence: ListEvidence,
         is_writer: abc.Callable[[], bool],
+        rng: random.Random,
     ) -> None:
         super().__init__()
         self._key = key
@@ -72,7 +76,15 @@
         self._list_evidence = list_evidence
         self._is_writer = is_writer
         self._known = Profiles()
-        self._version = 0
+        self._version = platform_messages.ABSENT
+        self._rng = rng
+        #: Whether the store was restored from an old copy, which may lack
+        #: what was written since.
+        self._needs_rewrite = False
+        platform.on_new_era(self._expect_loss)
+
+    def _expect_loss(self, era: int) -> None:
+        self._needs_rewrite = True
 
     def is_saturating(self, service: str) -> bool:
         """Return whether a service is known to slow down."""
@@ -80,6 +92,7 @@
 
     def apply_listing(self, listing: platform_messages.Listing) -> None:
         """Take over the profiles that a listing of the store contains."""
+        self._version = platform_messages.Version(listing.version.era, 0)
         for entry in listing.entries:
             if entry.key == self._key:
                 self._apply(entry)
@@ -98,6 +111,10 @@
             if not self._is_writer():
                 continue
             try:
+                if self._needs_rewrite:
+                    spread_s = platform_decisions.REWRITE_SPREAD_S
+                    await self.sleep(self._rng.uniform(0, spread_s))
+                    await self.rewrite()
                 has_written = await self.review()
             except errors.PlatformError as error:
                 event_log.debug("profiles_not_written", error=error)
@@ -105,6 +122,25 @@
             if has_written:
                 await self.sleep(_MIN_WRITE_INTERVAL_S)
 
+    async def rewrite(self) -> None:
+        """Write what is known again if a restored store lacks it."""
+        self._needs_rewrite = False
+        try:
+            entry = await self._store.get(self._key)
+            version = entry.version if entry else self._store.absent_version
+            value = codec.encode(self._known).decode()
+            if self._known != Profiles() and (
+                entry is None or entry.value != value
+            ):
+                version = await self._store.put(
+                    self._key, value, version=version
+                )
+                event_log.record("records_rewritten", kind="profiles")
+        except errors.PlatformError:
+            self._needs_rewrite = True
+            raise
+        self._version = version
+
     async def review(self) -> bool:
         """Write the profiles if what is known has changed.
 
@@ -125,6 +161,8 @@
             )
         except errors.StoreConflictError:
             entry = await self._store.get(self._key)
-            if entry is not None:
+            if entry is None:
+                self._version = self._store.absent_version
+            else:
                 self._apply(entry)
         return True
--- a/packages/burdockdeal/burdockdeal/admission/tests/test_saturation_profiles.py
+++ b/packages/burdockdeal/burdockdeal/admission/tests/test_saturation_profiles.py
@@ -1,7 +1,10 @@
 """What owners learned of a service outlives a restart of all of them."""
 
+import random
+
 from burdockdeal.admission import saturation
 from burdockdeal.admission import saturation_profiles
+from burdockdeal.platform import messages as platform
 from burdockdeal_standins import memory_store
 from burdockdeal_standins import virtual_time
 
@@ -17,7 +20,7 @@
     def __init__(self, store: memory_store.MemoryStore) -> None:
         self.evidence: dict[str, saturation.Evidence] = {}
         self.profiles = saturation_profiles.SaturationProfiles(
-            KEY, store, lambda: self.evidence, lambda: True
+            KEY, store, lambda: self.evidence, lambda: True, random.Random(1)
         )
         self.profiles.apply_listing(virtual_time.run(store.list("op")))
 
@@ -74,8 +77,22 @@
 
 def test_an_unreadable_entry_is_replaced() -> None:
     store = memory_store.MemoryStore()
-    virtual_time.run(store.put(KEY, "novelty", version=0))
+    virtual_time.run(store.put(KEY, "novelty", version=platform.ABSENT))
     first = Daemon(store)
     first.evidence = {"orders": SLOWED}
     first.review()
     assert Daemon(store).profiles.is_saturating("orders")
+
+
+def test_profiles_are_written_again_after_a_restore() -> None:
+    """Guards against profiles that stay lost although a daemon knows them."""
+    store = memory_store.MemoryStore()
+    first = Daemon(store)
+    first.evidence = {"orders": SLOWED}
+    first.review()
+    store.restore({})
+    virtual_time.run(first.profiles.rewrite())
+    assert Daemon(store).profiles.is_saturating("orders")
+    first.evidence = {"bookings": SLOWED}
+    assert first.review()
+    assert Daemon(store).profiles.is_saturating("bookings")
--- a/packages/burdockdeal/burdockdeal/audit/audit_log.py
+++ b/packages/burdockdeal/burdockdeal/audit/audit_log.py
@@ -59,9 +59,14 @@
         self._has_pending = asyncio.Event()
         self._flush_lock = asyncio.Lock()
         self._sequence = 0
+        write_store.on_new_era(self._restart_sequence)
         #: Number of records dropped since the start.
         self.dropped_count = 0
 
+    def _restart_sequence(self, era: int) -> None:
+        """Look for the newest segment again: a restored store's is older."""
+        self._sequence = 0
+
     @property
     def pending_count(self) -> int:
         """Number of records that are not in the store yet."""
@@ -146,15 +151,15 @@
 
     async def _read_head(
         self, client: store.StoreClient | None = None
-    ) -> tuple[int, int]:
+    ) -> tuple[int, platform.Version]:
         entry = await (client or self._write_store).get(messages.HEAD_KEY)
         if entry is None:
-            return 0, 0
+            return 0, self._write_store.absent_version
         return _decode(entry, messages.Head).sequence, entry.version
 
     async def _read_for_write(
         self, sequence: int
-    ) -> tuple[messages.Segment, int]:
+    ) -> tuple[messages.Segment, platform.Version]:
         """Read the segment to write to.
 
         :returns: the segment and the version of its store key.
@@ -165,7 +170,7 @@
             decisions.build_segment_key(sequence)
         )
         if entry is None:
-            return messages.Segment(sequence), 0
+            return messages.Segment(sequence), self._write_store.absent_version
         segment = _decode(entry, messages.Segment)
         if segment.sequence > sequence:
             self._sequence, _ = await self._read_head()
--- a/packages/burdockdeal/burdockdeal/audit/tests/test_audit.py
+++ b/packages/burdockdeal/burdockdeal/audit/tests/test_audit.py
@@ -15,6 +15,7 @@
 from burdockdeal.configuration import active_configuration
 from burdockdeal.configuration import repository
 from burdockdeal.core import errors
+from burdockdeal.platform import messages as platform
 from burdockdeal_standins import memory_store
 
 CallOutcome = memory_store.CallOutcome
@@ -149,7 +150,9 @@
     store = memory_store.MemoryStore()
     trail = make_audit_log(store)
     trail.record(make_record(1))
-    asyncio.run(store.put(decisions.build_segment_key(0), "{", version=0))
+    asyncio.run(
+        store.put(decisions.build_segment_key(0), "{", version=platform.ABSENT)
+    )
     with pytest.raises(errors.PlatformError):
         asyncio.run(trail.flush())
     assert trail.pending_count == 1
--- a/packages/burdockdeal/burdockdeal/bookings/assembly.py
+++ b/packages/burdockdeal/burdockdeal/bookings/assembly.py
@@ -1,12 +1,14 @@
 """Assembly of at-most-once execution for one daemon."""
 
 from collections import abc
+import random
 import secrets
 
 import aiohttp
 from aiohttp import web
 
 from burdockdeal.bookings import api
+from burdockdeal.bookings import claim_keeper
 from burdockdeal.bookings import claim_store
 from burdockdeal.bookings import deduplication
 from burdockdeal.bookings import fencing
@@ -40,6 +42,8 @@
     :param platform: client of the platform's store.
     :param control: HTTP client for messages between daemons.
     :param clock: returns monotonic time in seconds.
+    :param rng: spreads what the daemons write again after a restore of the
+        store.
     """
 
     def __init__(
@@ -49,6 +53,7 @@
         platform: store.StoreClient,
         control: aiohttp.ClientSession,
         clock: abc.Callable[[], float],
+        rng: random.Random,
     ) -> None:
         self._settings = settings
         self._clock = clock
@@ -79,6 +84,12 @@
             fencing.FENCE_PATH: handle_fence,
             fencing.CLOCK_PATH: handle_clock,
         }
+        self.claim_keeper = claim_keeper.ClaimKeeper(
+            platform,
+            claims,
+            lambda: self._deduplicator.list_live_claims(),
+            rng,
+        )
         self.claim_key = api.make_key_claimer(
             settings.peer_token,
             self._own_holder,
--- a/packages/burdockdeal/burdockdeal/bookings/decisions.py
+++ b/packages/burdockdeal/burdockdeal/bookings/decisions.py
@@ -1,5 +1,7 @@
 """Decisions that keep a call that is not idempotent from running twice."""
 
+import dataclasses
+
 from burdockdeal.bookings import messages
 from burdockdeal.bookings import state
 from burdockdeal.core import verdict
@@ -110,6 +112,48 @@
     return state.ClaimAction.REDIRECT
 
 
+def enter_era(
+    window: state.ClaimWindow, *, era: int, now: float, retention_s: float
+) -> state.ClaimWindow:
+    """Close claims when the store was seen in a new era.
+
+    A store that is restored from an old copy loses claims. Their holders
+    answer resends without the store, and another daemon that claimed such a
+    key would run it again. Each lost claim is older than the restore, so
+    that it is no longer needed after the retention time.
+
+    :param era: the store's newest era that is known.
+    :param now: monotonic time in seconds.
+    :param retention_s: seconds for which a key must stay claimed.
+    """
+    if era == window.era:
+        return window
+    return state.ClaimWindow(era, now + retention_s)
+
+
+def accept_open_era(
+    window: state.ClaimWindow, open_era: int | None, now: float
+) -> state.ClaimWindow:
+    """Open claims early if another daemon has waited in this era.
+
+    :param open_era: the era that the store says is open, None for none. It
+        was written in that era, and a restored copy holds an earlier one.
+    :param now: monotonic time in seconds.
+    """
+    if open_era != window.era:
+        return window
+    return dataclasses.replace(window, opens_at=min(window.opens_at, now))
+
+
+def may_claim(window: state.ClaimWindow, *, era: int, now: float) -> bool:
+    """Return whether the claims in the store are complete.
+
+    :param era: the store's newest era that is known.
+    :param now: monotonic time in seconds.
+    """
+    return era == window.era and now >= window.opens_at
+
+
 def is_issued_key_expired(
     issued_at: float, retention_s: float, now: float
 ) -> bool:
--- a/packages/burdockdeal/burdockdeal/bookings/deduplication.py
+++ b/packages/burdockdeal/burdockdeal/bookings/deduplication.py
@@ -144,6 +144,11 @@
         self._generate_id = generate_id
         self._limit = limit
         self._retention_s = retention_s
+        # A record must outlive the key's claim in the store, whose lease
+        # lasts for LEASE_RETENTION_FACTOR retention times.
+        self._lifetime_s = retention_s * (
+            claim_store.LEASE_RETENTION_FACTOR + 1
+        )
         self._max_stored_bytes = max_stored_bytes
         self._records: dict[str, _KeyRecord] = {}
         self._stored_bytes = 0
@@ -176,6 +181,18 @@
             store_key
         ].holds_claim = holds_claim
 
+    def list_live_claims(self) -> tuple[tuple[str, str], ...]:
+        """List the store keys and ids of the claims that must be kept.
+
+        A claim that is older than the retention time is no longer needed.
+        """
+        oldest = self._clock() + self._lifetime_s - self._retention_s
+        return tuple(
+            (store_key, record.claim_id)
+            for store_key, record in self._records.items()
+            if record.holds_claim and record.expires_at >= oldest
+        )
+
     @contextlib.asynccontextmanager
     async def open_response(
         self, send: serving.Send
@@ -336,13 +353,8 @@
         if len(self._records) >= self._limit:
             detail = "no room for another idempotency key"
             raise errors.NotRunError(verdict.Reason.OVERLOADED, detail)
-        # The record must outlive the key's claim in the store, whose lease
-        # lasts for LEASE_RETENTION_FACTOR retention times.
-        lifetime_s = self._retention_s * (
-            claim_store.LEASE_RETENTION_FACTOR + 1
-        )
         record = _KeyRecord(
-            fingerprint, self._generate_id(), self._clock() + lifetime_s
+            fingerprint, self._generate_id(), self._clock() + self._lifetime_s
         )
         self._records[store_key] = record
         return record
--- a/packages/burdockdeal/burdockdeal/bookings/messages.py
+++ b/packages/burdockdeal/burdockdeal/bookings/messages.py
@@ -79,6 +79,16 @@
     claim_id: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class OpenEra:
+    """The latest era of the store in which callers' keys may be claimed.
+
+    It is stored, so that a daemon which starts later need not wait.
+    """
+
+    era: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class IssuedKey:
     """An idempotency key that a daemon issued.
--- a/packages/burdockdeal/burdockdeal/bookings/state.py
+++ b/packages/burdockdeal/burdockdeal/bookings/state.py
@@ -57,6 +57,18 @@
     REJECT_CONFLICT = "REJECT_CONFLICT"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimWindow:
+    """From when on a daemon claims callers' keys in an era of the store.
+
+    :param era: the store's era.
+    :param opens_at: monotonic time in seconds.
+    """
+
+    era: int = 0
+    opens_at: float = 0.0
+
+
 class ClaimAction(enum.StrEnum):
     """How to go on after an attempt to claim an idempotency key."""
 
--- a/packages/burdockdeal/burdockdeal/bookings/tests/test_owner.py
+++ b/packages/burdockdeal/burdockdeal/bookings/tests/test_owner.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 import multidict
+import pytest
 
 from burdockdeal.bookings import api
 from burdockdeal.bookings import claim_store
@@ -34,6 +35,14 @@
         self.entries: dict[str, platform.Entry] = {}
         self.fault: errors.PlatformError | None = None
         self.calls: list[str] = []
+        self.era = 0
+
+    def on_new_era(self, listener) -> None:
+        """Ignore the listener: the tests set the era themselves."""
+
+    @property
+    def absent_version(self) -> platform.Version:
+        return platform.Version(self.era, 0)
 
     def _record_call(self, name: str) -> None:
         self.calls.append(name)
@@ -42,7 +51,7 @@
 
     async def grant(self, ttl_s: float) -> platform.Lease:
         self._record_call("grant")
-        return platform.Lease("lease", ttl_s)
+        return platform.Lease("lease", ttl_s, self.era)
 
     async def get(self, key: str) -> platform.Entry | None:
         self._record_call("get")
@@ -52,8 +61,10 @@
         self._record_call("put")
         if key in self.entries:
             raise errors.StoreConflictError(key, self.entries[key].version)
-        self.entries[key] = platform.Entry(key, value, 1)
-        return 1
+        self.entries[key] = platform.Entry(
+            key, value, platform.Version(self.era, 1)
+        )
+        return self.entries[key].version
 
 
 class Owner:
@@ -78,12 +89,13 @@
             retention_s=60.0,
             max_stored_bytes=100_000,
         )
+        self.claims = claim_store.ClaimStore(
+            store, own, self.clock, retention_s=60.0, per_second=99.0
+        )
         self._claim_key = api.make_key_claimer(
             TOKEN,
             own,
-            claim_store.ClaimStore(
-                store, own, self.clock, retention_s=60.0, per_second=99.0
-            ),
+            self.claims,
             lambda: self.deduplicator,
             self.clock,
             retention_s=60.0,
@@ -249,6 +261,56 @@
     assert await describe_outcome(owner, resend) == "RAN 60000 bytes"
 
 
+def restore(store: Store, era: int) -> None:
+    """Let the store come back without any claim."""
+    store.entries.clear()
+    store.era = era
+
+
+async def test_a_key_whose_claim_was_lost_runs_once() -> None:
+    """Guards against a second run at a daemon that finds no claim."""
+    store = Store()
+    first, second = Owner(store), Owner(store, messages.Holder("d2", 1))
+    assert (await describe_outcome(first, make_send("r1", "own-1")))[:3] == (
+        "RAN"
+    )
+    restore(store, 1)
+    resend = make_send("r2", "own-1")
+    refused = "NOT_RUN CLAIM_UNAVAILABLE"
+    assert await describe_outcome(second, resend) == refused
+    with pytest.raises(errors.NotRunError):
+        await second.claims.read_claim("bookings", "own-1")
+    (claim,) = first.deduplicator.list_live_claims()
+    await first.claims.reassert(*claim)
+    held = await second.claims.read_claim("bookings", "own-1")
+    assert held.holder == OWN
+    assert await describe_outcome(first, resend) == "RAN soldered"
+    assert not second.started
+
+
+async def test_claims_open_one_retention_time_after_a_restore() -> None:
+    """Guards against daemons that wait again after each start."""
+    store = Store()
+    restore(store, 1)
+    owner = Owner(store)
+    send = make_send("r", "own-1")
+    send = dataclasses.replace(
+        send, request=dataclasses.replace(send.request, deadline=999.0)
+    )
+    refused = "NOT_RUN CLAIM_UNAVAILABLE"
+    assert await describe_outcome(owner, send) == refused
+    owner.clock.now += 59.0
+    assert await describe_outcome(owner, send) == refused
+    owner.clock.now += 1.0
+    assert await describe_outcome(owner, send) == "RAN soldered"
+    started = Owner(store, messages.Holder("d2", 1))
+    assert await describe_outcome(started, make_send("r", "own-2")) == (
+        "RAN soldered"
+    )
+    restore(store, 2)
+    assert await describe_outcome(started, make_send("r", "own-3")) == refused
+
+
 def test_starts_and_fences(snapshot) -> None:
     clock = clocks.Clock()
     registry = send_registry.SendRegistry(7, clock, limit=3)
--- a/packages/burdockdeal/burdockdeal/configuration/active_configuration.py
+++ b/packages/burdockdeal/burdockdeal/configuration/active_configuration.py
@@ -58,10 +58,14 @@
     ) -> tuple[messages.Change, ...]:
         """Apply the changes that follow the active revision without a gap.
 
-        Changes that can't be decoded are logged and not applied.
+        Changes that can't be decoded are logged and not applied, as are
+        those that contradict a retained change of the same revision.
 
         :returns: the changes that were applied.
         """
+        changes = tuple(changes)
+        if any(change.revision <= self.revision for change in changes):
+            self._report_replaced(changes)
         following = log.select_contiguous(changes, self.revision)
         if not following:
             return ()
@@ -148,6 +152,16 @@
         finally:
             self._listeners.remove(check)
 
+    def _report_replaced(self, received: tuple[messages.Change, ...]) -> None:
+        """Report changes that stand for another one at their revision."""
+        for applied, other in log.find_replaced(self._changes, received):
+            event_log.warn(
+                "change_refused_as_replaced",
+                revision=applied.revision,
+                applied=applied.change_id,
+                received=other.change_id,
+            )
+
     def _retain(self, change: messages.Change) -> None:
         self._changes.append(change)
         self._bytes += _estimate_bytes(change)
--- a/packages/burdockdeal/burdockdeal/configuration/log.py
+++ b/packages/burdockdeal/burdockdeal/configuration/log.py
@@ -96,6 +96,26 @@
     return tuple(contiguous)
 
 
+def find_replaced(
+    applied: abc.Iterable[messages.Change],
+    received: abc.Iterable[messages.Change],
+) -> tuple[tuple[messages.Change, messages.Change], ...]:
+    """Find the received changes that contradict applied ones.
+
+    A store that was restored from an old copy gives out revisions again.
+
+    :returns: pairs of an applied change and the other one that was received
+        for its revision.
+    """
+    known = {change.revision: change for change in applied}
+    return tuple(
+        (known[change.revision], change)
+        for change in received
+        if change.revision in known
+        and known[change.revision].change_id != change.change_id
+    )
+
+
 def is_overwritten(
     changes: abc.Iterable[messages.Change],
     revision: int,
--- a/packages/burdockdeal/burdockdeal/configuration/log_follower.py
+++ b/packages/burdockdeal/burdockdeal/configuration/log_follower.py
@@ -12,6 +12,7 @@
 from burdockdeal.core import errors
 from burdockdeal.core import event_log
 from burdockdeal.platform import decisions as platform
+from burdockdeal.platform import messages as store
 
 #: Seconds for which the store holds a watch without news open.
 _WATCH_TIMEOUT_S = 5.0
@@ -57,7 +58,7 @@
     @mode.Service.task
     async def _watch_forever(self) -> None:
         failures = 0
-        seen: int | None = None
+        seen: store.Version | None = None
         while not self.should_stop:
             if not self._is_relay():
                 seen = None
@@ -81,20 +82,28 @@
                     )
                 )
 
-    async def _follow(self, seen: int | None) -> int:
+    async def _follow(
+        self, seen: store.Version | None
+    ) -> store.Version | None:
         """Wait for new changes and apply them.
 
         :param seen: the store's version of the newest applied entry, None
             if it isn't known.
-        :returns: the version of the newest entry that is applied now.
+        :returns: the version of the newest entry that is applied now, None
+            if the store was restored from an old copy.
         """
         before = self._active.revision
         if seen is None:
+            await self._rewrite_lost()
             await self._log.catch_up()
             slot = await self._log.read_slot(self._active.revision)
             self._forward_after(before)
-            return slot.version if self._active.revision else 0
+            if self._active.revision:
+                return slot.version
+            return store.Version(slot.version.era, 0)
         listing = await self._log.watch(seen, _WATCH_TIMEOUT_S)
+        if listing.version.era != seen.era:
+            return None
         changes = tuple(map(repository.read_change, listing.entries))
         self._active.apply(changes)
         if any(change.revision > self._active.revision for change in changes):
@@ -105,6 +114,12 @@
                 # would return at once over and over.
                 await self.sleep(_MAX_BACKOFF_S)
         self._forward_after(before)
+        if changes and all(
+            change.revision <= self._active.revision for change in changes
+        ):
+            # Not the newest entry's version: the store may have discarded
+            # the history after it, and would list all entries each time.
+            return listing.version
         return max(
             (
                 entry.version
@@ -114,6 +129,11 @@
             default=seen,
         )
 
+    async def _rewrite_lost(self) -> None:
+        if self._log.is_restored:
+            await self.sleep(self._rng.uniform(0, platform.REWRITE_SPREAD_S))
+            await self._log.rewrite_lost()
+
     def _forward_after(self, revision: int) -> None:
         if self._active.revision > revision:
             self._forward(self._active.list_changes(revision).changes)
--- a/packages/burdockdeal/burdockdeal/configuration/repository.py
+++ b/packages/burdockdeal/burdockdeal/configuration/repository.py
@@ -32,12 +32,11 @@
     """The content of a slot of the log.
 
     :param change: the change, None if the slot was never written.
-    :param version: the store's version of the slot, for compare-and-swap;
-        0 if the slot was never written.
+    :param version: the store's version of the slot, for compare-and-swap.
     """
 
     change: messages.Change | None
-    version: int
+    version: platform.Version
 
 
 def read_change(entry: platform.Entry) -> messages.Change:
@@ -76,6 +75,15 @@
         self._ring_size = ring_size
         #: The revision of the newest snapshot known to be in the store.
         self.snapshot_revision = 0
+        #: Whether the store was restored from an old copy, and the log has
+        #: not been compared with the retained changes since.
+        self.is_restored = False
+        platform.on_new_era(self._expect_loss)
+
+    def _expect_loss(self, era: int) -> None:
+        """Read anew what a store that was restored may have lost."""
+        self.snapshot_revision = 0
+        self.is_restored = True
 
     async def catch_up(self) -> None:
         """Apply all that the store holds beyond the active revision.
@@ -113,10 +121,12 @@
         """Read the slot of a revision, whichever revision it holds now."""
         entry = await self._store.get(log.log_key(revision, self._ring_size))
         if entry is None:
-            return Slot(None, 0)
+            return Slot(None, self._store.absent_version)
         return Slot(read_change(entry), entry.version)
 
-    async def write_slot(self, change: messages.Change, version: int) -> None:
+    async def write_slot(
+        self, change: messages.Change, version: platform.Version
+    ) -> None:
         """Write a change to the slot of its revision.
 
         If the change that would be overwritten is not covered by a known
@@ -127,8 +137,10 @@
         :raises StoreConflictError: if the slot has another version by now.
         :raises StoreUncertainError: if the write may have taken effect.
         :raises StoreUnavailableError: if the change that would be
-            overwritten is still in no snapshot.
+            overwritten is still in no snapshot, or the log holds another
+            change at a revision that is applied.
         """
+        await self.rewrite_lost()
         if not log.can_overwrite(
             change.revision, self.snapshot_revision, self._ring_size
         ):
@@ -139,7 +151,63 @@
             version=version,
         )
 
-    async def watch(self, after: int, wait_s: float) -> platform.Listing:
+    async def rewrite_lost(self) -> None:
+        """Write the retained changes again that a restored store has lost.
+
+        Each write is conditional on the slot that was read, so that several
+        daemons may do so at once.
+
+        :raises StoreUnavailableError: if the log holds another change at a
+            revision that is applied; nothing is written then.
+        """
+        if not self.is_restored:
+            return
+        self.is_restored = False
+        try:
+            await self._rewrite_lost()
+        except errors.PlatformError:
+            self.is_restored = True
+            raise
+
+    async def _rewrite_lost(self) -> None:
+        retained = self._active.recent_changes
+        if not retained:
+            return
+        stored = await self.read_range(
+            retained[0].revision, retained[-1].revision + 1
+        )
+        if log.find_replaced(retained, stored):
+            self._active.apply(stored)
+            raise errors.StoreUnavailableError(
+                "the log holds other changes than this daemon applies"
+            )
+        held = {change.revision for change in stored}
+        written = 0
+        for change in retained:
+            if change.revision not in held:
+                written += await self._rewrite(change)
+        event_log.record(
+            "records_rewritten", kind="changes", revisions=written
+        )
+
+    async def _rewrite(self, change: messages.Change) -> bool:
+        slot = await self.read_slot(change.revision)
+        outcome = log.classify_slot(
+            change.revision, change.change_id, slot.change
+        )
+        if outcome is not log.WriteOutcome.UNWRITTEN:
+            # Another daemon was faster, or a later lap covers the change.
+            return False
+        await self._store.put(
+            log.log_key(change.revision, self._ring_size),
+            codec.encode(change).decode(),
+            version=slot.version,
+        )
+        return True
+
+    async def watch(
+        self, after: platform.Version, wait_s: float
+    ) -> platform.Listing:
         """Wait for log entries newer than a version.
 
         :param after: the store's version of the newest known entry.
@@ -223,7 +291,7 @@
             await self._store.put(
                 snapshots.part_key(folder, part.position),
                 codec.encode(part).decode(),
-                version=0,
+                version=self._store.absent_version,
             )
         manifest = messages.Manifest(
             configuration.revision, folder, len(parts)
@@ -248,10 +316,12 @@
         ):
             raise errors.StoreUnavailableError("the log has no room")
 
-    async def _read_manifest(self) -> tuple[messages.Manifest | None, int]:
+    async def _read_manifest(
+        self,
+    ) -> tuple[messages.Manifest | None, platform.Version]:
         entry = await self._store.get(messages.MANIFEST_KEY)
         if entry is None:
-            return None, 0
+            return None, self._store.absent_version
         try:
             manifest = codec.decode(entry.value, messages.Manifest)
         except codec.MalformedError as error:
@@ -274,7 +344,7 @@
         return tuple(parts)
 
     async def _swap_manifest(
-        self, manifest: messages.Manifest, version: int
+        self, manifest: messages.Manifest, version: platform.Version
     ) -> bool:
         try:
             await self._store.put(
--- a/packages/burdockdeal/burdockdeal/configuration/tests/test_writer.py
+++ b/packages/burdockdeal/burdockdeal/configuration/tests/test_writer.py
@@ -329,3 +329,41 @@
 
 def test_log_keys_repeat_after_one_lap() -> None:
     assert log.log_key(log.RING_SIZE + 1) == log.log_key(1)
+
+
+def test_lost_changes_are_written_again_before_the_next() -> None:
+    """Guards against a gap in the log, which no new daemon gets past."""
+    store = memory_store.MemoryStore()
+    daemon = make_daemon(store)
+    append(daemon, make_request("c1"))
+    copied = dict(store.entries)
+    append(daemon, make_request("c2", name="s2"))
+    store.restore(copied)
+    append(daemon, make_request("c3", name="s3"))
+    assert read_log(store) == {1: "c1", 2: "c2", 3: "c3"}
+
+
+def test_another_change_at_an_applied_revision_is_refused(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a revision that stands for two changes unnoticed."""
+    warned: list[tuple[str, dict]] = []
+    monkeypatch.setattr(
+        active_configuration.event_log,
+        "warn",
+        lambda event, **fields: warned.append((event, fields)),
+    )
+    store = memory_store.MemoryStore()
+    first, second = make_daemon(store, "x"), make_daemon(store, "y")
+    append(first, make_request("c1"))
+    asyncio.run(second.repository.catch_up())
+    copied = dict(store.entries)
+    append(first, make_request("c2", name="s2"))
+    store.restore(copied)
+    append(second, make_request("other", name="s9"))
+    before = first.active.configuration
+    assert advance(first.begin(make_request("c3", name="s3"))) is None
+    assert first.active.configuration is before
+    assert read_log(store) == {1: "c1", 2: "other"}
+    (_, fields), *_ = warned
+    assert fields == {"revision": 2, "applied": "c2", "received": "other"}
--- a/packages/burdockdeal/burdockdeal/configuration/writer.py
+++ b/packages/burdockdeal/burdockdeal/configuration/writer.py
@@ -18,6 +18,7 @@
 from burdockdeal.core import errors
 from burdockdeal.core import event_log
 from burdockdeal.platform import decisions as platform
+from burdockdeal.platform import messages as store
 
 _NO_SPEC = msgspec.Raw(b"null")
 
@@ -183,7 +184,7 @@
         return None
 
     async def _write(
-        self, change: messages.Change, version: int
+        self, change: messages.Change, version: store.Version
     ) -> Accepted | None:
         try:
             await self._log.write_slot(change, version)
--- a/packages/burdockdeal/burdockdeal/core/errors.py
+++ b/packages/burdockdeal/burdockdeal/core/errors.py
@@ -71,17 +71,29 @@
     """The store's response was lost; the call may have taken effect."""
 
 
+class StoreEraError(StoreUncertainError):
+    """A response came from another era of the store than was expected.
+
+    A write that was answered so may have taken effect.
+    """
+
+
 class StoreConflictError(PlatformError):
     """A compare-and-swap failed because the key has another version.
 
-    :param version: the key's version in the store, 0 if it is absent.
+    :param version: the key's version in the store, as the store's client
+        represents it.
     """
 
-    def __init__(self, key: str, version: int) -> None:
+    def __init__(self, key: str, version: object) -> None:
         self.version = version
         super().__init__(f"{key} stands at version {version}")
 
 
+class StoreVersionOutdatedError(StoreConflictError):
+    """A write was not sent, as its version is of an earlier era."""
+
+
 class StoreLeaseError(PlatformError):
     """The lease of a write has ended; the write had no effect."""
 
--- a/packages/burdockdeal/burdockdeal/daemon/assembly.py
+++ b/packages/burdockdeal/burdockdeal/daemon/assembly.py
@@ -84,6 +84,7 @@
             shared.roster,
             platform,
             shared.clock,
+            shared.rng,
         ),
         shared.rng,
         shared.clock,
@@ -251,7 +252,12 @@
             _make_gauges(shared, control_plane, load_probing, shedder)
         )
         at_most_once = bookings.AtMostOnceExecution(
-            settings, shared.roster, platform, peer_session, shared.clock
+            settings,
+            shared.roster,
+            platform,
+            peer_session,
+            shared.clock,
+            shared.rng,
         )
         refresher = await stack.enter_async_context(
             load_refresher.LoadRefresher(
@@ -302,6 +308,7 @@
             *control_plane.services,
             membership_service,
             load_probing.prober,
+            at_most_once.claim_keeper,
         )
         for service in shared.services:
             await stack.enter_async_context(service)
--- a/packages/burdockdeal/burdockdeal/membership/contacts.py
+++ b/packages/burdockdeal/burdockdeal/membership/contacts.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 import dataclasses
+import random
 
 from burdockdeal.core import codec
 from burdockdeal.core import errors
@@ -9,6 +10,7 @@
 from burdockdeal.membership import decisions
 from burdockdeal.membership import messages
 from burdockdeal.membership import roster
+from burdockdeal.platform import decisions as platform_decisions
 from burdockdeal.platform import messages as platform_messages
 from burdockdeal.platform import store
 
@@ -51,14 +53,14 @@
 class _Listed:
     """The contacts of a failure domain as they were last read or written.
 
-    :param version: version of the entry in the store, 0 if there is none.
+    :param version: version of the entry in the store.
     """
 
     contacts: messages.Contacts
-    version: int
+    version: platform_messages.Version
 
 
-_NOT_LISTED = _Listed(messages.Contacts(()), 0)
+_NO_CONTACTS = messages.Contacts(())
 
 
 class ContactDirectory:
@@ -71,6 +73,7 @@
 
     :param source: where the contacts are.
     :param clock: returns monotonic time in seconds.
+    :param rng: spreads the reviews after a restore of the store.
     """
 
     def __init__(
@@ -79,6 +82,7 @@
         local_roster: roster.Roster,
         platform: store.StoreClient,
         clock: abc.Callable[[], float],
+        rng: random.Random,
     ) -> None:
         self._source = source
         self._roster = local_roster
@@ -87,6 +91,20 @@
         self._reviewed_at = clock()
         self._review_interval_s = FIRST_REVIEW_INTERVAL_S
         self._listed: dict[str, _Listed] = {}
+        #: The version of the lists that the store does not hold.
+        self._absent = platform_messages.ABSENT
+        self._rng = rng
+        self._listed_before: dict[str, _Listed] = {}
+        #: When the lists must be compared with those of a store that was
+        #: restored from an old copy.
+        self._rewrite_at: float | None = None
+        platform.on_new_era(self._schedule_rewrite)
+
+    def _schedule_rewrite(self, era: int) -> None:
+        self._listed_before = {**self._listed_before, **self._listed}
+        self._rewrite_at = self._clock() + self._rng.uniform(
+            0, platform_decisions.REWRITE_SPREAD_S
+        )
 
     async def find_contacts(self) -> tuple[messages.Contact, ...]:
         """Read the contacts of all failure domains from the store."""
@@ -126,7 +144,8 @@
             if is_incomplete
             else self._review_interval_s
         )
-        if now - self._reviewed_at < interval_s:
+        is_rewrite = self._rewrite_at is not None and now >= self._rewrite_at
+        if not is_rewrite and now - self._reviewed_at < interval_s:
             return ()
         self._reviewed_at = now
         self._review_interval_s = min(
@@ -135,17 +154,32 @@
         # Unless a list is about to be written, entries that are a few seconds
         # stale suffice, at a tenth of the cost.
         listing = await self._store.list(
-            self._source.key_prefix, stale=not is_incomplete
+            self._source.key_prefix, stale=not (is_incomplete or is_rewrite)
         )
         listed = self._read_listing(listing)
         for domain in self._roster.active_domains:
             await self._update_domain(domain)
+        if is_rewrite:
+            await self._restore_lists()
         return tuple(
             contact
             for contact in listed
             if not _is_active(self._roster, contact.daemon)
         )
 
+    async def _restore_lists(self) -> None:
+        """Write the lists again that a restored store has lost.
+
+        Those of the domains with active daemons have been updated already.
+        """
+        for domain, listed in self._listed_before.items():
+            if domain not in self._listed:
+                await self._write(domain, listed.contacts)
+        self._rewrite_at, self._listed_before = None, {}
+        event_log.record(
+            "records_rewritten", kind="contacts", domains=len(self._listed)
+        )
+
     def _has_incomplete_list(self) -> bool:
         """Return whether an active daemon is missing from a list."""
         return any(
@@ -161,7 +195,8 @@
         )
 
     def _get_contacts(self, domain: str) -> messages.Contacts:
-        return self._listed.get(domain, _NOT_LISTED).contacts
+        listed = self._listed.get(domain)
+        return listed.contacts if listed else _NO_CONTACTS
 
     async def _update_domain(self, domain: str) -> None:
         listed = self._get_contacts(domain)
@@ -172,11 +207,12 @@
             await self._write(domain, updated)
 
     async def _write(self, domain: str, updated: messages.Contacts) -> None:
+        listed = self._listed.get(domain)
         try:
             version = await self._store.put(
                 self._source.key_prefix + domain,
                 codec.encode(updated).decode(),
-                version=self._listed.get(domain, _NOT_LISTED).version,
+                version=listed.version if listed else self._absent,
             )
         except errors.StoreConflictError:
             # Another daemon wrote the key first; the next read tries again.
@@ -187,6 +223,7 @@
         self, listing: platform_messages.Listing
     ) -> tuple[messages.Contact, ...]:
         prefix = self._source.key_prefix
+        self._absent = platform_messages.Version(listing.version.era, 0)
         self._listed = {
             entry.key.removeprefix(prefix): _Listed(
                 _decode_contacts(entry), entry.version
--- a/packages/burdockdeal/burdockdeal/membership/tests/test_contacts.py
+++ b/packages/burdockdeal/burdockdeal/membership/tests/test_contacts.py
@@ -1,5 +1,7 @@
 """Tests of discovery through the contacts in the store."""
 
+import random
+
 import pytest
 
 from burdockdeal.core import codec
@@ -29,7 +31,7 @@
     ) -> None:
         self.roster = roster.Roster(make_member(daemon, domain, port))
         self.directory = contacts.ContactDirectory(
-            source, self.roster, store, clock
+            source, self.roster, store, clock, random.Random(1)
         )
 
     def find(self) -> list[str]:
@@ -86,7 +88,9 @@
     first = Daemon(store, clock, "a1", "a", 1, source)
     first.find()
     first.register()
-    virtual_time.run(store.put("op/config", "{}", version=0))
+    virtual_time.run(
+        store.put("op/config", "{}", version=platform_messages.ABSENT)
+    )
     before = len(store.calls)
     for port in range(2, 100):
         domain = "ab"[port % 2]
@@ -147,13 +151,25 @@
     first = Daemon(store, clock, "a1", "a", 1)
     first.find()
     first.register()
-    virtual_time.run(store.put(SOURCE.key_prefix + "z", "\ufffd{", version=0))
+    virtual_time.run(
+        store.put(
+            SOURCE.key_prefix + "z",
+            "\ufffd{",
+            version=platform_messages.ABSENT,
+        )
+    )
     assert Daemon(store, clock, "b1", "b", 2).find() == ["a1"]
 
 
 def test_unreadable_contacts_of_own_domain_are_replaced() -> None:
     store, clock = memory_store.MemoryStore(), clocks.Clock()
-    virtual_time.run(store.put(SOURCE.key_prefix + "a", "novelty", version=0))
+    virtual_time.run(
+        store.put(
+            SOURCE.key_prefix + "a",
+            "novelty",
+            version=platform_messages.ABSENT,
+        )
+    )
     first = Daemon(store, clock, "a1", "a", 1)
     first.find()
     first.register()
@@ -224,8 +240,32 @@
         )
     )
     virtual_time.run(
-        store.put("members/a", codec.encode(many).decode(), version=0)
+        store.put(
+            "members/a",
+            codec.encode(many).decode(),
+            version=platform_messages.ABSENT,
+        )
     )
     daemon.find()
     local = daemon.directory.get_own_domain_contacts()
     assert len(local) == decisions.CONTACTS_PER_DOMAIN
+
+
+def test_contacts_are_written_again_after_a_restore() -> None:
+    """Guards against a fleet that nobody who starts can find.
+
+    The lists of domains without a reachable daemon are written again, too.
+    """
+    store, clock = memory_store.MemoryStore(), clocks.Clock()
+    other = Daemon(store, clock, "b1", "b", 9)
+    other.find()
+    other.register()
+    reader = Daemon(store, clock, "a0", "a", 1)
+    clock.now += contacts.REVIEW_INTERVAL_S
+    reader.review()
+    store.restore({})
+    assert not store.entries
+    clock.now += 5.0
+    reader.review()
+    assert read_contacts(store, "a") == ["a0"]
+    assert read_contacts(store, "b") == ["b1"]
--- a/packages/burdockdeal/burdockdeal/membership/tests/test_joining.py
+++ b/packages/burdockdeal/burdockdeal/membership/tests/test_joining.py
@@ -47,6 +47,7 @@
                 roster.Roster(member),
                 self.store,
                 clocks.Clock(),
+                random.Random(1),
             )
             virtual_time.run(directory.find_contacts())
             virtual_time.run(directory.register())
@@ -84,7 +85,11 @@
             (),
             own,
             contacts.ContactDirectory(
-                contacts.DEFAULT_SOURCE, own, self.store, clocks.Clock()
+                contacts.DEFAULT_SOURCE,
+                own,
+                self.store,
+                clocks.Clock(),
+                random.Random(1),
             ),
             probe,
             post,
--- a/packages/burdockdeal/burdockdeal/platform/assembly.py
+++ b/packages/burdockdeal/burdockdeal/platform/assembly.py
@@ -101,6 +101,7 @@
         platform.derive_unlimited_client(),
         shared.list_saturation_evidence,
         is_writer=lambda: is_store_reader(1),
+        rng=shared.rng,
     )
     shared.is_saturating = profiles.is_saturating
 
--- a/packages/burdockdeal/burdockdeal/platform/decisions.py
+++ b/packages/burdockdeal/burdockdeal/platform/decisions.py
@@ -3,8 +3,13 @@
 import dataclasses
 import random
 
+from burdockdeal.platform import messages
 from burdockdeal.platform import state
 
+#: Seconds over which daemons spread what they write again after the store
+#: was restored from an old copy.
+REWRITE_SPREAD_S = 5.0
+
 
 def reserve(
     bucket: state.TokenBucket,
@@ -59,6 +64,60 @@
     return state.FailureStreak(streak.failures + 1, since)
 
 
+def judge_era(known: int | None, answered: int) -> state.EraOutcome:
+    """Compare the era of a response with the newest one known.
+
+    :param known: the newest era known, None before the first response.
+    """
+    if known is None or answered == known:
+        return state.EraOutcome.SAME
+    return (
+        state.EraOutcome.RISEN
+        if answered > known
+        else state.EraOutcome.OUTDATED
+    )
+
+
+def may_use_version(version: messages.Version, known: int | None) -> bool:
+    """Return whether a version of the store still means the same.
+
+    :param known: the newest era known, None before the first response.
+    """
+    return version.era == (known or 0)
+
+
+def can_continue(version: messages.Version, answered: int) -> bool:
+    """Return whether a response continues what was read before.
+
+    :param version: the position of a watch, or that of a listing's first
+        page.
+    :param answered: the era of the response.
+    """
+    return version.era == answered
+
+
+def is_result(
+    outcome: state.EraOutcome,
+    *,
+    answered: int,
+    written_on: messages.Version | None,
+) -> bool:
+    """Return whether a response is the result of its call.
+
+    A response of an older era is not. Nor is that of a write if the store
+    was restored while the write was on its way: it may have replaced a value
+    that nobody has read.
+
+    :param outcome: how the era of the response compares with the one known.
+    :param answered: the era of the response.
+    :param written_on: the version that a write was conditional on, None for
+        other calls.
+    """
+    if outcome is state.EraOutcome.OUTDATED:
+        return False
+    return written_on is None or answered == written_on.era
+
+
 def increment(counts: state.CallCounts, field: str) -> state.CallCounts:
     """Increment one counter.
 
--- a/packages/burdockdeal/burdockdeal/platform/messages.py
+++ b/packages/burdockdeal/burdockdeal/platform/messages.py
@@ -3,28 +3,47 @@
 import dataclasses
 
 
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class Version:
+    """A revision of the store, or of one of its keys.
+
+    A store that is restored from an old copy issues its revisions again, so
+    that a revision means something only within its era.
+
+    :param era: how often the store had been restored.
+    :param revision: the store's revision; 0 for a key that does not exist.
+    """
+
+    era: int
+    revision: int
+
+
+#: The version of an absent key in a store that was never restored.
+ABSENT = Version(0, 0)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Entry:
     """A key of the store and its value.
 
-    :param version: the store's revision at which the key was last written;
-        0 if it does not exist.
+    :param version: the version at which the key was last written.
     """
 
     key: str
     value: str
-    version: int
+    version: Version
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Listing:
     """The entries whose keys start with a prefix.
 
-    :param revision: the store's revision at the time of the read.
+    :param version: the store's version when the read began. No change up to
+        it is missing.
     """
 
     entries: tuple[Entry, ...]
-    revision: int
+    version: Version
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -32,10 +51,12 @@
     """A lease that the store granted.
 
     :param ttl_s: seconds until the lease lapses unless it is renewed.
+    :param era: the store's era; the id may be another lease's in a later one.
     """
 
     lease_id: int
     ttl_s: float
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/burdockdeal/burdockdeal/platform/state.py
+++ b/packages/burdockdeal/burdockdeal/platform/state.py
@@ -1,6 +1,7 @@
 """The state of the client of the platform's store."""
 
 import dataclasses
+import enum
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -53,6 +54,16 @@
         return self.reads + self.writes + self.watches + self.leases
 
 
+class EraOutcome(enum.Enum):
+    """How the era of a response compares with the newest one known."""
+
+    SAME = "SAME"
+    #: The store was restored from an old copy since.
+    RISEN = "RISEN"
+    #: The response is from before the latest restore.
+    OUTDATED = "OUTDATED"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class FailureStreak:
     """The current run of consecutive failed calls to the store.
--- a/packages/burdockdeal/burdockdeal/platform/store.py
+++ b/packages/burdockdeal/burdockdeal/platform/store.py
@@ -7,64 +7,33 @@
 
 import asyncio
 from collections import abc
-import dataclasses
 import socket
 import time
 from urllib import parse
 
-import aiohttp
-import yarl
-
 from burdockdeal.core import codec
 from burdockdeal.core import errors
 from burdockdeal.platform import decisions
 from burdockdeal.platform import messages
 from burdockdeal.platform import state
-from burdockdeal.platform import store_trace
+from burdockdeal.platform import store_era
+from burdockdeal.platform import store_session
 from burdockdeal.platform import wire
 from burdockdeal.settings import model
 
 #: Maximum size of a value: one megabyte.
 VALUE_LIMIT_BYTES = 1_000_000
 
-_TIMEOUT_S = 2.0
 _WATCH_MARGIN_S = 2.0
 
-_OK = 200
-_NOT_FOUND = 404
-_GONE = 410
-_CONFLICT = 412
-_EXPECTED_STATUSES = frozenset({_OK, _NOT_FOUND, _GONE, _CONFLICT})
-
-#: Statuses with which the store reports that it did not execute the call.
-_REFUSED_STATUSES = frozenset({429, 503})
-
 #: Maximum number of entries in one listing.
 _MAX_LISTED = 1000
 
-_JSON_HEADERS = {"Content-Type": "application/json"}
-
 #: The rate limit of clients that limit their calls by themselves, and the
 #: default.
 _UNLIMITED = state.RateLimit(1e9, 1e9)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Response:
-    status: int
-    body: bytes
-
-
-class _Shared:
-    """The state shared by all clients of one HTTP session."""
-
-    def __init__(self, clock: abc.Callable[[], float]) -> None:
-        self.clock = clock
-        self.session: aiohttp.ClientSession | None = None
-        self.calls = state.CallCounts()
-        self.failure_streak = state.FailureStreak()
-
-
 class StoreClient:
     """A client of the store that counts and rate-limits its calls.
 
@@ -90,28 +59,20 @@
         socket_factory: abc.Callable[..., socket.socket] | None = None,
     ) -> None:
         self._address = address
-        self._base = f"http://{address.host}:{address.port}"
         self._rate = rate
         self._not_before = not_before
         self._bucket = state.TokenBucket(rate.burst, clock())
-        self._shared = _Shared(clock)
-        self._socket_factory = socket_factory
+        self._session = store_session.StoreSession(
+            address, clock, socket_factory
+        )
         self._max_wait_s = 0.0
 
     async def __aenter__(self) -> "StoreClient":
-        self._shared.session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
-                socket_factory=self._socket_factory
-            ),
-            timeout=aiohttp.ClientTimeout(total=_TIMEOUT_S),
-            cookie_jar=aiohttp.DummyCookieJar(),
-            trace_configs=[store_trace.build_reuse_trace()],
-        )
+        await self._session.__aenter__()
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
-        assert self._shared.session is not None
-        await self._shared.session.close()
+        await self._session.__aexit__(*exc_info)
 
     def derive_client(
         self,
@@ -132,9 +93,9 @@
             self._address,
             rate=rate,
             not_before=0.0 if skip_start_delay else self._not_before,
-            clock=self._shared.clock,
+            clock=self._session.clock,
         )
-        derived._shared = self._shared
+        derived._session = self._session
         derived._max_wait_s = max_wait_s
         return derived
 
@@ -150,81 +111,47 @@
     @property
     def total_calls(self) -> int:
         """The number of calls sent by all clients of the session."""
-        return self._shared.calls.total
+        return self._session.calls.total
 
     @property
     def call_counts(self) -> state.CallCounts:
         """The number of calls of all clients of the session, by kind."""
-        return self._shared.calls
+        return self._session.calls
 
     @property
     def failure_streak(self) -> state.FailureStreak:
         """The current run of consecutive failed calls of all clients."""
-        return self._shared.failure_streak
+        return self._session.failure_streak
+
+    @property
+    def era(self) -> int:
+        """The newest era of the store that a response has shown."""
+        return self._session.era.known or 0
+
+    @property
+    def absent_version(self) -> messages.Version:
+        """The version of a key that was read just now and does not exist."""
+        return messages.Version(self.era, 0)
 
-    async def _acquire_token(self, kind: str) -> None:
-        now = self._shared.clock()
+    def on_new_era(self, listener: store_era.Listener) -> None:
+        """Register a function to call whenever the store was restored."""
+        self._session.era.on_new_era(listener)
+
+    async def _send(self, call: store_session.Call) -> store_session.Response:
+        now = self._session.clock()
         wait_s: float | None = None
         if now >= self._not_before:
             self._bucket, wait_s = decisions.reserve(
                 self._bucket, self._rate, now, max_wait_s=self._max_wait_s
             )
         if wait_s is None:
-            self._shared.calls = decisions.increment(
-                self._shared.calls, "refused_by_budget"
-            )
+            self._session.count("refused_by_budget")
             raise errors.StoreBudgetExhaustedError(
                 "the budget of store calls is used up"
             )
         if wait_s:
             await asyncio.sleep(wait_s)
-        self._shared.calls = decisions.increment(self._shared.calls, kind)
-
-    def _record_outcome(self, answered: bool) -> None:
-        shared = self._shared
-        if not answered:
-            shared.calls = decisions.increment(shared.calls, "failed")
-        shared.failure_streak = decisions.record_answer(
-            shared.failure_streak, answered, shared.clock()
-        )
-
-    async def _send(
-        self,
-        method: str,
-        path: str,
-        *,
-        kind: str = "reads",
-        body: bytes | None = None,
-        timeout_s: float = _TIMEOUT_S,
-    ) -> _Response:
-        assert self._shared.session is not None
-        await self._acquire_token(kind)
-        attempt = store_trace.Attempt()
-        try:
-            async with self._shared.session.request(
-                method,
-                yarl.URL(self._base + path, encoded=True),
-                data=body,
-                headers=_JSON_HEADERS if body else None,
-                timeout=aiohttp.ClientTimeout(total=timeout_s),
-                trace_request_ctx=attempt,
-            ) as response:
-                answer = _Response(response.status, await response.read())
-        except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
-            self._record_outcome(False)
-            connect_failed = isinstance(error, aiohttp.ClientConnectorError)
-            if connect_failed and not attempt.reused:
-                raise errors.StoreUnavailableError(str(error)) from error
-            detail = f"{method} {path}: {error!r}"
-            raise errors.StoreUncertainError(detail) from error
-        self._record_outcome(answer.status in _EXPECTED_STATUSES)
-        if answer.status in _REFUSED_STATUSES:
-            detail = f"{method} {path}: {answer.status}"
-            raise errors.StoreUnavailableError(detail)
-        if answer.status not in _EXPECTED_STATUSES:
-            detail = f"{method} {path}: {answer.status}"
-            raise errors.StoreUncertainError(detail)
-        return answer
+        return await self._session.send(call)
 
     async def get(
         self, key: str, *, timeout_s: float | None = None
@@ -238,60 +165,79 @@
         """
         query = parse.urlencode({"key": key})
         answer = await self._send(
-            "GET", f"/api/kv-key?{query}", timeout_s=timeout_s or _TIMEOUT_S
+            store_session.Call(
+                "GET",
+                f"/api/kv-key?{query}",
+                timeout_s=timeout_s or store_session.TIMEOUT_S,
+            )
         )
-        if answer.status == _NOT_FOUND:
+        if answer.status == store_session.NOT_FOUND:
             return None
-        return wire.decode_item(wire.decode_message(answer.body, wire.Item))
+        item = wire.decode_message(answer.body, wire.Item)
+        return wire.decode_item(item, answer.era)
 
     async def put(
-        self, key: str, value: str, *, version: int, lease: int = 0
-    ) -> int:
+        self,
+        key: str,
+        value: str,
+        *,
+        version: messages.Version,
+        lease: int = 0,
+    ) -> messages.Version:
         """Write a key by compare-and-swap.
 
-        :param version: the version that the key must have; 0 if it must
-            not exist.
+        :param version: the version that the key must have;
+            ``absent_version`` if it must not exist.
         :param lease: the id of the lease with which the key expires, 0 for
             none.
         :returns: the new version.
-        :raises StoreConflictError: if the key has another version.
+        :raises StoreConflictError: if the key has another version, or the
+            version is of an earlier era.
         :raises StoreLeaseError: if the lease has ended.
         :raises StoreUncertainError: if the write may have taken effect.
         """
-        committed = await self._commit(
-            wire.Transaction(
-                expected=(wire.Precondition(key, version),),
-                puts=(wire.encode_put(key, value, lease),),
-            )
+        return await self._commit(
+            key, version, puts=(wire.encode_put(key, value, lease),)
         )
-        return committed.revision
 
-    async def delete(self, key: str, *, version: int) -> None:
+    async def delete(self, key: str, *, version: messages.Version) -> None:
         """Delete a key by compare-and-swap.
 
         :param version: the version that the key must have.
-        :raises StoreConflictError: if the key has another version.
+        :raises StoreConflictError: if the key has another version, or the
+            version is of an earlier era.
         """
-        await self._commit(
-            wire.Transaction(
-                expected=(wire.Precondition(key, version),), remove=(key,)
-            )
-        )
+        await self._commit(key, version, remove=(key,))
 
-    async def _commit(self, transaction: wire.Transaction) -> wire.Committed:
+    async def _commit(
+        self,
+        key: str,
+        version: messages.Version,
+        *,
+        puts: tuple[wire.Put, ...] = (),
+        remove: tuple[str, ...] = (),
+    ) -> messages.Version:
+        transaction = wire.Transaction(
+            (wire.Precondition(key, version.revision),), puts, remove
+        )
         answer = await self._send(
-            "POST",
-            "/api/kv-txn",
-            kind="writes",
-            body=codec.encode(transaction),
+            store_session.Call(
+                "POST",
+                "/api/kv-txn",
+                kind="writes",
+                body=codec.encode(transaction),
+                expected=(key, version),
+            )
         )
-        if answer.status == _CONFLICT:
+        if answer.status == store_session.CONFLICT:
             conflict = wire.decode_message(answer.body, wire.Conflict)
-            key = transaction.expected[0].key
-            raise errors.StoreConflictError(key, conflict.find_version(key))
-        if answer.status == _NOT_FOUND:
+            raise errors.StoreConflictError(
+                key, conflict.find_version(key, answer.era)
+            )
+        if answer.status == store_session.NOT_FOUND:
             raise errors.StoreLeaseError("the lease has ended")
-        return wire.decode_message(answer.body, wire.Committed)
+        committed = wire.decode_message(answer.body, wire.Committed)
+        return messages.Version(answer.era, committed.revision)
 
     async def list(
         self,
@@ -304,7 +250,7 @@
         """List the entries whose keys start with a prefix, in key order.
 
         The pages are read one after another, so that the listing is not a
-        snapshot of a single revision.
+        snapshot of a single revision. All are of the same era.
 
         :param after: list only keys that sort after this one.
         :param limit: the maximum number of entries.
@@ -312,57 +258,72 @@
             such a read costs the store a tenth of a current one.
         """
         found: list[messages.Entry] = []
+        version: messages.Version | None = None
+        position = after
         while True:
-            page = await self._read_page(prefix, after, stale)
-            found += page.decode_items()
+            answer = await self._read_page(prefix, position, stale)
+            page = wire.decode_message(answer.body, wire.Page)
+            if version is None:
+                version = messages.Version(answer.era, page.store_revision)
+            elif not decisions.can_continue(version, answer.era):
+                # The store was restored between two pages.
+                found, version, position = [], None, after
+                continue
+            found += page.decode_items(answer.era)
             if not page.more_pages or len(found) >= limit:
-                return messages.Listing(
-                    tuple(found[:limit]), page.store_revision
-                )
-            after = page.items[-1].key
+                return messages.Listing(tuple(found[:limit]), version)
+            position = page.items[-1].key
 
     async def _read_page(
         self, prefix: str, after: str, stale: bool
-    ) -> wire.Page:
+    ) -> store_session.Response:
         query = {"pathPrefix": prefix}
         if after:
             query["after"] = after
         if stale:
             query["staleOk"] = "1"
-        answer = await self._send(
-            "GET", f"/api/kv-range?{parse.urlencode(query)}"
-        )
-        return wire.decode_message(answer.body, wire.Page)
+        path = f"/api/kv-range?{parse.urlencode(query)}"
+        return await self._send(store_session.Call("GET", path))
 
     async def watch(
-        self, prefix: str, *, after: int, wait_s: float
+        self, prefix: str, *, after: messages.Version, wait_s: float
     ) -> messages.Listing:
-        """Wait for entries below a prefix that are newer than a revision.
+        """Wait for entries below a prefix that are newer than a version.
 
-        If the store has already discarded the history after that revision,
-        the current entries are listed instead.
+        If the store has discarded the history after that version, or has
+        been restored from an old copy since, the current entries are listed
+        instead.
 
-        :param after: the latest store revision that is known.
+        :param after: the latest version of the store that is known.
         :param wait_s: the maximum wait, in seconds.
         :returns: the newer entries, none if the wait timed out.
         """
+        if not decisions.may_use_version(after, self._session.era.known):
+            return await self.list(prefix)
         query = parse.urlencode(
             {
                 "pathPrefix": prefix,
-                "after": after,
+                "after": after.revision,
                 "waitMs": round(wait_s * 1000),
             }
         )
         answer = await self._send(
-            "GET",
-            f"/api/kv-watch?{query}",
-            kind="watches",
-            timeout_s=wait_s + _WATCH_MARGIN_S,
+            store_session.Call(
+                "GET",
+                f"/api/kv-watch?{query}",
+                kind="watches",
+                timeout_s=wait_s + _WATCH_MARGIN_S,
+            )
         )
-        if answer.status == _GONE:
+        if answer.status == store_session.GONE or not decisions.can_continue(
+            after, answer.era
+        ):
             return await self.list(prefix)
         events = wire.decode_message(answer.body, wire.Events)
-        return messages.Listing(events.decode_items(), events.store_revision)
+        return messages.Listing(
+            events.decode_items(answer.era),
+            messages.Version(answer.era, events.store_revision),
+        )
 
     async def grant(self, ttl_s: float) -> messages.Lease:
         """Request a lease.
@@ -371,13 +332,15 @@
         :returns: the lease with the time to live that the store granted.
         """
         answer = await self._send(
-            "POST",
-            "/api/kv-lease",
-            kind="leases",
-            body=codec.encode(wire.LeaseRequest(round(ttl_s * 1000))),
+            store_session.Call(
+                "POST",
+                "/api/kv-lease",
+                kind="leases",
+                body=codec.encode(wire.LeaseRequest(round(ttl_s * 1000))),
+            )
         )
         granted = wire.decode_message(answer.body, wire.LeaseGrant)
-        return messages.Lease(granted.lease, granted.ttl_ms / 1000)
+        return messages.Lease(granted.lease, granted.ttl_ms / 1000, answer.era)
 
     async def renew(self, lease: int) -> bool:
         """Renew a lease.
@@ -386,6 +349,6 @@
         :returns: False if the lease had already lapsed.
         """
         answer = await self._send(
-            "POST", f"/api/kv-keep/{lease}", kind="leases"
+            store_session.Call("POST", f"/api/kv-keep/{lease}", kind="leases")
         )
-        return answer.status == _OK
+        return answer.status == store_session.OK
--- a/packages/burdockdeal/burdockdeal/platform/tests/test_store.py
+++ b/packages/burdockdeal/burdockdeal/platform/tests/test_store.py
@@ -12,6 +12,7 @@
 
 from burdockdeal.core import errors
 from burdockdeal.daemon import sockets
+from burdockdeal.platform import messages
 from burdockdeal.platform import store
 from burdockdeal.settings import model
 from burdockdeal_standins import store as standin
@@ -43,7 +44,7 @@
 async def test_a_written_key_is_read_and_deleted_by_version() -> None:
     async with run_store() as (client, _):
         assert await client.get("a/b") is None
-        version = await client.put("a/b", "é", version=0)
+        version = await client.put("a/b", "é", version=messages.ABSENT)
         entry = await client.get("a/b")
         assert (entry.value, entry.version) == ("é", version)
         await client.delete("a/b", version=version)
@@ -52,20 +53,20 @@
 
 async def test_a_conflict_reports_the_current_version() -> None:
     async with run_store() as (client, _):
-        version = await client.put("a", "1", version=0)
+        version = await client.put("a", "1", version=messages.ABSENT)
         with pytest.raises(errors.StoreConflictError) as raised:
-            await client.put("a", "2", version=0)
+            await client.put("a", "2", version=messages.ABSENT)
         assert raised.value.version == version
         with pytest.raises(errors.StoreConflictError) as raised:
             await client.put("b", "2", version=version)
-        assert raised.value.version == 0
+        assert raised.value.version == messages.ABSENT
 
 
 async def test_a_write_whose_answer_is_lost_is_uncertain() -> None:
     async with run_store() as (client, data):
         set_faults(data, lose_answers=1)
         with pytest.raises(errors.StoreUncertainError):
-            await client.put("a", "1", version=0)
+            await client.put("a", "1", version=messages.ABSENT)
         assert (await client.get("a")).value == "1"
 
 
@@ -73,7 +74,7 @@
     async with run_store() as (client, data):
         set_faults(data, outage=True)
         with pytest.raises(errors.StoreUnavailableError):
-            await client.put("a", "1", version=0)
+            await client.put("a", "1", version=messages.ABSENT)
         set_faults(data)
         assert await client.get("a") is None
         assert client.failure_streak.since is None
@@ -90,9 +91,9 @@
     app.router.add_route("*", "/{path:.*}", refuse)
     async with connect(app) as client:
         with pytest.raises(errors.StoreUnavailableError):
-            await client.put("a", "1", version=0)
+            await client.put("a", "1", version=messages.ABSENT)
         with pytest.raises(errors.StoreUnavailableError):
-            await client.watch("a", after=1, wait_s=0.1)
+            await client.watch("a", after=messages.Version(0, 1), wait_s=0.1)
 
 
 async def test_an_invalid_answer_is_uncertain() -> None:
@@ -108,22 +109,22 @@
 
 async def test_a_watch_returns_newer_entries() -> None:
     async with run_store() as (client, _):
-        version = await client.put("a/1", "1", version=0)
+        version = await client.put("a/1", "1", version=messages.ABSENT)
         pending_watch = asyncio.ensure_future(
             client.watch("a/", after=version, wait_s=5)
         )
         await asyncio.sleep(0.05)
-        await client.put("b/1", "other", version=0)
-        await client.put("a/2", "2", version=0)
+        await client.put("b/1", "other", version=messages.ABSENT)
+        await client.put("a/2", "2", version=messages.ABSENT)
         listing = await pending_watch
         assert [entry.key for entry in listing.entries] == ["a/2"]
-        empty = await client.watch("a/", after=listing.revision, wait_s=0.1)
+        empty = await client.watch("a/", after=listing.version, wait_s=0.1)
         assert not empty.entries
 
 
 async def test_a_watch_past_the_history_lists_the_current_entries() -> None:
     async with run_store() as (client, data):
-        version = await client.put("a/1", "1", version=0)
+        version = await client.put("a/1", "1", version=messages.ABSENT)
         await client.put("a/1", "2", version=version)
         data.compact()
         listing = await client.watch("a/", after=version, wait_s=0.1)
@@ -134,7 +135,7 @@
     async with run_store() as (client, _):
         keys = [f"a/{number:04d}" for number in range(620)]
         for key in keys:
-            await client.put(key, "x", version=0)
+            await client.put(key, "x", version=messages.ABSENT)
         listing = await client.list("a/")
         assert [entry.key for entry in listing.entries] == keys
         rest = await client.list("a/", after="a/0616", limit=2)
@@ -144,13 +145,17 @@
 async def test_a_key_expires_with_its_lease() -> None:
     async with run_store() as (client, _):
         lease = await client.grant(0.2)
-        await client.put("a", "1", version=0, lease=lease.lease_id)
+        await client.put(
+            "a", "1", version=messages.ABSENT, lease=lease.lease_id
+        )
         assert await client.renew(lease.lease_id)
         await asyncio.sleep(0.4)
         assert await client.get("a") is None
         assert not await client.renew(lease.lease_id)
         with pytest.raises(errors.StoreLeaseError):
-            await client.put("a", "1", version=0, lease=lease.lease_id)
+            await client.put(
+                "a", "1", version=messages.ABSENT, lease=lease.lease_id
+            )
 
 
 async def test_values_that_are_not_base64_or_utf8_are_still_listed() -> None:
@@ -194,7 +199,9 @@
     )
     async with client:
         watch = asyncio.ensure_future(
-            client.watch("op/config", after=1, wait_s=25.0)
+            client.watch(
+                "op/config", after=messages.Version(0, 1), wait_s=25.0
+            )
         )
         await asyncio.wait_for(watched.wait(), 5)
         (used,) = created
--- a/packages/burdockdeal/burdockdeal/platform/tests/test_watcher.py
+++ b/packages/burdockdeal/burdockdeal/platform/tests/test_watcher.py
@@ -5,6 +5,8 @@
 import json
 import random
 
+import pytest
+
 from burdockdeal.configuration import active_configuration
 from burdockdeal.core import errors
 from burdockdeal.platform import configuration
@@ -21,7 +23,8 @@
 
     def __init__(self) -> None:
         self.value = encode_document(1)
-        self.revision = 10
+        self.version = messages.Version(0, 10)
+        self.era = 0
         self.watches_lose_events = False
         self.is_down = False
         self.read_count = 0
@@ -29,7 +32,7 @@
 
     def put(self, number: int) -> None:
         self.value = encode_document(number)
-        self.revision += 1
+        self.version = messages.Version(0, self.version.revision + 1)
         if not self.watches_lose_events:
             self.event.set()
 
@@ -39,19 +42,19 @@
         self.read_count += 1
         if self.is_down:
             raise errors.StoreUnavailableError("down")
-        return messages.Entry(key, self.value, self.revision)
+        return messages.Entry(key, self.value, self.version)
 
     async def watch(
-        self, prefix: str, *, after: int, wait_s: float
+        self, prefix: str, *, after: messages.Version, wait_s: float
     ) -> messages.Listing:
         await self.event.wait()
         self.event.clear()
         if self.watches_lose_events:
             # The watch is interrupted, and the history with the change has
             # been discarded.
-            return messages.Listing((), self.revision)
-        entry = messages.Entry(prefix, self.value, self.revision)
-        return messages.Listing((entry,), self.revision)
+            return messages.Listing((), self.version)
+        entry = messages.Entry(prefix, self.value, self.version)
+        return messages.Listing((entry,), self.version)
 
 
 async def ask_nobody() -> None:
@@ -181,3 +184,29 @@
         ),
     ):
         await wait_for_revision(helper_in_force, 8)
+
+
+async def test_a_configuration_that_the_store_lost_stays_in_force(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a restored store that takes the configuration back.
+
+    One line says what the operator has to write again.
+    """
+    warned: list[tuple[str, dict]] = []
+    monkeypatch.setattr(
+        watcher.event_log,
+        "warn",
+        lambda event, **fields: warned.append((event, fields)),
+    )
+    store = FakeStore()
+    in_force = active_configuration.ActiveConfiguration()
+    store.put(5)
+    reader = build_watcher(store, in_force, polls=False)
+    await reader.read()
+    store.era, store.value = 1, encode_document(4)
+    await reader.read()
+    await reader.read()
+    assert in_force.revision == 5
+    lost = {"in_force": 5, "stored": 4, "era": 1}
+    assert warned == [("configuration_lost_by_store", lost)]
--- a/packages/burdockdeal/burdockdeal/platform/watcher.py
+++ b/packages/burdockdeal/burdockdeal/platform/watcher.py
@@ -85,6 +85,7 @@
         self._poll_interval_s = poll_interval_s
         self._settling_s = settling_s
         self._failures = 0
+        self._reported_era = 0
         self._is_stopping = False
         self._pending_watch: asyncio.Future[messages.Listing] | None = None
 
@@ -96,18 +97,18 @@
 
     @mode.Service.task
     async def _watch_forever(self) -> None:
-        known_revision: int | None = None
+        known_version: messages.Version | None = None
         await self.sleep(self._settling_s)
         while not self._is_stopping:
             if not self._is_watcher():
-                known_revision = None
+                known_version = None
                 await self.sleep(_ROLE_CHECK_INTERVAL_S)
                 continue
             try:
-                known_revision = await self._read_or_watch(known_revision)
+                known_version = await self._read_or_watch(known_version)
                 self._record_recovery()
             except errors.PlatformError as error:
-                known_revision = None
+                known_version = None
                 await self._back_off(error)
 
     @mode.Service.task
@@ -132,7 +133,9 @@
         :raises PlatformError: if the store did not answer.
         """
         entry = await self._store.get(configuration.KEY, timeout_s=timeout_s)
-        if entry is not None:
+        if entry is None:
+            self._report_lost("")
+        else:
             self._apply(entry)
 
     def apply_listing(self, listing: messages.Listing) -> None:
@@ -141,35 +144,43 @@
             if entry.key == configuration.KEY:
                 self._apply(entry)
 
-    async def _read_or_watch(self, known_revision: int | None) -> int | None:
+    async def _read_or_watch(
+        self, known_version: messages.Version | None
+    ) -> messages.Version | None:
         """Read the current configuration, or wait for a newer one.
 
         A watch that ends without an event does not prove that nothing
         changed: the store may have discarded the history with the event.
         The current configuration is therefore read after such a watch.
 
-        :param known_revision: the store's revision up to which changes
+        :param known_version: the store's version up to which changes
             have been applied, None if it isn't known.
-        :returns: the updated revision, None to read the configuration next.
+        :returns: the updated version, None to read the configuration next.
         """
-        if known_revision is None:
+        if known_version is None:
             entry = await self._store.get(configuration.KEY)
             if entry is None:
-                # No configuration exists yet: any revision is newer.
-                return await self._watch(0)
+                self._report_lost("")
+                # No configuration exists. The history may be discarded, as
+                # it is after a restore, so the watch starts from a listing.
+                listing = await self._store.list(configuration.KEY)
+                self.apply_listing(listing)
+                return await self._watch(listing.version)
             self._apply(entry)
             return entry.version
         await self.sleep(MIN_WATCH_INTERVAL_S)
         return (
-            known_revision
+            known_version
             if self._is_stopping
-            else await self._watch(known_revision)
+            else await self._watch(known_version)
         )
 
-    async def _watch(self, known_revision: int) -> int | None:
+    async def _watch(
+        self, known_version: messages.Version
+    ) -> messages.Version | None:
         pending_watch = asyncio.ensure_future(
             self._store.watch(
-                configuration.KEY, after=known_revision, wait_s=WATCH_TIMEOUT_S
+                configuration.KEY, after=known_version, wait_s=WATCH_TIMEOUT_S
             )
         )
         self._pending_watch = pending_watch
@@ -177,14 +188,17 @@
             listing = await pending_watch
         except asyncio.CancelledError:
             if self._is_stopping:
-                return known_revision
+                return known_version
             raise
         self.apply_listing(listing)
-        return listing.revision if listing.entries else None
+        return listing.version if listing.entries else None
 
     def _apply(self, entry: messages.Entry) -> None:
         try:
-            self._in_force.apply_snapshot(configuration.parse(entry.value))
+            parsed = configuration.parse(entry.value)
+            self._in_force.apply_snapshot(parsed)
+            if parsed.revision < self._in_force.revision:
+                self._report_lost(parsed.revision)
         except codec.MalformedError as error:
             event_log.warn(
                 "configuration_unreadable",
@@ -192,6 +206,19 @@
                 error=error,
             )
 
+    def _report_lost(self, stored: object) -> None:
+        """Report once an era that the store lacks what is in force."""
+        era = self._store.era
+        if not self._in_force.revision or era == self._reported_era:
+            return
+        self._reported_era = era
+        event_log.warn(
+            "configuration_lost_by_store",
+            in_force=self._in_force.revision,
+            stored=stored,
+            era=era,
+        )
+
     def _record_recovery(self) -> None:
         if self._failures:
             event_log.record("store_recovered", failures=self._failures)
--- a/packages/burdockdeal/burdockdeal/platform/wire.py
+++ b/packages/burdockdeal/burdockdeal/platform/wire.py
@@ -2,6 +2,7 @@
 
 import base64
 import binascii
+import re
 import typing
 
 import msgspec
@@ -12,6 +13,10 @@
 
 T = typing.TypeVar("T")
 
+#: The header of each response that tells how often the store was restored
+#: from an old copy.
+ERA_HEADER = "Store-Era"
+
 
 class _Message(msgspec.Struct, frozen=True, rename="camel"):
     """Base of messages whose fields are in camel case on the wire."""
@@ -78,10 +83,10 @@
 
     items: tuple[Item, ...] = ()
 
-    def find_version(self, key: str) -> int:
-        """Return the current version of a key, 0 if it does not exist."""
+    def find_version(self, key: str, era: int) -> messages.Version:
+        """Return the current version of a key in an era."""
         found = [item.revision for item in self.items if item.key == key]
-        return found[0] if found else 0
+        return messages.Version(era, found[0] if found else 0)
 
 
 class Page(_Message):
@@ -91,9 +96,9 @@
     items: tuple[Item, ...] = ()
     more_pages: bool = False
 
-    def decode_items(self) -> tuple[messages.Entry, ...]:
-        """Decode the entries of the page."""
-        return _decode_items(self.items)
+    def decode_items(self, era: int) -> tuple[messages.Entry, ...]:
+        """Decode the entries of the page, read in an era."""
+        return _decode_items(self.items, era)
 
 
 class Events(_Message):
@@ -102,9 +107,9 @@
     store_revision: int
     events: tuple[Item, ...] = ()
 
-    def decode_items(self) -> tuple[messages.Entry, ...]:
-        """Decode the written entries; deletions are omitted."""
-        return _decode_items(self.events)
+    def decode_items(self, era: int) -> tuple[messages.Entry, ...]:
+        """Decode the entries written in an era; deletions are omitted."""
+        return _decode_items(self.events, era)
 
 
 class LeaseRequest(_Message):
@@ -124,8 +129,16 @@
     ttl_ms: int
 
 
-def decode_item(item: Item) -> messages.Entry:
-    """Decode an entry.
+def parse_era(header: str | None) -> int:
+    """Parse the header of the store's era; 0 if it is missing or odd."""
+    # More digits than any count of restores has are taken for odd, too.
+    if header is None or not re.fullmatch("[0-9]{1,18}", header):
+        return 0
+    return int(header)
+
+
+def decode_item(item: Item, era: int) -> messages.Entry:
+    """Decode an entry that was read in an era of the store.
 
     Another program may have written a value that is not valid base64 or
     UTF-8. It does not raise an error here: it becomes text that later fails
@@ -136,12 +149,18 @@
     except binascii.Error:
         raw = b""
     return messages.Entry(
-        item.key, raw.decode(errors="replace"), item.revision
+        item.key,
+        raw.decode(errors="replace"),
+        messages.Version(era, item.revision),
     )
 
 
-def _decode_items(items: tuple[Item, ...]) -> tuple[messages.Entry, ...]:
-    return tuple(decode_item(item) for item in items if not item.tombstone)
+def _decode_items(
+    items: tuple[Item, ...], era: int
+) -> tuple[messages.Entry, ...]:
+    return tuple(
+        decode_item(item, era) for item in items if not item.tombstone
+    )
 
 
 def encode_put(key: str, value: str, lease: int) -> Put:
--- a/packages/standins/burdockdeal_standins/memory_store.py
+++ b/packages/standins/burdockdeal_standins/memory_store.py
@@ -47,9 +47,44 @@
         self.decide = decide
         self.entries: dict[str, messages.Entry] = {}
         self.previous_entries: dict[str, messages.Entry] = {}
-        self.version = 0
-        self.late_writes: list[tuple[str, str, int]] = []
+        self.version = messages.ABSENT
+        self.late_writes: list[tuple[str, str, messages.Version]] = []
         self.calls: list[str] = []
+        self._listeners: list[abc.Callable[[int], None]] = []
+
+    @property
+    def era(self) -> int:
+        """How often the store was restored."""
+        return self.version.era
+
+    @property
+    def absent_version(self) -> messages.Version:
+        """The version of an absent key."""
+        return messages.Version(self.era, 0)
+
+    def on_new_era(self, listener: abc.Callable[[int], None]) -> None:
+        """Register a function to call when the store is restored."""
+        self._listeners.append(listener)
+
+    def restore(self, entries: dict[str, messages.Entry]) -> None:
+        """Come back from a copy of the entries, in a new era.
+
+        The clients learn of it at once, and no write is on its way.
+        """
+        era = self.era + 1
+        self.entries = {
+            key: messages.Entry(
+                key, entry.value, messages.Version(era, entry.version.revision)
+            )
+            for key, entry in entries.items()
+        }
+        self.previous_entries = dict(self.entries)
+        self.version = max(
+            (entry.version for entry in self.entries.values()),
+            default=messages.Version(era, 0),
+        )
+        for listener in self._listeners:
+            listener(era)
 
     def _begin_call(self, method: str, key: str) -> CallOutcome:
         outcome = self.decide(method, key)
@@ -69,13 +104,15 @@
             else self.entries
         )
 
-    def _write(self, key: str, value: str, version: int) -> int:
+    def _write(
+        self, key: str, value: str, version: messages.Version
+    ) -> messages.Version:
         current = self.entries.get(key)
-        current_version = current.version if current else 0
+        current_version = current.version if current else self.absent_version
         if current_version != version:
             raise errors.StoreConflictError(key, current_version)
         self.previous_entries = dict(self.entries)
-        self.version += 1
+        self.version = messages.Version(self.era, self.version.revision + 1)
         self.entries[key] = messages.Entry(key, value, self.version)
         return self.version
 
@@ -92,8 +129,13 @@
         return self._visible_entries(self._begin_call("get", key)).get(key)
 
     async def put(
-        self, key: str, value: str, *, version: int, lease: int = 0
-    ) -> int:
+        self,
+        key: str,
+        value: str,
+        *,
+        version: messages.Version,
+        lease: int = 0,
+    ) -> messages.Version:
         """Write a key if it still has a given version.
 
         :returns: the new version.
@@ -109,7 +151,7 @@
             raise errors.StoreConflictError(key, written)
         return written
 
-    async def delete(self, key: str, *, version: int) -> None:
+    async def delete(self, key: str, *, version: messages.Version) -> None:
         """Delete a key if it still has a given version."""
         self._begin_call("delete", key)
         current = self.entries.get(key)
@@ -135,7 +177,7 @@
         )
 
     async def watch(
-        self, prefix: str, *, after: int, wait_s: float
+        self, prefix: str, *, after: messages.Version, wait_s: float
     ) -> messages.Listing:
         """List the entries newer than a version, without waiting."""
         visible = self._visible_entries(self._begin_call("watch", prefix))
--- a/packages/standins/burdockdeal_standins/platform_fleet.py
+++ b/packages/standins/burdockdeal_standins/platform_fleet.py
@@ -101,6 +101,7 @@
         self._stack = contextlib.AsyncExitStack()
         self._processes: dict[str, asyncio.subprocess.Process] = {}
         self._config_revision = 0
+        self._copied_revision = 0
         #: The entries of the configuration's "tenants".
         self.tenants: tuple[dict[str, object], ...] = ()
 
@@ -193,6 +194,27 @@
             assert response.status == 200, await response.text()
             return (await response.json())["revision"]
 
+    async def copy_store(self) -> None:
+        """Take a copy from which the store can be restored."""
+        await self._administer_store("copy")
+        self._copied_revision = self._config_revision
+
+    async def restore_store(self) -> None:
+        """Let the store come back from the latest copy."""
+        await self._administer_store("restore")
+        self._config_revision = self._copied_revision
+
+    async def _administer_store(self, action: str) -> None:
+        url = f"http://{ports.HOST}:{self.fleet.store_port}/admin/{action}"
+        async with self.fleet.session.post(url) as response:
+            assert response.status == 200
+
+    async def has_entry(self, key: str) -> bool:
+        """Return whether the store has a key."""
+        url = f"http://{ports.HOST}:{self.fleet.store_port}/api/kv-key"
+        async with self.fleet.session.get(url, params={"key": key}) as found:
+            return found.status == 200
+
     async def send_heartbeat(
         self, name: str, sequence: int, state: str = "ready"
     ) -> int:
--- a/packages/standins/burdockdeal_standins/store.py
+++ b/packages/standins/burdockdeal_standins/store.py
@@ -1,14 +1,12 @@
 """An in-memory test double of the platform's store, with fault injection.
 
 Faults are set through /admin/faults: an outage, a delay, responses that are
-lost after a write took effect, late writes and stale reads.
+lost after a write took effect, late writes and stale reads. /admin/copy takes
+a copy of the store, and /admin/restore lets it come back from that copy.
 """
 
 import asyncio
-import bisect
-import collections
 import dataclasses
-import itertools
 import time
 
 from aiohttp import web
@@ -17,6 +15,7 @@
 from burdockdeal.core import codec
 from burdockdeal.platform import wire
 from burdockdeal_standins import process
+from burdockdeal_standins import store_data
 
 VALUE_LIMIT_BYTES = 1_048_576
 
@@ -26,9 +25,6 @@
 #: Maximum number of items on one page of a listing.
 MAX_PAGE_ITEMS = 500
 
-#: Number of changes kept for watches.
-MAX_HISTORY_EVENTS = 4096
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Faults:
@@ -65,124 +61,20 @@
     leases: int = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Lease:
-    """A lease on keys.
-
-    :param expires_at: monotonic time at which it expires, in seconds.
-    :param ttl_s: time to live after each renewal, in seconds.
-    """
-
-    expires_at: float
-    ttl_s: float
-
-
-class StoreState:
-    """The keys, leases, change history, counters and faults of one store."""
+class StoreState(store_data.StoreData):
+    """The data, counters and faults of one store."""
 
     def __init__(self) -> None:
-        self.items: dict[str, wire.Item] = {}
-        self.keys: list[str] = []
-        self.leases: dict[int, Lease] = {}
-        self.previous_items: dict[str, wire.Item] = {}
-        self.history: collections.deque[wire.Item] = collections.deque(
-            maxlen=MAX_HISTORY_EVENTS
-        )
-        #: The newest revision that the history no longer holds.
-        self.compacted = 0
-        self.revision = 0
+        super().__init__()
         self.counts = Counts()
         self.faults = Faults()
         self.changed = asyncio.Condition()
-        self.lease_ids = itertools.count(1)
 
     def count(self, kind: str) -> None:
         """Count a call of a kind, a field of Counts."""
         count = getattr(self.counts, kind) + 1
         self.counts = dataclasses.replace(self.counts, **{kind: count})
 
-    def find_version(self, key: str) -> int:
-        """Return the current version of a key, 0 if there is none."""
-        item = self.items.get(key)
-        return item.revision if item else 0
-
-    def commit(self, change: wire.Transaction) -> int:
-        """Apply all writes of a transaction at one new revision."""
-        self.revision += 1
-        for put in change.puts:
-            self._put(put)
-        for key in change.remove:
-            if key in self.items:
-                self._remove(key)
-        return self.revision
-
-    def compact(self) -> None:
-        """Discard the change history."""
-        self.history.clear()
-        self.compacted = self.revision
-
-    def list_changes(
-        self, prefix: str, revision: int
-    ) -> tuple[wire.Item, ...]:
-        """List the changes after a revision to keys with a prefix."""
-        return tuple(
-            item
-            for item in self.history
-            if item.revision > revision and item.key.startswith(prefix)
-        )
-
-    def list_items(
-        self, prefix: str, after: str, items: dict[str, wire.Item]
-    ) -> list[wire.Item]:
-        """List the items with a prefix whose keys sort after a key.
-
-        :param items: the items to read, current or stale.
-        """
-        position = bisect.bisect_right(self.keys, after)
-        position = max(position, bisect.bisect_left(self.keys, prefix))
-        found = itertools.takewhile(
-            lambda key: key.startswith(prefix), self.keys[position:]
-        )
-        return [items[key] for key in found if key in items]
-
-    def expire_leases(self) -> None:
-        """Remove the expired leases and the keys attached to them."""
-        now = time.monotonic()
-        expired = {
-            lease_id
-            for lease_id, lease in self.leases.items()
-            if lease.expires_at < now
-        }
-        for lease_id in expired:
-            del self.leases[lease_id]
-        expired_keys = tuple(
-            key for key, item in self.items.items() if item.lease in expired
-        )
-        if expired_keys:
-            self.commit(wire.Transaction(remove=expired_keys))
-
-    def _put(self, put: wire.Put) -> None:
-        if put.key in self.items:
-            self.previous_items[put.key] = self.items[put.key]
-        else:
-            bisect.insort(self.keys, put.key)
-        item = wire.Item(put.key, put.value, self.revision, put.lease)
-        self.items[put.key] = item
-        self._append_history(item)
-
-    def _remove(self, key: str) -> None:
-        del self.items[key]
-        self.previous_items.pop(key, None)
-        self.keys.remove(key)
-        self._append_history(
-            wire.Item(key, revision=self.revision, tombstone=True)
-        )
-
-    def _append_history(self, item: wire.Item) -> None:
-        if len(self.history) == self.history.maxlen:
-            self.compacted = self.history[0].revision
-        self.history.append(item)
-
 
 def _reply(message: object, status: int = 200) -> web.Response:
     return web.Response(
@@ -280,14 +172,17 @@
         state.count("watches")
         after = int(request.query["after"])
         prefix = request.query["pathPrefix"]
-        if after < state.compacted:
+        era = state.era
+
+        def is_gone() -> bool:
+            return state.era != era or not state.has_history(after)
+
+        if is_gone():
             return web.Response(status=410)
 
         def can_respond() -> bool:
             newer = state.list_changes(prefix, after)
-            return (
-                bool(newer) or state.faults.outage or after < state.compacted
-            )
+            return bool(newer) or state.faults.outage or is_gone()
 
         try:
             async with asyncio.timeout(int(request.query["waitMs"]) / 1000):
@@ -297,7 +192,7 @@
             pass
         if state.faults.outage:
             return web.Response(status=503)
-        if after < state.compacted:
+        if is_gone():
             return web.Response(status=410)
         return _reply(
             wire.Events(state.revision, state.list_changes(prefix, after))
@@ -308,7 +203,9 @@
         wanted = codec.decode(await request.read(), wire.LeaseRequest)
         ttl_s = wanted.ttl_ms / 1000
         lease_id = next(state.lease_ids)
-        state.leases[lease_id] = Lease(time.monotonic() + ttl_s, ttl_s)
+        state.leases[lease_id] = store_data.Lease(
+            time.monotonic() + ttl_s, ttl_s
+        )
         return _reply(wire.LeaseGrant(lease_id, wanted.ttl_ms))
 
     async def renew_lease(request: web.Request) -> web.Response:
@@ -317,7 +214,9 @@
         if lease_id not in state.leases:
             return web.Response(status=404)
         ttl_s = state.leases[lease_id].ttl_s
-        state.leases[lease_id] = Lease(time.monotonic() + ttl_s, ttl_s)
+        state.leases[lease_id] = store_data.Lease(
+            time.monotonic() + ttl_s, ttl_s
+        )
         return _reply(wire.LeaseGrant(lease_id, round(ttl_s * 1000)))
 
     async def end_lease(request: web.Request) -> web.Response:
@@ -325,7 +224,7 @@
         lease_id = int(request.match_info["lease"])
         if lease_id not in state.leases:
             return web.Response(status=404)
-        state.leases[lease_id] = Lease(0.0, 0.0)
+        state.leases[lease_id] = store_data.Lease(0.0, 0.0)
         state.expire_leases()
         await notify_watches()
         return web.Response()
@@ -335,6 +234,15 @@
         await notify_watches()
         return web.Response()
 
+    async def take_copy(request: web.Request) -> web.Response:
+        state.take_copy()
+        return web.Response()
+
+    async def restore(request: web.Request) -> web.Response:
+        state.restore()
+        await notify_watches()
+        return web.Response()
+
     async def set_faults(request: web.Request) -> web.Response:
         state.faults = codec.decode(await request.read(), Faults)
         await notify_watches()
@@ -343,9 +251,16 @@
     async def show_counts(request: web.Request) -> web.Response:
         return _reply(state.counts)
 
+    async def add_era(
+        request: web.Request, response: web.StreamResponse
+    ) -> None:
+        if state.era is not None:
+            response.headers[wire.ERA_HEADER] = str(state.era)
+
     app = web.Application(
         middlewares=[inject_faults], client_max_size=2 * VALUE_LIMIT_BYTES
     )
+    app.on_response_prepare.append(add_era)
     app.router.add_get("/api/kv-key", get)
     app.router.add_get("/api/kv-range", listing)
     app.router.add_get("/api/kv-watch", watch)
@@ -354,6 +269,8 @@
     app.router.add_post("/api/kv-keep/{lease}", renew_lease)
     app.router.add_delete("/api/kv-lease-end/{lease}", end_lease)
     app.router.add_post("/admin/compact", compact)
+    app.router.add_post("/admin/copy", take_copy)
+    app.router.add_post("/admin/restore", restore)
     app.router.add_put("/admin/faults", set_faults)
     app.router.add_get("/admin/counts", show_counts)
     return app
