Keep the change log whole after a restore of the store

Cause: a restored store lacks the newest changes. The next write left a gap in the log, which no daemon that starts gets past, or the revision of a lost change went to another one without notice.

Change: a writer reads the slot before its own from the first restore on, and compares its changes with the log if it does not hold the change that the writer applied. A restore during the comparison starts it again.

A write that was sent before its daemon knew of the restore may still leave a gap until the next comparison fills it.

--- a/packages/burdockdeal/burdockdeal/configuration/repository.py
+++ b/packages/burdockdeal/burdockdeal/configuration/repository.py
@@ -140,7 +140,7 @@
             overwritten is still in no snapshot, or the log holds another
             change at a revision that is applied.
         """
-        await self.rewrite_lost()
+        await self._check_previous(change.revision - 1)
         if not log.can_overwrite(
             change.revision, self.snapshot_revision, self._ring_size
         ):
@@ -162,12 +162,26 @@
         """
         if not self.is_restored:
             return
-        self.is_restored = False
-        try:
-            await self._rewrite_lost()
-        except errors.PlatformError:
-            self.is_restored = True
-            raise
+        era = self._store.era
+        await self._rewrite_lost()
+        # The store may have been restored again meanwhile.
+        self.is_restored = self._store.era != era
+
+    async def _check_previous(self, revision: int) -> None:
+        """Ensure that the next write follows the change that is applied.
+
+        After a restore this daemon may also have received a change from a
+        peer that the store has lost.
+        """
+        await self.rewrite_lost()
+        applied = self._active.find_change(revision)
+        if self._store.era and applied is not None:
+            slot = await self.read_slot(revision)
+            outcome = log.classify_slot(
+                revision, applied.change_id, slot.change
+            )
+            if outcome is not log.WriteOutcome.COMMITTED:
+                await self._rewrite_lost()
 
     async def _rewrite_lost(self) -> None:
         retained = self._active.recent_changes
--- a/packages/burdockdeal/burdockdeal/configuration/tests/test_writer.py
+++ b/packages/burdockdeal/burdockdeal/configuration/tests/test_writer.py
@@ -343,6 +343,18 @@
     assert read_log(store) == {1: "c1", 2: "c2", 3: "c3"}
 
 
+def test_a_lost_change_of_a_peer_is_written_before_the_next() -> None:
+    """Guards against a gap if the change arrives after the comparison."""
+    store = memory_store.MemoryStore()
+    first, second = make_daemon(store, "x"), make_daemon(store, "y")
+    append(first, make_request("c1"))
+    store.restore({})
+    asyncio.run(second.repository.rewrite_lost())
+    second.active.apply(first.active.recent_changes)
+    append(second, make_request("c2", name="s2"))
+    assert read_log(store) == {1: "c1", 2: "c2"}
+
+
 def test_another_change_at_an_applied_revision_is_refused(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/packages/burdockdeal/burdockdeal/membership/contacts.py
+++ b/packages/burdockdeal/burdockdeal/membership/contacts.py
@@ -172,10 +172,13 @@
 
         Those of the domains with active daemons have been updated already.
         """
-        for domain, listed in self._listed_before.items():
+        rewrite_at, before = self._rewrite_at, self._listed_before
+        for domain, listed in before.items():
             if domain not in self._listed:
                 await self._write(domain, listed.contacts)
-        self._rewrite_at, self._listed_before = None, {}
+        if self._rewrite_at == rewrite_at:
+            # Otherwise the store was restored again meanwhile.
+            self._rewrite_at, self._listed_before = None, {}
         event_log.record(
             "records_rewritten", kind="contacts", domains=len(self._listed)
         )
--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -1,7 +1,11 @@
 """Daemons whose store comes back from an old copy."""
 
+import asyncio
+
+from burdockdeal.configuration import resources
 from burdockdeal_standins import fleet as standins
 from burdockdeal_standins import platform_fleet
+from burdockdeal_standins import ports
 
 
 async def test_daemons_survive_a_restore_of_the_store(
@@ -71,3 +75,40 @@
         )
 
     await fleet.wait_until(have_logged, f"{names} log {text}")
+
+
+async def administer_store(fleet: standins.Fleet, action: str) -> None:
+    url = f"http://{ports.HOST}:{fleet.store_port}/admin/{action}"
+    async with fleet.session.post(url) as response:
+        assert response.status == 200
+
+
+async def test_lost_changes_are_in_the_log_again(
+    small_fleet: standins.Fleet,
+) -> None:
+    """Guards against a gap in the log, and watches that return at once.
+
+    A restored store has discarded its history, so that a watch from an
+    entry's version lists everything.
+    """
+    fleet, node = small_fleet, small_fleet.nodes["d1"]
+    await administer_store(fleet, "copy")
+    lost = await fleet.declare(node, "Service", "lost", resources.Service())
+    await administer_store(fleet, "restore")
+
+    async def is_written_again() -> bool:
+        return any(
+            "kind=changes revisions=1" in fleet.read_log(name)
+            for name in fleet.nodes
+        )
+
+    await fleet.wait_until(is_written_again, "the change is written again")
+    following = await fleet.declare(
+        node, "Service", "next", resources.Service()
+    )
+    assert following == lost + 1
+    before = await fleet.read_store_counts()
+    await asyncio.sleep(3.0)
+    after = await fleet.read_store_counts()
+    # Three relays, whose watches end after 5 s without news.
+    assert after.watches - before.watches <= 2 * len(fleet.nodes)
