Compare the log also if a relay's first read shows the new era

Cause: a relay that was not watching when the store was restored learned of it from its listing, went on to watch, and never wrote the lost changes again. tests/test_store_restore.py failed so in one whole run of the suite.

The tests' reader of store entries passes the era, which seven tests of the configuration lacked.

Ruled out: comparing only when a position is lost, which was the fault.

--- a/packages/burdockdeal/burdockdeal/configuration/log_follower.py
+++ b/packages/burdockdeal/burdockdeal/configuration/log_follower.py
@@ -93,7 +93,7 @@
             if the store was restored from an old copy.
         """
         before = self._active.revision
-        if seen is None:
+        if seen is None or self._log.is_restored:
             await self._rewrite_lost()
             await self._log.catch_up()
             slot = await self._log.read_slot(self._active.revision)
--- a/packages/standins/burdockdeal_standins/operator_api.py
+++ b/packages/standins/burdockdeal_standins/operator_api.py
@@ -112,7 +112,9 @@
     url = f"http://{ports.HOST}:{fleet.store_port}/api/kv-range"
     async with fleet.session.get(f"{url}?pathPrefix={prefix}") as response:
         response.raise_for_status()
-        return codec.decode(await response.read(), wire.Page).decode_items()
+        era = wire.parse_era(response.headers.get(wire.ERA_HEADER))
+        page = codec.decode(await response.read(), wire.Page)
+        return page.decode_items(era)
 
 
 async def read_changes(fleet: standins.Fleet) -> list[messages.Change]:
