--- a/packages/burdockdeal/burdockdeal/daemon/assembly.py
+++ b/packages/burdockdeal/burdockdeal/daemon/assembly.py
@@ -85,6 +85,7 @@
             shared.roster,
             platform,
             shared.clock,
+            shared.rng,
         ),
         shared.rng,
         shared.clock,
@@ -285,7 +286,12 @@
             )
         )
         at_most_once = bookings.AtMostOnceExecution(
-            settings, shared.roster, platform, peer_session, shared.clock
+            settings,
+            shared.roster,
+            platform,
+            peer_session,
+            shared.clock,
+            shared.rng,
         )
         refresher = await stack.enter_async_context(
             load_refresher.LoadRefresher(
@@ -340,6 +346,7 @@
             *control_plane.services,
             membership_service,
             load_probing.prober,
+            at_most_once.claim_keeper,
         )
         for service in shared.services:
             await stack.enter_async_context(service)
--- a/packages/burdockdeal/burdockdeal/evacuation/decisions.py
+++ b/packages/burdockdeal/burdockdeal/evacuation/decisions.py
@@ -8,14 +8,14 @@
 def select_newer(
     known: messages.EvacuatedDomains, received: messages.EvacuatedDomains
 ) -> messages.EvacuatedDomains:
-    """Return the set that was read at the higher revision of the store.
+    """Return the set that was read at the later version of the store.
 
     Handles an evacuation that is started and ended while daemons can't reach
     each other: all of them end with the same set. The revision is taken over
     even if the set is the same; otherwise a set that was read between the
     two would replace it.
     """
-    return received if received.revision > known.revision else known
+    return received if received.version > known.version else known
 
 
 def compare(
--- a/packages/burdockdeal/burdockdeal/evacuation/tests/test_spread.py
+++ b/packages/burdockdeal/burdockdeal/evacuation/tests/test_spread.py
@@ -120,6 +120,22 @@
     assert [change.started for change in changes] == [{"b"}]
 
 
+def test_a_set_of_a_restored_store_replaces_one_of_an_earlier_era() -> None:
+    """A store that is restored from an old copy issues its revisions again."""
+    applied = active.ActiveEvacuation(is_enabled=True)
+    for domains, revision, era in [
+        (("a",), 90, 0),
+        ((), 40, 1),
+        (("b",), 95, 0),
+    ]:
+        applied.apply(
+            messages.EvacuatedDomains(domains, revision, era), source="test"
+        )
+    assert applied.current.version == (1, 40)
+    assert not applied.is_evacuated("a")
+    assert not applied.is_evacuated("b")
+
+
 def test_a_deployment_without_evacuations_ignores_them() -> None:
     applied = active.ActiveEvacuation(is_enabled=False)
     applied.apply(messages.EvacuatedDomains(("b",), 10), source="test")
--- a/packages/burdockdeal/burdockdeal/platform/evacuations.py
+++ b/packages/burdockdeal/burdockdeal/platform/evacuations.py
@@ -56,7 +56,9 @@
         self._ignored = invalid
         self._evacuations.apply(
             evacuation.EvacuatedDomains(
-                tuple(sorted(names - invalid)), listing.revision
+                tuple(sorted(names - invalid)),
+                listing.version.revision,
+                listing.version.era,
             ),
             source="store",
         )
--- a/packages/burdockdeal/burdockdeal/platform/tests/test_evacuations.py
+++ b/packages/burdockdeal/burdockdeal/platform/tests/test_evacuations.py
@@ -13,9 +13,13 @@
 def apply(*keys: str) -> tuple[str, ...]:
     applied = active.ActiveEvacuation(is_enabled=True)
     reader = evacuations.EvacuationReader(applied)
-    entries = tuple(messages.Entry(key, "{}", 7) for key in keys)
+    entries = tuple(
+        messages.Entry(key, "{}", messages.Version(0, 7)) for key in keys
+    )
     for revision in (7, 8):
-        reader.apply_listing(messages.Listing(entries, revision))
+        reader.apply_listing(
+            messages.Listing(entries, messages.Version(0, revision))
+        )
     return applied.current.domains
 
 
@@ -43,15 +47,19 @@
     async with test_store.run_store() as (client, data):
         count = 2 * standin.MAX_PAGE_ITEMS + 1
         for number in range(count):
-            await client.put(f"op/evacuate/d{number:05}", "{}", version=0)
+            await client.put(
+                f"op/evacuate/d{number:05}", "{}", version=messages.ABSENT
+            )
         read_page, revision = client._read_page, data.revision
 
         async def read_and_change(*arguments):
             page = await read_page(*arguments)
-            await client.put(f"other/{data.revision}", "", version=0)
+            await client.put(
+                f"other/{data.revision}", "", version=messages.ABSENT
+            )
             return page
 
         client._read_page = read_and_change
         listing = await client.list("op/", limit=100_000)
         assert len(listing.entries) == count
-        assert listing.revision == revision < data.revision
+        assert listing.version.revision == revision < data.revision
--- a/packages/standins/burdockdeal_standins/evacuation_fleet.py
+++ b/packages/standins/burdockdeal_standins/evacuation_fleet.py
@@ -18,6 +18,7 @@
 from burdockdeal.membership import roster
 from burdockdeal.membership import service
 from burdockdeal.platform import evacuations
+from burdockdeal.platform import messages
 from burdockdeal.platform import watcher
 from burdockdeal.settings import model
 from burdockdeal_standins import memory_store
@@ -62,6 +63,7 @@
                 self.roster,
                 memory_store.MemoryStore(),
                 loop.time,
+                rng,
             ),
             rng,
             loop.time,
@@ -160,7 +162,9 @@
 
     async def evacuate(self, domain: str) -> None:
         """Evacuate a failure domain, as the operator does."""
-        await self.store.put(f"op/evacuate/{domain}", "{}", version=0)
+        await self.store.put(
+            f"op/evacuate/{domain}", "{}", version=messages.ABSENT
+        )
 
     async def take_back(self, domain: str) -> None:
         """End an evacuation, as the operator does."""
