--- a/packages/burdockdeal/burdockdeal/evacuation/tests/test_spread.py
+++ b/packages/burdockdeal/burdockdeal/evacuation/tests/test_spread.py
@@ -8,6 +8,7 @@
 
 from burdockdeal.evacuation import active
 from burdockdeal.evacuation import messages
+from burdockdeal.platform import messages as store_messages
 from burdockdeal_standins import evacuation_fleet
 from burdockdeal_standins import virtual_time
 
@@ -32,7 +33,7 @@
         for daemon in fleet.daemons:
             daemon.is_store_down = daemon.name in first
         await fleet.take_back("b")
-        await fleet.store.put("op/config", "{}", version=0)
+        await fleet.store.put("op/config", "{}", version=store_messages.ABSENT)
         await asyncio.sleep(BOUND_S)
         assert fleet.find_sets() == {()}
 
--- a/packages/standins/burdockdeal_standins/evacuation_fleet.py
+++ b/packages/standins/burdockdeal_standins/evacuation_fleet.py
@@ -107,10 +107,17 @@
         self._check_store()
         return await self.fleet.store.list(prefix)
 
-    async def watch(self, prefix: str, *, after: int, wait_s: float):
+    @property
+    def era(self) -> int:
+        """The store's era."""
+        return self.fleet.store.era
+
+    async def watch(
+        self, prefix: str, *, after: messages.Version, wait_s: float
+    ):
         """Watch the store's keys, as the store's client does."""
         ends_at = asyncio.get_running_loop().time() + wait_s
-        while self.fleet.store.version <= after:
+        while self.fleet.store.version.revision <= after.revision:
             self._check_store()
             if asyncio.get_running_loop().time() >= ends_at:
                 break
@@ -171,7 +178,10 @@
         key = f"op/evacuate/{domain}"
         version = self.store.entries[key].version
         await self.store.delete(key, version=version)
-        self.store.version += 1
+        changed = self.store.version
+        self.store.version = messages.Version(
+            changed.era, changed.revision + 1
+        )
 
     def find_sets(self) -> set[tuple[str, ...]]:
         """Return what the daemons that run apply."""
