Test that relays' watches wait after a restore

Cause: the bound on watches in tests/test_store_restore.py did not fail with a position taken from the newest entry, since the change that was written again was newer than the discarded history.

Change: the watches are counted after a restore that lost nothing, with an unrelated key written last.

Ruled out: counting after the next change, as before.

--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -92,7 +92,18 @@
     entry's version lists everything.
     """
     fleet, node = small_fleet, small_fleet.nodes["d1"]
+    # The log's newest entry is older than the history that is discarded.
+    store_url = f"http://{ports.HOST}:{fleet.store_port}/api/kv-txn"
+    unrelated = b'{"puts":[{"key":"unrelated","value":""}]}'
+    async with fleet.session.post(store_url, data=unrelated) as response:
+        assert response.status == 200
     await administer_store(fleet, "copy")
+    await administer_store(fleet, "restore")
+    before = await fleet.read_store_counts()
+    await asyncio.sleep(3.0)
+    after = await fleet.read_store_counts()
+    # Three relays, whose watches end after 5 s without news.
+    assert after.watches - before.watches <= 2 * len(fleet.nodes)
     lost = await fleet.declare(node, "Service", "lost", resources.Service())
     await administer_store(fleet, "restore")
 
@@ -107,8 +118,3 @@
         node, "Service", "next", resources.Service()
     )
     assert following == lost + 1
-    before = await fleet.read_store_counts()
-    await asyncio.sleep(3.0)
-    after = await fleet.read_store_counts()
-    # Three relays, whose watches end after 5 s without news.
-    assert after.watches - before.watches <= 2 * len(fleet.nodes)
