Hold requests for up to half a second while no daemon lends credit

Change: a request waits up to 0.5 s for a daemon that lends; a started daemon lends 0.4 s after its roster has last grown, not 1 s.

--- a/packages/burdockdeal/burdockdeal/quotas/borrowing.py
+++ b/packages/burdockdeal/burdockdeal/quotas/borrowing.py
@@ -26,6 +26,11 @@
 _MAX_ASKED = 5
 _MAX_UNANSWERED = 3
 
+#: Seconds for which a request waits at most while no daemon lends: after a
+#: restart of the fleet, and after the loss of a lender. A refusal would cost
+#: its caller a connection and one of its retries.
+_MAX_HOLD_S = 0.5
+
 #: Seconds between two lines about refusals of a workspace.
 _LOG_INTERVAL_S = 1.0
 
@@ -100,20 +105,30 @@
         :raises NotRunError: if there is none.
         """
         now = self._clock()
+        hold_until = min(now + _MAX_HOLD_S, deadline)
         holding = self._holdings.get(workspace)
         if holding is None or holding.limit != limit:
             # A refusal under another limit doesn't say anything about this.
             holding = state.Holding(limit)
         self._holdings[workspace] = decisions.record_demand(holding, now)
         while True:
-            taken = self._try_take(workspace)
+            taken = self._try_take(workspace, hold_until)
             if taken is not None:
                 return taken
+            await self._wait_for_lender(workspace)
             await self._wait_for_credit(workspace, deadline)
 
-    def _try_take(self, workspace: str) -> float | None:
+    async def _wait_for_lender(self, workspace: str) -> None:
+        """Wait until a lender may be asked again, if none answered."""
+        remaining_s = self._holdings[workspace].refused_until - self._clock()
+        if remaining_s > 0:
+            await asyncio.sleep(remaining_s)
+
+    def _try_take(self, workspace: str, hold_until: float) -> float | None:
         """Take a credit that is held, or refuse.
 
+        :param hold_until: monotonic time in seconds until which the request
+            may wait for a daemon that lends.
         :returns: when it expires, None if the lender must be asked.
         """
         now = self._clock()
@@ -128,6 +143,8 @@
             own = self._take_own(workspace, holding, now)
             if own:
                 return 0.0
+            if holding.refused_until < hold_until:
+                return None
         raise self._refuse(workspace, self._holdings[workspace], now)
 
     def _take_own(
--- a/packages/burdockdeal/burdockdeal/quotas/fleet_view.py
+++ b/packages/burdockdeal/burdockdeal/quotas/fleet_view.py
@@ -10,10 +10,12 @@
 #: Seconds for which a daemon that was declared dead counts as known.
 _DEAD_S = 30.0
 
-#: Seconds after which a started daemon lends at the earliest, and after
-#: which one does that is alone in its roster. Joining is tried every one to
-#: two seconds, so the second time is enough for two tries.
-_SETTLE_S = 1.0
+#: Seconds without a new daemon in its roster after which a started daemon
+#: lends, and seconds after which one does that is alone there. Daemons that
+#: start together learn of each other within 0.25 s, by several messages each;
+#: joining is tried every one to two seconds, so the second time is enough for
+#: two tries.
+_SETTLE_S = 0.4
 _ALONE_SETTLE_S = 3.0
 
 #: Seconds after the start in which a roster that grows is incomplete.
--- a/packages/burdockdeal/burdockdeal/quotas/tests/test_fleet_failures.py
+++ b/packages/burdockdeal/burdockdeal/quotas/tests/test_fleet_failures.py
@@ -259,3 +259,19 @@
         assert len(fleet.runs) - before >= 1.8 * _HOT
 
     quota_fleet.play(play)
+
+
+def test_requests_wait_for_a_lender_after_a_restart_of_the_fleet() -> None:
+    """A refusal would cost each caller a connection and one of its retries."""
+
+    async def play() -> None:
+        fleet = quota_fleet.Fleet(knows_all=False)
+        for node in fleet.nodes:
+            for other in fleet.nodes:
+                delay_s = fleet.rng.random() * 0.2
+                fleet.after(delay_s, node.roster.merge_members, [other.member])
+        await fleet.offer(quota_fleet.QUOTA.requests_per_s / 4, 4.0)
+        assert len(fleet.refusals) <= 0.15 * fleet.offered
+        fleet.assert_within_bound()
+
+    quota_fleet.play(play)
