Bound what callers send and what their connections hold together

Cause: aiohttp's parser bounds each line of a head, not the head (128 lines of 16 KiB), nor trailers; empty lines were given to it four bytes at a time; a body that turned out malformed or too long in its framing did not end its request, so that what it held stayed; a read of 256 KiB could start hundreds of requests; a connection closed with unread responses never ended; nothing bounded the sum over all connections. The configuration's limits on heads were read and not enforced.

Change: - overload/memory counts what each connection holds, and their sum; at limits.buffered_bytes (32 MiB) those that hold the most and have made the least progress are reset and freed at once (overload/decisions). - serving/request_reading bounds a whole head, the empty lines before it, and trailers and extensions; serving/request_intake parses 16 pieces of one connection and 128 of all in a turn of the event loop; a read is 16 KiB. - header_bytes and head_s of the configuration are enforced, the latter for each head and not only for the first of a connection. - A client that takes none of its response in answer_idle_s is reset. - serving/pipelined_connection is split: exchange, request_intake, connection_usage, held_memory, caller_server.

Found on the way: aiohttp's parser stops once more after a read whose last chunk paused it, so an upload in 4,097 chunks hung until its time ran out.

Ruled out: freeing in connection_lost only, since asyncio calls it a turn later, when a thousand other connections may have been read (272 MB with 1,500 connections); dropping the parser's errors as they are, since their tracebacks keep what was received.

--- a/packages/burdockdeal/burdockdeal/daemon/assembly.py
+++ b/packages/burdockdeal/burdockdeal/daemon/assembly.py
@@ -126,6 +126,7 @@
     handle_entry: http_server.Handler,
 ) -> _Servers:
     limits = shared.settings.limits
+    caller_limiter = shared.listener_limiters.caller
     return _Servers(
         http_server.PeerServer(
             handle_peer,
@@ -134,8 +135,10 @@
         ),
         pipelined_server.PipelinedServer(
             handle_entry,
-            header_bytes=limits.header_bytes,
-            idle_s=shared.get_caller_idle_s,
+            limits=limits,
+            caller_limits=shared.get_caller_limits,
+            ledger=shared.caller_memory,
+            record_slow_heads=caller_limiter.record_slow_heads,
             build_error_response=shared.header_codec.build_error_response,
         ),
     )
@@ -180,6 +183,7 @@
         *load_probing.make_gauges(),
         *metrics.make_retry_gauges(shared.retry_budget),
         *metrics.make_overload_gauges(shared.listener_limiters, shedder),
+        *metrics.make_memory_gauges(shared.caller_memory),
     )
 
 
--- a/packages/burdockdeal/burdockdeal/daemon/components.py
+++ b/packages/burdockdeal/burdockdeal/daemon/components.py
@@ -2,7 +2,9 @@
 
 from collections import abc
 import dataclasses
+import math
 import random
+import sys
 import time
 
 import mode
@@ -22,6 +24,7 @@
 from burdockdeal.membership import roster
 from burdockdeal.overload import connections
 from burdockdeal.overload import load_shedder
+from burdockdeal.overload import memory
 from burdockdeal.retry import budget as budgets
 from burdockdeal.retry import fleet_budget
 from burdockdeal.retry import running
@@ -35,6 +38,11 @@
 
 _DEFAULT_SERVICE = resources.Service()
 
+#: Limits of callers that lower nothing.
+_NO_CALLER_LIMITS = resources.CallerLimits(
+    sys.maxsize, sys.maxsize, math.inf, math.inf
+)
+
 #: Urgency of a rank that the configuration does not contain any more.
 _LEAST_URGENT = 1_000
 
@@ -110,6 +118,11 @@
         self._slot_limit = _SlotLimit()
         self.running_calls = running.RunningCalls()
         self.retry_budget = self._build_retry_budget()
+        self.caller_memory = memory.MemoryLedger(
+            settings.limits.buffered_bytes, CLOCK
+        )
+        self._configured_limits: resources.CallerLimits | None = None
+        self._caller_limits = _NO_CALLER_LIMITS
         self.listener_limiters = connections.limit_listeners(
             settings.limits, self.clock
         )
@@ -287,18 +300,27 @@
             and not self.shutdown_controller.is_stopping
         )
 
-    def get_caller_idle_s(self) -> float:
-        """Return the seconds that an idle connection of a caller is kept.
+    def get_caller_limits(self) -> resources.CallerLimits:
+        """Return the limits of callers that are in force.
 
-        The configuration can lower the limit of the settings, not raise it.
+        The configuration can lower the limits of the settings, not raise
+        them.
         """
-        limit_s = self.settings.limits.caller_idle_s
-        if (
-            self.compiled_configuration is None
-            or self.compiled_configuration.caller_limits is None
-        ):
-            return limit_s
-        return min(limit_s, self.compiled_configuration.caller_limits.idle_s)
+        limits = self.settings.limits
+        configured = (
+            self.compiled_configuration.caller_limits
+            if self.compiled_configuration is not None
+            else None
+        ) or _NO_CALLER_LIMITS
+        if configured is not self._configured_limits:
+            self._configured_limits = configured
+            self._caller_limits = resources.CallerLimits(
+                header_bytes=min(limits.header_bytes, configured.header_bytes),
+                body_bytes=configured.body_bytes,
+                head_s=min(limits.head_s, configured.head_s),
+                idle_s=min(limits.caller_idle_s, configured.idle_s),
+            )
+        return self._caller_limits
 
     def list_missing(self) -> tuple[str, ...]:
         """Return the names of what the daemon needs before it can serve."""
--- a/packages/burdockdeal/burdockdeal/daemon/metrics.py
+++ b/packages/burdockdeal/burdockdeal/daemon/metrics.py
@@ -11,6 +11,7 @@
 from burdockdeal.core import verdict
 from burdockdeal.overload import connections
 from burdockdeal.overload import load_shedder
+from burdockdeal.overload import memory
 from burdockdeal.retry import budget as budgets
 
 
@@ -87,6 +88,24 @@
     )
 
 
+def make_memory_gauges(
+    ledger: memory.MemoryLedger,
+) -> tuple[gauge.Gauge, ...]:
+    """Make the gauges of the memory that callers' connections hold."""
+    return (
+        gauge.Gauge(
+            "burdockdeal_buffered_bytes",
+            "Bytes that callers' connections hold, estimated.",
+            lambda: ledger.total_bytes,
+        ),
+        gauge.Gauge(
+            "burdockdeal_connections_reset_total",
+            "Connections reset since all together held too much.",
+            lambda: ledger.evicted,
+        ),
+    )
+
+
 class Metrics:
     """The metrics registry of one daemon.
 
--- a/packages/burdockdeal/burdockdeal/overload/connections.py
+++ b/packages/burdockdeal/burdockdeal/overload/connections.py
@@ -135,6 +135,13 @@
         server.connection_made = connection_made
         server.connection_lost = connection_lost
 
+    def record_slow_heads(self, count: int) -> None:
+        """Record connections refused since a head did not come in time."""
+        self.slow += count
+        event_log.record(
+            "slow_heads", listener=self._listener, connections=count
+        )
+
     def _add(self, handler: Handler) -> None:
         if len(self._opened_at) >= self._limit and not self._evict():
             self.refused += 1
@@ -166,11 +173,8 @@
             if not _has_had_request(handler):
                 slow += 1
                 _refuse(handler, _SLOW_RESPONSE)
-        self.slow += slow
         if slow:
-            event_log.record(
-                "slow_heads", listener=self._listener, connections=slow
-            )
+            self.record_slow_heads(slow)
         self._schedule_sweep()
 
 
--- a/packages/burdockdeal/burdockdeal/overload/decisions.py
+++ b/packages/burdockdeal/burdockdeal/overload/decisions.py
@@ -25,6 +25,10 @@
 #: How late the loop may run its ticks, in seconds.
 LAG_TARGET_S = 0.02
 
+#: Seconds added to the time without progress, so that of connections that
+#: have just made some, those that hold the most come first.
+_STALL_OFFSET_S = 0.1
+
 #: Requests that may be in progress however late the loop runs.
 MIN_LIMIT = 16.0
 
@@ -178,3 +182,30 @@
     return progress.received_bytes < bytes_per_s * (
         progress.waited_s - grace_s
     )
+
+
+def choose_evictions(
+    holdings: abc.Sequence[state.Holding], excess_bytes: float
+) -> list[int]:
+    """Choose the connections to reset so that enough memory is free.
+
+    Handles crowds of clients that send most of a request, or take none of
+    their responses, and stay connected: those that hold the most and have
+    made the least progress go first, so that ordinary callers, who hold
+    little for a moment, go on.
+
+    :param excess_bytes: what must be freed at least.
+    :returns: positions in the holdings, the first to reset first.
+    """
+
+    def rank(position: int) -> float:
+        holding = holdings[position]
+        return holding.held_bytes * (_STALL_OFFSET_S + holding.stalled_s)
+
+    chosen = []
+    for position in sorted(range(len(holdings)), key=rank, reverse=True):
+        if excess_bytes <= 0:
+            break
+        chosen.append(position)
+        excess_bytes -= holdings[position].held_bytes
+    return chosen
--- a/packages/burdockdeal/burdockdeal/overload/state.py
+++ b/packages/burdockdeal/burdockdeal/overload/state.py
@@ -57,3 +57,15 @@
 
     received_bytes: int = 0
     waited_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Holding:
+    """The memory that one connection holds.
+
+    :param held_bytes: what was read or promised and is not yet used.
+    :param stalled_s: seconds since the connection last made progress.
+    """
+
+    held_bytes: int
+    stalled_s: float
--- a/packages/burdockdeal/burdockdeal/serving/http_server.py
+++ b/packages/burdockdeal/burdockdeal/serving/http_server.py
@@ -14,6 +14,9 @@
 from burdockdeal.serving import forwarding
 from burdockdeal.serving import header_codec
 
+#: Characters of an error's text that are logged.
+_MAX_LOGGED_CHARS = 300
+
 BuildErrorResponse = abc.Callable[[errors.CallError, str], web.Response]
 Handler = abc.Callable[[web.BaseRequest], abc.Awaitable[web.StreamResponse]]
 
@@ -50,10 +53,12 @@
     :returns: a response with a verdict.
     """
     error = _to_call_error(exc, status)
+    text = repr(exc) if exc else message
     event_log.warn(
         "request_failed",
         reason=error.reason,
-        error=repr(exc) if exc else message,
+        # The parser's errors quote what it was given.
+        error=text[:_MAX_LOGGED_CHARS] if text else None,
         where=event_log.format_traceback(exc) if exc else None,
     )
     return build_error_response(error, "")
--- a/packages/burdockdeal/burdockdeal/serving/pipelined_connection.py
+++ b/packages/burdockdeal/burdockdeal/serving/pipelined_connection.py
@@ -3,28 +3,26 @@
 import asyncio
 import collections
 from collections import abc
-import typing
 
 from aiohttp import base_protocol
 from aiohttp import http_exceptions
 from aiohttp import http_parser
 from aiohttp import streams
-from aiohttp import web
 
-from burdockdeal.serving import raw_responses
+from burdockdeal.core import errors
+from burdockdeal.core import verdict
+from burdockdeal.overload import state
+from burdockdeal.serving import caller_server
+from burdockdeal.serving import connection_usage
+from burdockdeal.serving import exchange
+from burdockdeal.serving import held_memory
+from burdockdeal.serving import request_intake
 from burdockdeal.serving import request_reading
 from burdockdeal.serving import response_channels
 
 #: Number of unanswered requests above which a connection is not read.
 MAX_PIPELINED_REQUESTS = 16
 
-#: Bytes of a request's body that are buffered for the handler.
-READ_BUFFER_BYTES = 65536
-
-#: Methods that may be handled before the preceding requests are answered
-#: (RFC 9110, section 9.2.2); a request with another method waits.
-_SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
-
 #: Seconds between interim responses to a client that has closed its sending
 #: side: first a network round trip, then longer.
 _FIRST_PROBE_INTERVALS_S = (0.02, 0.1)
@@ -37,41 +35,7 @@
 LINGER_S = 1.0
 
 
-class Server(typing.Protocol):
-    """The server that a connection belongs to."""
-
-    header_bytes: int
-    closing: bool
-    closes_idle: bool
-
-    def connection_made(
-        self, connection: "Connection", transport: asyncio.BaseTransport
-    ) -> None:
-        """Register a new connection."""
-
-    def connection_lost(
-        self, connection: "Connection", exc: BaseException | None
-    ) -> None:
-        """Remove a connection that has ended."""
-
-    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Handle a request."""
-
-    def respond_to_error(
-        self, error: Exception, *, status: int = 500
-    ) -> web.Response:
-        """Log a request that could not be handled and build its response."""
-
-
-class _Request(web.BaseRequest):
-    """A request whose connection may close after its response."""
-
-    @property
-    def keep_alive(self) -> bool:
-        return not self._protocol.decide_close()
-
-
-class Connection(base_protocol.BaseProtocol):
+class Connection(base_protocol.BaseProtocol, asyncio.BufferedProtocol):
     """The protocol of one client connection.
 
     :param server: the server that it belongs to.
@@ -84,20 +48,25 @@
         "_request_count",
         "_server",
         "_tasks",
+        "_usage",
         "closing",
         "idle_since",
     )
 
-    def __init__(self, server: Server) -> None:
+    def __init__(self, server: caller_server.Server) -> None:
         loop = asyncio.get_running_loop()
         super().__init__(loop)
-        self._parser = http_parser.HttpRequestParser(
+        # aiohttp's part of the class pauses what is called its parser.
+        self._parser = request_intake.RequestIntake(
             self,
+            request_reading.RequestReader(
+                self,
+                loop,
+                line_bytes=server.limits.header_bytes,
+                get_head_bytes=lambda: server.caller_limits().header_bytes,
+            ),
+            server.turn_budget,
             loop,
-            READ_BUFFER_BYTES,
-            max_line_size=server.header_bytes,
-            max_field_size=server.header_bytes,
-            auto_decompress=False,
         )
         self._server = server
         self._exchanges: collections.deque[
@@ -109,10 +78,16 @@
         self._request_count = 0
         self._has_client_closed = False
         self._linger_timer: asyncio.TimerHandle | None = None
+        self._usage = connection_usage.ConnectionUsage(loop.time())
         #: Whether further requests are ignored.
         self.closing = False
         self.idle_since: float | None = loop.time()
 
+    @property
+    def head_since(self) -> float | None:
+        """When the client began the head that it is free to send, if any."""
+        return None if self.is_held else self._parser.head_since
+
     @property
     def is_idle(self) -> bool:
         """Whether every request is answered."""
@@ -134,6 +109,11 @@
         transport = self.transport
         return transport is not None and transport.get_write_buffer_size() > 0
 
+    @property
+    def unread_since(self) -> float:
+        """When the client last took a part of what is left to send to it."""
+        return self._usage.unread_since
+
     def is_last(self, channel: response_channels.ResponseChannel) -> bool:
         """Return whether no request follows the channel's request."""
         return bool(self._exchanges) and self._exchanges[-1] is channel
@@ -150,26 +130,49 @@
         if self._linger_timer is not None:
             self._linger_timer.cancel()
             self._linger_timer = None
+        self._parser.close()
+        self._server.ledger.remove(self)
         self._server.connection_lost(self, exc)
         self._cancel_exchanges()
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next read, which bounds its size."""
+        return self._server.read_buffer
+
+    def buffer_updated(self, size: int) -> None:
+        """Take received bytes out of the buffer."""
+        self.data_received(bytes(self._server.read_buffer[:size]))
+
     def data_received(self, data: bytes) -> None:
         """Parse received bytes and start the requests in them."""
-        if self.closing and not self._has_open_body():
+        if self.is_ignoring:
             return
-        for piece in request_reading.split_after_blank_lines(data):
-            try:
-                received, upgraded, _ = self._parser.feed_data(piece)
-            except http_exceptions.HttpProcessingError as error:
-                # What follows the last request of a connection is no request.
-                if not self.closing or self._has_open_body():
-                    self._refuse(error)
-                return
-            for message, payload in received:
-                self._accept(message, payload)
-            if upgraded:
-                self.closing = True
-                return
+        self._parser.push(data)
+        self.update_holding()
+
+    def update_holding(self) -> None:
+        """Record what the connection holds."""
+        if self.transport is not None and not self.transport.is_closing():
+            self._server.ledger.update(self)
+
+    def record_write(self, size: int) -> None:
+        """Record that bytes of a response were written or buffered."""
+        self._usage.record_write(size)
+        self.update_holding()
+
+    def measure_holding(self) -> state.Holding:
+        """Return what the connection holds."""
+        return self._usage.measure(
+            self._exchanges,
+            self.transport,
+            unparsed_bytes=self._parser.held_bytes,
+            replay_bytes=self._server.limits.replay_bytes,
+            now=self._loop.time(),
+        )
+
+    def refuse_slow_head(self) -> None:
+        """Refuse the request whose head did not arrive in time."""
+        self._refuse(errors.NotRunError(verdict.Reason.SLOW_CALLER))
 
     def eof_received(self) -> bool:
         """Keep a half-closed connection open while a response is pending.
@@ -209,6 +212,85 @@
         if self.transport is not None:
             self.transport.abort()
 
+    @property
+    def is_ignoring(self) -> bool:
+        """Whether what the client sends is not read any more."""
+        if self.transport is None:
+            return True
+        return self.closing and not self._has_open_body()
+
+    @property
+    def is_held(self) -> bool:
+        """Whether what was received has to wait."""
+        return self._reading_paused or self._buffer_paused
+
+    def hold_reading(self) -> None:
+        """Keep what is received waiting until `resume_if_free`."""
+        self._pause_reading_for_buffer()
+
+    def resume_if_free(self) -> None:
+        """Go on reading, unless a turn is due or too much is pipelined."""
+        if (
+            not self._buffer_paused
+            or self._parser.has_turn_due
+            or len(self._exchanges) > MAX_PIPELINED_REQUESTS
+        ):
+            return
+        self._resume_reading_for_buffer()
+        if not self.is_ignoring:
+            self._parser.resume()
+
+    def accept(
+        self,
+        message: http_parser.RawRequestMessage,
+        payload: streams.StreamReader,
+    ) -> None:
+        """Start a request."""
+        if self.closing:
+            # Requests after the one that closes the connection are ignored.
+            return
+        self._request_count += 1
+        self.idle_since = None
+        self.closing = self._server.closing or message.should_close
+        length = message.headers.get("Content-Length")
+        channel = response_channels.ResponseChannel(
+            self, payload, self._loop, None if length is None else int(length)
+        )
+        self._enqueue(
+            channel, exchange.handle_request(self._server, channel, message)
+        )
+
+    def reject(
+        self, error: errors.NotRunError | http_exceptions.HttpProcessingError
+    ) -> None:
+        """Refuse what could not be parsed, or end the body that it is in."""
+        # What follows the last request of a connection is no request.
+        if self.is_ignoring:
+            return
+        if not self._has_open_body():
+            self._refuse(error)
+            return
+        self.closing = True
+        if not isinstance(error, errors.NotRunError):
+            error = errors.NotRunError(
+                verdict.Reason.MALFORMED, "the body is malformed"
+            )
+        # The handler reads the error, and responds if it still can. The frames
+        # of its traceback would keep what was received.
+        held_memory.break_off_body(
+            self._exchanges[-1].payload, error.with_traceback(None)
+        )
+
+    def evict(self) -> None:
+        """Reset the connection, and free what it holds at once.
+
+        asyncio reports the loss in the next turn of the event loop, and
+        many other connections may be read before.
+        """
+        self.abort()
+        self._parser.close()
+        self._cancel_exchanges()
+
     def _cancel_exchanges(self) -> None:
         for channel in self._exchanges:
             channel.mark_lost()
@@ -216,7 +298,11 @@
             task.cancel()
 
     def _has_open_body(self) -> bool:
-        return any(not channel.payload.is_eof() for channel in self._exchanges)
+        return any(
+            not channel.payload.is_eof()
+            and channel.payload.exception() is None
+            for channel in self._exchanges
+        )
 
     def _probe(self, count: int) -> None:
         transport = self.transport
@@ -232,26 +318,13 @@
         )
         self._loop.call_later(interval_s, self._probe, count + 1)
 
-    def _accept(
-        self,
-        message: http_parser.RawRequestMessage,
-        payload: streams.StreamReader,
-    ) -> None:
-        if self.closing:
-            # Requests after the one that closes the connection are ignored.
-            return
-        self._request_count += 1
-        self.idle_since = None
-        self.closing = self._server.closing or message.should_close
-        channel = response_channels.ResponseChannel(self, payload, self._loop)
-        self._enqueue(channel, self._handle(channel, message))
-
-    def _refuse(self, error: http_exceptions.HttpProcessingError) -> None:
+    def _refuse(self, error: Exception) -> None:
         self.closing = True
+        self._parser.discard()
         channel = response_channels.ResponseChannel(
             self, streams.EMPTY_PAYLOAD, self._loop
         )
-        self._enqueue(channel, self._respond_to_unparsable(channel, error))
+        self._enqueue(channel, exchange.refuse(self._server, channel, error))
 
     def _enqueue(
         self, channel: response_channels.ResponseChannel, work: abc.Coroutine
@@ -278,55 +351,6 @@
             self._tasks.pop(channel, None)
             self._complete(channel, is_reusable)
 
-    async def _handle(
-        self,
-        channel: response_channels.ResponseChannel,
-        message: http_parser.RawRequestMessage,
-    ) -> bool:
-        if message.method not in _SAFE_METHODS:
-            await channel.wait_turn()
-        task = asyncio.current_task()
-        request = _Request(
-            message, channel.payload, channel, channel.writer, task, self._loop
-        )
-        try:
-            response = await self._server.handle(request)
-        except asyncio.CancelledError:
-            raise
-        except Exception as error:
-            response = self._server.respond_to_error(error)
-            if channel.writer.output_size > 0:
-                channel.abort()
-                return False
-        return await self._finish(channel, request, response)
-
-    async def _respond_to_unparsable(
-        self,
-        channel: response_channels.ResponseChannel,
-        error: http_exceptions.HttpProcessingError,
-    ) -> bool:
-        await channel.wait_turn()
-        response = self._server.respond_to_error(error, status=error.code)
-        await raw_responses.write_final_response(channel.writer, response)
-        return False
-
-    async def _finish(
-        self,
-        channel: response_channels.ResponseChannel,
-        request: web.BaseRequest,
-        response: web.StreamResponse,
-    ) -> bool:
-        try:
-            await response.prepare(request)
-            await response.write_eof()
-        except (ConnectionError, RuntimeError):
-            channel.abort()
-            return False
-        await channel.wait_turn()
-        if not response.keep_alive:
-            return False
-        return await request_reading.drain_body(channel.payload)
-
     def _complete(
         self, channel: response_channels.ResponseChannel, is_reusable: bool
     ) -> None:
@@ -337,15 +361,16 @@
             self.abort()
             return
         self._exchanges.popleft()
+        self._usage.record_response()
         if not is_reusable or (self._is_ending and not self._exchanges):
             self._close_after_response()
             return
-        if len(self._exchanges) <= MAX_PIPELINED_REQUESTS:
-            self._resume_reading_for_buffer()
         if self._exchanges:
             self._exchanges[0].start_turn()
         else:
             self.idle_since = self._loop.time()
+        self.resume_if_free()
+        self.update_holding()
 
     @property
     def _is_ending(self) -> bool:
--- a/packages/burdockdeal/burdockdeal/serving/pipelined_server.py
+++ b/packages/burdockdeal/burdockdeal/serving/pipelined_server.py
@@ -12,12 +12,20 @@
 
 from aiohttp import web
 
+from burdockdeal.configuration import resources
+from burdockdeal.core import event_log
+from burdockdeal.overload import memory
 from burdockdeal.serving import header_codec
 from burdockdeal.serving import http_server
 from burdockdeal.serving import pipelined_connection
+from burdockdeal.serving import request_intake
+from burdockdeal.settings import model
 
-#: Seconds between two sweeps for idle connections.
-IDLE_SWEEP_INTERVAL_S = 1.0
+#: Seconds between two sweeps for connections to close.
+SWEEP_INTERVAL_S = 0.5
+
+#: Bytes of one read, so that no connection keeps the event loop for long.
+READ_BYTES = 16_384
 
 
 class PipelinedServer:
@@ -27,9 +35,12 @@
     and resets every connection at its end.
 
     :param handler: handles each request.
-    :param header_bytes: maximum length in bytes of a request line or field.
-    :param idle_s: returns the seconds after which an idle connection is
-        closed.
+    :param limits: bounds of what connections may send and hold.
+    :param caller_limits: returns the bounds that the configuration lowers:
+        of a head, of its time, and of the time of an idle connection.
+    :param ledger: the memory that connections hold.
+    :param record_slow_heads: records how many connections were refused since
+        a head did not arrive in time.
     :param build_error_response: builds the response that reports an error
         to a caller.
     """
@@ -38,19 +49,25 @@
         self,
         handler: http_server.Handler,
         *,
-        header_bytes: int,
-        idle_s: abc.Callable[[], float],
+        limits: model.Limits,
+        caller_limits: abc.Callable[[], resources.CallerLimits],
+        ledger: memory.MemoryLedger,
+        record_slow_heads: abc.Callable[[int], None],
         build_error_response: http_server.BuildErrorResponse = (
             header_codec.DEFAULT.build_error_response
         ),
     ) -> None:
         self._handler = handler
         self._build_error_response = build_error_response
-        self._idle_s = idle_s
+        self._record_slow_heads = record_slow_heads
         self._connections: set[pipelined_connection.Connection] = set()
         self._timer: asyncio.TimerHandle | None = None
         self._active = 0
-        self.header_bytes = header_bytes
+        self.caller_limits = caller_limits
+        self.ledger = ledger
+        self.limits = limits
+        self.turn_budget = request_intake.TurnBudget()
+        self.read_buffer = memoryview(bytearray(READ_BYTES))
         #: Whether each connection reads at most one further request.
         self.closing = False
         #: Whether a connection is closed as soon as no request is pending.
@@ -134,12 +151,26 @@
 
     def _schedule_sweep(self) -> None:
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(IDLE_SWEEP_INTERVAL_S, self._sweep)
+        self._timer = loop.call_later(SWEEP_INTERVAL_S, self._sweep)
 
     def _sweep(self) -> None:
-        latest = asyncio.get_running_loop().time() - self._idle_s()
+        now = asyncio.get_running_loop().time()
+        limits = self.caller_limits()
+        slow_heads = 0
         for connection in tuple(self._connections):
-            since = connection.idle_since
-            if since is not None and since <= latest:
+            connection.update_holding()
+            if _has_passed(connection.idle_since, now - limits.idle_s):
                 connection.force_close()
+            elif _has_passed(connection.head_since, now - limits.head_s):
+                connection.refuse_slow_head()
+                slow_heads += 1
+            if connection.unread_since <= now - self.limits.answer_idle_s:
+                event_log.record("slow_reader")
+                connection.abort()
+        if slow_heads:
+            self._record_slow_heads(slow_heads)
         self._schedule_sweep()
+
+
+def _has_passed(since: float | None, latest: float) -> bool:
+    return since is not None and since <= latest
--- a/packages/burdockdeal/burdockdeal/serving/response_channels.py
+++ b/packages/burdockdeal/burdockdeal/serving/response_channels.py
@@ -6,6 +6,8 @@
 from aiohttp import http_writer
 from aiohttp import streams
 
+from burdockdeal.serving import held_memory
+
 #: Bytes of a response that are buffered before its turn; further writes wait.
 MAX_BUFFERED_BYTES = 262_144
 
@@ -19,6 +21,9 @@
     def is_last(self, channel: "ResponseChannel") -> bool:
         """Return whether no request follows the channel's request."""
 
+    def record_write(self, size: int) -> None:
+        """Record that bytes of a response were written or buffered."""
+
     def abort(self) -> None:
         """Reset the connection."""
 
@@ -32,6 +37,7 @@
     :param connection: the connection that it belongs to.
     :param payload: the request's body.
     :param loop: the running event loop.
+    :param body_bytes: the length of the request's body, None if not known.
     """
 
     #: Read from the protocol by aiohttp's requests.
@@ -42,7 +48,9 @@
         connection: ConnectionProtocol,
         payload: streams.StreamReader,
         loop: asyncio.AbstractEventLoop,
+        body_bytes: int | None = None,
     ) -> None:
+        self._body_bytes = body_bytes
         self._connection = connection
         self._buffer: list[bytes] = []
         self._buffered_bytes = 0
@@ -59,6 +67,11 @@
         """Whether its response is the next one on the connection."""
         return self._turn.done()
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Bytes of its response that wait for its turn."""
+        return self._buffered_bytes
+
     @property
     def transport(self) -> typing.Optional["ResponseChannel"]:
         """The transport for the writer, None once the connection is lost."""
@@ -82,6 +95,21 @@
             return self._buffered_bytes > MAX_BUFFERED_BYTES
         return self._connection._paused
 
+    def measure(self, replay_bytes: int) -> int:
+        """Return the bytes that the request and its response hold.
+
+        :param replay_bytes: the size up to which its body is buffered.
+        """
+        relayed = held_memory.WINDOW_BYTES if self._paused else 0
+        return (
+            held_memory.REQUEST_BYTES
+            + self._buffered_bytes
+            + relayed
+            + held_memory.measure_body(
+                self.payload, self._body_bytes, replay_bytes
+            )
+        )
+
     def is_closing(self) -> bool:
         """Return whether nothing more can be written."""
         transport = self._connection.transport
@@ -98,9 +126,10 @@
         """Write bytes, or buffer them until the channel's turn."""
         if self.is_current:
             self._connection.transport.write(chunk)
-            return
-        self._buffer.append(bytes(chunk))
-        self._buffered_bytes += len(chunk)
+        else:
+            self._buffer.append(bytes(chunk))
+            self._buffered_bytes += len(chunk)
+        self._connection.record_write(len(chunk))
 
     def writelines(self, chunks: typing.Iterable[bytes]) -> None:
         """Write several chunks, or buffer them until the channel's turn."""
@@ -128,6 +157,9 @@
     def mark_lost(self) -> None:
         """Handle the loss of the connection."""
         self._is_aborted = True
+        self._buffer.clear()
+        self._buffered_bytes = 0
+        held_memory.break_off_body(self.payload, ConnectionResetError())
         if not self._turn.done():
             self._turn.cancel()
 
--- a/packages/burdockdeal/burdockdeal/serving/tests/pipelining.py
+++ b/packages/burdockdeal/burdockdeal/serving/tests/pipelining.py
@@ -3,11 +3,15 @@
 import asyncio
 from collections import abc
 import contextlib
+import dataclasses
 
 from aiohttp import web
 
+from burdockdeal.configuration import resources
+from burdockdeal.overload import memory
 from burdockdeal.serving import http_server
 from burdockdeal.serving import pipelined_server
+from burdockdeal.settings import model
 
 HOST = "127.0.0.1"
 
@@ -48,13 +52,25 @@
 
 @contextlib.asynccontextmanager
 async def serve(
-    blocking: BlockingHandler, *, idle_s: float = 60.0
+    blocking: BlockingHandler,
+    *,
+    idle_s: float = 60.0,
+    limits: model.Limits | None = None,
 ) -> abc.AsyncIterator[tuple[pipelined_server.PipelinedServer, int]]:
     handler: http_server.Handler = blocking.handle
+    loop = asyncio.get_running_loop()
+    limits = dataclasses.replace(
+        limits or model.Limits(header_bytes=4096), caller_idle_s=idle_s
+    )
     served = pipelined_server.PipelinedServer(
-        handler, header_bytes=4096, idle_s=lambda: idle_s
+        handler,
+        limits=limits,
+        caller_limits=lambda: resources.CallerLimits(
+            limits.header_bytes, 1_000_000, limits.head_s, idle_s
+        ),
+        ledger=memory.MemoryLedger(limits.buffered_bytes, loop.time),
+        record_slow_heads=lambda count: None,
     )
-    loop = asyncio.get_running_loop()
     async with served:
         server = await loop.create_server(served, HOST, 0)
         try:
--- a/packages/burdockdeal/burdockdeal/settings/model.py
+++ b/packages/burdockdeal/burdockdeal/settings/model.py
@@ -15,6 +15,10 @@
 ]
 Secret = typing.Annotated[str, msgspec.Meta(min_length=16)]
 
+#: Requests with the largest head and buffered body that must fit into
+#: memory at the same time.
+_LEAST_FULL_REQUESTS = 64
+
 #: Seconds of the grace before a kill that are kept for closing connections
 #: and ending.
 EXIT_S = 0.5
@@ -79,12 +83,19 @@
         connections from operators.
     :param upstream_connections: the maximum number of concurrent
         connections from the upstream to the interface for upstreams.
-    :param header_bytes: the maximum size of a request's header, in bytes.
+    :param header_bytes: the maximum size of a request's head, in bytes, from
+        the empty lines before it to the one after it; likewise of what comes
+        in a row within a chunked body and brings no byte of it.
     :param replay_bytes: the size in bytes up to which a request's body is
         buffered whole.
+    :param buffered_bytes: the maximum memory that all connections of callers
+        together may hold, in bytes: what was read or promised and is not yet
+        used. Beyond it, those that hold the most and have made the least
+        progress are reset.
     :param requests: the maximum number of callers' requests in progress.
-    :param head_s: seconds within which the header of the first request on
-        a connection must have arrived.
+    :param head_s: seconds from its first byte within which a request's head
+        must have arrived; for the first request on a connection, from the
+        connect.
     :param caller_idle_s: seconds after which an idle connection is closed.
     :param body_idle_s: the maximum time without a byte of a request's
         body, in seconds.
@@ -109,6 +120,7 @@
     upstream_connections: validation.PositiveInt = 20
     header_bytes: validation.PositiveInt = 16384
     replay_bytes: validation.PositiveInt = 65536
+    buffered_bytes: validation.PositiveInt = 33_554_432
     requests: validation.PositiveInt = 1000
     head_s: validation.PositiveFloat = 10.0
     caller_idle_s: validation.PositiveFloat = 75.0
@@ -130,6 +142,11 @@
             return self.stop_s
         return min(self.stop_s, self.grace_s - EXIT_S)
 
+    @property
+    def least_buffered_bytes(self) -> int:
+        """Bytes that callers who keep to the limits must be able to hold."""
+        return _LEAST_FULL_REQUESTS * (self.header_bytes + self.replay_bytes)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Membership:
@@ -357,4 +374,12 @@
                 f" {EXIT_S:g} s for ending",
             )
         )
+    if limits.buffered_bytes < limits.least_buffered_bytes:
+        faults.append(
+            errors.FieldViolation(
+                "limits.buffered_bytes",
+                f"must be at least {limits.least_buffered_bytes}:"
+                f" {_LEAST_FULL_REQUESTS} times header_bytes and replay_bytes",
+            )
+        )
     return tuple(faults)
--- a/packages/burdockdeal/burdockdeal/settings/tests/test_limits.py
+++ b/packages/burdockdeal/burdockdeal/settings/tests/test_limits.py
@@ -50,3 +50,9 @@
     assert not find_faults(**limits)
     limits = dataclasses.replace(model.Limits(), **limits)
     assert limits.stop_limit_s == expected_s
+
+
+def test_memory_for_less_than_the_ordinary_requests_is_a_fault() -> None:
+    (fault,) = find_faults(buffered_bytes=5_000_000)
+    assert "limits.buffered_bytes" in fault
+    assert not find_faults(buffered_bytes=5_300_000)
