End a turn of parsing after 10 ms, whatever the pieces cost

Cause: a piece of 16 KiB in chunks of one byte takes a millisecond, so that a turn of 128 pieces kept the event loop for over 100 ms.

Change: a turn of all connections ends after 128 pieces or 10 ms.

--- a/packages/burdockdeal/burdockdeal/daemon/assembly.py
+++ b/packages/burdockdeal/burdockdeal/daemon/assembly.py
@@ -138,6 +138,7 @@
             limits=limits,
             caller_limits=shared.get_caller_limits,
             ledger=shared.caller_memory,
+            clock=shared.clock,
             record_slow_heads=caller_limiter.record_slow_heads,
             build_error_response=shared.header_codec.build_error_response,
         ),
--- a/packages/burdockdeal/burdockdeal/serving/pipelined_server.py
+++ b/packages/burdockdeal/burdockdeal/serving/pipelined_server.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from collections import abc
+import time
 
 from aiohttp import web
 
@@ -41,6 +42,7 @@
     :param ledger: the memory that connections hold.
     :param record_slow_heads: records how many connections were refused since
         a head did not arrive in time.
+    :param clock: returns monotonic time in seconds.
     :param build_error_response: builds the response that reports an error
         to a caller.
     """
@@ -53,6 +55,7 @@
         caller_limits: abc.Callable[[], resources.CallerLimits],
         ledger: memory.MemoryLedger,
         record_slow_heads: abc.Callable[[int], None],
+        clock: abc.Callable[[], float] = time.monotonic,
         build_error_response: http_server.BuildErrorResponse = (
             header_codec.DEFAULT.build_error_response
         ),
@@ -66,7 +69,7 @@
         self.caller_limits = caller_limits
         self.ledger = ledger
         self.limits = limits
-        self.turn_budget = request_intake.TurnBudget()
+        self.turn_budget = request_intake.TurnBudget(clock)
         self.read_buffer = memoryview(bytearray(READ_BYTES))
         #: Whether each connection reads at most one further request.
         self.closing = False
--- a/packages/burdockdeal/burdockdeal/serving/request_intake.py
+++ b/packages/burdockdeal/burdockdeal/serving/request_intake.py
@@ -1,6 +1,7 @@
 """Parsing of what a connection receives, in turns with other connections."""
 
 import asyncio
+from collections import abc
 import typing
 
 from aiohttp import http_exceptions
@@ -17,6 +18,10 @@
 MAX_PIECES_PER_TURN = 16
 MAX_PIECES_OF_ALL_PER_TURN = 128
 
+#: Seconds of a turn after which the rest waits for the next one. A piece in
+#: chunks of one byte takes about a millisecond.
+MAX_TURN_S = 0.01
+
 
 class Receiver(typing.Protocol):
     """The connection whose requests are parsed."""
@@ -51,17 +56,24 @@
 
 
 class TurnBudget:
-    """Counts what is parsed of all connections in one turn of the loop."""
+    """Bounds what is parsed of all connections in one turn of the loop.
+
+    :param clock: returns monotonic time in seconds.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, clock: abc.Callable[[], float]) -> None:
+        self._clock = clock
         self._used = 0
+        self._ends_at = 0.0
 
     def take(self) -> bool:
         """Take a piece, and return whether one was left."""
-        if self._used >= MAX_PIECES_OF_ALL_PER_TURN:
-            return False
+        now = self._clock()
         if not self._used:
+            self._ends_at = now + MAX_TURN_S
             asyncio.get_running_loop().call_soon(self._renew)
+        if self._used >= MAX_PIECES_OF_ALL_PER_TURN or now > self._ends_at:
+            return False
         self._used += 1
         return True
 
--- a/packages/burdockdeal/burdockdeal/serving/tests/test_request_reading.py
+++ b/packages/burdockdeal/burdockdeal/serving/tests/test_request_reading.py
@@ -153,13 +153,6 @@
     """A read of many short pieces kept the event loop until its end."""
     # Each chunk holds blank lines, where the parser's input is cut.
     chunk = b"2000\r\n" + b"\r\n\r\n" * 2048 + b"\r\n"
-    budget = request_intake.TurnBudget()
-    taken = 0
-    while budget.take():
-        taken += 1
-    assert taken == request_intake.MAX_PIECES_OF_ALL_PER_TURN
-    await asyncio.sleep(0)
-    assert budget.take()
     async with connect() as served:
         turns = 0
 
@@ -176,6 +169,22 @@
         assert turns >= 2048 / request_intake.MAX_PIECES_PER_TURN
 
 
+async def test_a_turn_ends_after_its_pieces_or_its_time() -> None:
+    """With many connections, one turn of the loop took seconds."""
+    now = 0.0
+    budget = request_intake.TurnBudget(lambda: now)
+    taken = 0
+    while budget.take():
+        taken += 1
+    assert taken == request_intake.MAX_PIECES_OF_ALL_PER_TURN
+    await asyncio.sleep(0)
+    assert budget.take()
+    now += 2 * request_intake.MAX_TURN_S
+    assert not budget.take()
+    await asyncio.sleep(0)
+    assert budget.take()
+
+
 async def test_a_client_that_does_not_read_is_reset() -> None:
     """Closing it waited for what was left to send, without end."""
     limits = model.Limits(answer_idle_s=0.3)
