Take no number outside 100 to 599 for a status

Cause: reported by operators of similar systems. Tried here on the code before: a response with status 600 or 999 was passed on as an answer, through one hop and through two; 000 and 099 gave 502 with the verdict RAN, though nothing shows that the request ran. 0, 42 and four digits were broken responses already.

Change: such a response is MAY_HAVE_RUN, BROKEN_CONNECTION (serving/framing), its connection is not used again, and the guard of the connection counts it as a final one.

The other report, a part of an answer without a length that is reset while an upload is still written, was not seen here: tests/test_early_answers.py tries it through one hop and two, with a length and in chunks.

--- a/packages/burdockdeal/burdockdeal/serving/connection_guard.py
+++ b/packages/burdockdeal/burdockdeal/serving/connection_guard.py
@@ -16,7 +16,9 @@
 #: heads, interim responses, chunk extensions and trailers.
 MAX_FRAMING_BYTES = 262_144
 
-_FIRST_FINAL_STATUS = 200
+#: Responses with these statuses are followed by another one. Any other
+#: number is final, also one that is no status.
+_INTERIM_STATUSES = range(100, 200)
 
 
 class GuardedConnection(client_proto.ResponseHandler):
@@ -46,7 +48,7 @@
     def feed_data(self, data: object, size: int = 0) -> None:
         """Pass on the head of a response."""
         message, body = data
-        if message.code >= _FIRST_FINAL_STATUS and self._final_body is None:
+        if message.code not in _INTERIM_STATUSES and self._final_body is None:
             self._final_body = body
         super().feed_data(data, size)
 
--- a/packages/burdockdeal/burdockdeal/serving/forwarding.py
+++ b/packages/burdockdeal/burdockdeal/serving/forwarding.py
@@ -123,7 +123,7 @@
     :param keeps_connection: returns whether the connection may be used again
         after a response.
     :raises NotRunError: if nothing was sent.
-    :raises LostResponseError: if something was sent and no head arrived.
+    :raises LostResponseError: if something was sent and no valid head arrived.
     :raises RanError: if the end of the response could not be detected.
     """
     if remaining_s <= 0:
@@ -163,7 +163,11 @@
             verdict.Reason.BROKEN_CONNECTION, repr(error)
         ) from error
     try:
-        built = framing.build_response(response, outbound.method)
+        try:
+            built = framing.build_response(response, outbound.method)
+        except errors.CallError:
+            connection_guard.discard(response)
+            raise
         if not keeps_connection(built):
             connection_guard.discard(response)
         yield built
--- a/packages/burdockdeal/burdockdeal/serving/framing.py
+++ b/packages/burdockdeal/burdockdeal/serving/framing.py
@@ -14,6 +14,11 @@
 )
 
 
+#: The statuses that exist (RFC 9110, section 15).
+_FIRST_STATUS = 100
+_LAST_STATUS = 599
+
+
 class CloseDelimitedBody:
     """A body that ends with its connection (RFC 9112, section 6.3).
 
@@ -72,9 +77,16 @@
     """Wrap an aiohttp response whose head has just arrived.
 
     :param method: the request's method, on which the framing depends.
+    :raises LostResponseError: if its status is none.
     :raises RanError: if the end of the response could not be detected, or
         if the response is an interim one or switches protocols.
     """
+    if not _FIRST_STATUS <= response.status <= _LAST_STATUS:
+        # Whatever wrote it may have run the request or not.
+        detail = f"the answer's status is {response.status:03d}"
+        raise errors.LostResponseError(
+            verdict.Reason.BROKEN_CONNECTION, detail
+        )
     if response.status < http.HTTPStatus.OK:
         detail = f"the answer's status is {response.status}"
         raise errors.RanError(verdict.Reason.BROKEN_CONNECTION, detail)
