Parse a body no more when its chunks are read, and queue deferred turns

Cause: for each chunk that is taken out of a body's buffer, aiohttp's reader calls resume_reading, and that runs the parser, paused or not. With 1,500 bodies in chunks of one byte a daemon did nothing else, and an ordinary request got no response within 10 s. Connections whose turn did not come were also tried, and their sockets registered, again in each turn.

Change: resume_reading does nothing unless reading is paused; connections that have to wait stand in a queue and are called as long as the turn lasts. A client that reset its connection before its last response was written no longer leaves an error that nobody retrieves (shutdown of a socket that is not connected). serving/half_closed is split off.

--- a/packages/burdockdeal/burdockdeal/serving/pipelined_connection.py
+++ b/packages/burdockdeal/burdockdeal/serving/pipelined_connection.py
@@ -15,6 +15,7 @@
 from burdockdeal.serving import caller_server
 from burdockdeal.serving import connection_usage
 from burdockdeal.serving import exchange
+from burdockdeal.serving import half_closed
 from burdockdeal.serving import held_memory
 from burdockdeal.serving import request_intake
 from burdockdeal.serving import request_reading
@@ -23,13 +24,6 @@
 #: Number of unanswered requests above which a connection is not read.
 MAX_PIPELINED_REQUESTS = 16
 
-#: Seconds between interim responses to a client that has closed its sending
-#: side: first a network round trip, then longer.
-_FIRST_PROBE_INTERVALS_S = (0.02, 0.1)
-_PROBE_INTERVAL_S = 0.5
-
-_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
-
 #: Seconds for which what a client still sends is read after the last response
 #: of its connection: time for the client to read that response and close.
 LINGER_S = 1.0
@@ -66,7 +60,6 @@
                 get_head_bytes=lambda: server.caller_limits().header_bytes,
             ),
             server.turn_budget,
-            loop,
         )
         self._server = server
         self._exchanges: collections.deque[
@@ -150,6 +143,14 @@
         self._parser.push(data)
         self.update_holding()
 
+    def resume_reading(self, resume_parser: bool = True) -> None:
+        """Go on reading after a body's buffer was full.
+
+        The buffer calls this for each chunk that is taken out of it.
+        """
+        if self._reading_paused:
+            super().resume_reading(resume_parser)
+
     def update_holding(self) -> None:
         """Record what the connection holds."""
         if self.transport is not None and not self.transport.is_closing():
@@ -179,15 +180,17 @@
 
         A client that has gone away and one that only closed its sending
         side look the same until something is written: then the first
-        resets the connection. So an interim response, which every HTTP/1.1
-        client skips, is written at intervals until the response starts.
+        resets the connection. So interim responses are written until the
+        response starts.
 
         :returns: whether the transport stays open for writing.
         """
         self.closing = self._has_client_closed = True
         if self.is_idle or self._has_open_body():
             return False
-        self._loop.call_soon(self._probe, 0)
+        self._loop.call_soon(
+            half_closed.probe, self._loop, self._write_interim
+        )
         return True
 
     def begin_closing(self) -> None:
@@ -304,19 +307,15 @@
             for channel in self._exchanges
         )
 
-    def _probe(self, count: int) -> None:
+    def _write_interim(self) -> bool:
         transport = self.transport
         if transport is None or transport.is_closing() or self.is_idle:
-            return
+            return False
         if self._exchanges[0].writer.output_size > 0:
             # Writing the response shows whether the client is still there.
-            return
-        transport.write(_CONTINUE)
-        intervals = _FIRST_PROBE_INTERVALS_S
-        interval_s = (
-            intervals[count] if count < len(intervals) else _PROBE_INTERVAL_S
-        )
-        self._loop.call_later(interval_s, self._probe, count + 1)
+            return False
+        transport.write(half_closed.INTERIM_RESPONSE)
+        return True
 
     def _refuse(self, error: Exception) -> None:
         self.closing = True
@@ -391,6 +390,11 @@
         self.closing = True
         self._cancel_exchanges()
         self._exchanges.clear()
-        transport.write_eof()
+        try:
+            transport.write_eof()
+        except OSError:
+            # The client has reset the connection, which is not yet reported.
+            self.abort()
+            return
         self._resume_transport_reading()
         self._linger_timer = self._loop.call_later(LINGER_S, self.force_close)
--- a/packages/burdockdeal/burdockdeal/serving/request_intake.py
+++ b/packages/burdockdeal/burdockdeal/serving/request_intake.py
@@ -1,6 +1,7 @@
 """Parsing of what a connection receives, in turns with other connections."""
 
 import asyncio
+import collections
 from collections import abc
 import typing
 
@@ -58,6 +59,8 @@
 class TurnBudget:
     """Bounds what is parsed of all connections in one turn of the loop.
 
+    Connections that find nothing left wait in a queue for further turns.
+
     :param clock: returns monotonic time in seconds.
     """
 
@@ -65,20 +68,56 @@
         self._clock = clock
         self._used = 0
         self._ends_at = 0.0
+        self._waiting: collections.deque[abc.Callable[[], None]] = (
+            collections.deque()
+        )
+        self._is_serving = False
+        self._is_scheduled = False
 
     def take(self) -> bool:
         """Take a piece, and return whether one was left."""
-        now = self._clock()
+        if self._waiting and not self._is_serving:
+            return False
         if not self._used:
-            self._ends_at = now + MAX_TURN_S
-            asyncio.get_running_loop().call_soon(self._renew)
-        if self._used >= MAX_PIECES_OF_ALL_PER_TURN or now > self._ends_at:
+            self._ends_at = self._clock() + MAX_TURN_S
+        self._schedule()
+        if not self._has_left():
             return False
         self._used += 1
         return True
 
-    def _renew(self) -> None:
+    def defer(self, start_turn: abc.Callable[[], None]) -> None:
+        """Call a function in a later turn, behind those that wait."""
+        self._waiting.append(start_turn)
+        self._schedule()
+
+    def _has_left(self) -> bool:
+        if not self._used:
+            return True
+        return (
+            self._used < MAX_PIECES_OF_ALL_PER_TURN
+            and self._clock() <= self._ends_at
+        )
+
+    def _schedule(self) -> None:
+        if not self._is_scheduled:
+            self._is_scheduled = True
+            asyncio.get_running_loop().call_soon(self._begin_turn)
+
+    def _begin_turn(self) -> None:
+        self._is_scheduled = False
         self._used = 0
+        self._is_serving = True
+        try:
+            # Those that have not finished wait again at the end.
+            for _ in range(len(self._waiting)):
+                if not self._has_left():
+                    break
+                self._waiting.popleft()()
+        finally:
+            self._is_serving = False
+            if self._waiting:
+                self._schedule()
 
 
 class RequestIntake:
@@ -87,7 +126,6 @@
     :param receiver: the connection.
     :param reader: parses what the connection receives.
     :param budget: what may be parsed of all connections.
-    :param loop: the running event loop.
     """
 
     def __init__(
@@ -95,18 +133,13 @@
         receiver: Receiver,
         reader: request_reading.RequestReader,
         budget: TurnBudget,
-        loop: asyncio.AbstractEventLoop,
     ) -> None:
         self._receiver = receiver
         self._reader = reader
         self._budget = budget
-        self._loop = loop
-        self._next_turn: asyncio.Handle | None = None
-
-    @property
-    def has_turn_due(self) -> bool:
-        """Whether the rest is parsed in the next turn of the loop."""
-        return self._next_turn is not None
+        self._is_closed = False
+        #: Whether the rest is parsed in a later turn of the loop.
+        self.has_turn_due = False
 
     @property
     def held_bytes(self) -> int:
@@ -127,9 +160,8 @@
         self._reader.discard()
 
     def close(self) -> None:
-        """Drop what was received, and the turn that is due."""
-        if self._next_turn is not None:
-            self._next_turn.cancel()
+        """Drop what was received, and parse nothing more."""
+        self._is_closed = True
         self.discard()
 
     def push(self, data: bytes) -> None:
@@ -182,15 +214,17 @@
         return True
 
     def _defer(self) -> None:
-        """Parse the rest in the next turn."""
+        """Parse the rest in a later turn."""
         if self._reader.has_data and not self._receiver.is_held:
             self._receiver.hold_reading()
-            self._next_turn = self._loop.call_soon(self._start_turn)
+            self.has_turn_due = True
+            self._budget.defer(self._start_turn)
 
     def _accept(self, received: request_reading.Received) -> None:
         for message, payload in received:
             self._receiver.accept(message, payload)
 
     def _start_turn(self) -> None:
-        self._next_turn = None
-        self._receiver.resume_if_free()
+        self.has_turn_due = False
+        if not self._is_closed:
+            self._receiver.resume_if_free()
--- a/packages/burdockdeal/burdockdeal/serving/tests/test_request_reading.py
+++ b/packages/burdockdeal/burdockdeal/serving/tests/test_request_reading.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from burdockdeal.serving import pipelined_connection
 from burdockdeal.serving import request_intake
 from burdockdeal.serving.tests import pipelining
 from burdockdeal.settings import model
@@ -137,6 +138,29 @@
             assert await served.read() == (200, b"/b:%d" % (chunks + 1))
 
 
+async def test_small_chunks_are_not_parsed_again_when_they_are_read(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Each chunk that was read of a body made the parser run once more.
+
+    With many such bodies no other caller got a response.
+    """
+    calls = []
+    receive = pipelined_connection.Connection.data_received
+
+    def count(self, data: bytes) -> None:
+        calls.append(len(data))
+        receive(self, data)
+
+    monkeypatch.setattr(
+        pipelined_connection.Connection, "data_received", count
+    )
+    async with connect() as served:
+        served.writer.write(_CHUNKED + b"1\r\nx\r\n" * 8_000 + b"0\r\n\r\n")
+        assert await served.read() == (200, b"/b:8000")
+    assert len(calls) < 100
+
+
 async def test_one_read_starts_a_bounded_number_of_requests() -> None:
     """A single read could start hundreds of requests of one connection."""
     async with connect() as served:
@@ -181,7 +205,10 @@
     assert budget.take()
     now += 2 * request_intake.MAX_TURN_S
     assert not budget.take()
+    served = []
+    budget.defer(lambda: served.append(budget.take()))
     await asyncio.sleep(0)
+    assert served == [True]
     assert budget.take()
 
 
