--- a/packages/burdockdeal/burdockdeal/daemon/components.py
+++ b/packages/burdockdeal/burdockdeal/daemon/components.py
@@ -4,6 +4,7 @@
 import dataclasses
 import math
 import random
+import sys
 import time
 
 import mode
@@ -27,9 +28,8 @@
 from burdockdeal.membership import roster
 from burdockdeal.overload import connections
 from burdockdeal.overload import load_shedder
-from burdockdeal.retry import budget as budgets
-from burdockdeal.retry import fleet_budget
-from burdockdeal.retry import hedging
+from burdockdeal.overload import memory
+from burdockdeal.retry import assembly as retry
 from burdockdeal.retry import running
 from burdockdeal.routing import tracking
 from burdockdeal.serving import classification
@@ -41,6 +41,11 @@
 
 _DEFAULT_SERVICE = resources.Service()
 
+#: Limits of callers that lower nothing.
+_NO_CALLER_LIMITS = resources.CallerLimits(
+    sys.maxsize, sys.maxsize, math.inf, math.inf
+)
+
 #: Urgency of a rank that the configuration does not contain any more.
 _LEAST_URGENT = 1_000
 
@@ -124,8 +129,19 @@
         self.is_saturating: abc.Callable[[str], bool] = lambda service: False
         self._slot_limit = _SlotLimit()
         self.running_calls = running.RunningCalls()
-        self.retry_budget = self._build_retry_budget()
-        self.hedges = self._build_hedge_limiter()
+        self.retry_budget = retry.build_retry_budget(
+            lambda: self.settings,
+            lambda: self.roster.active_count,
+            self.clock,
+            lambda: self.running_calls.retry_share,
+            self._get_urgency,
+        )
+        self.hedges = retry.build_hedge_limiter(lambda: self.settings)
+        self.caller_memory = memory.MemoryLedger(
+            settings.limits.buffered_bytes, CLOCK
+        )
+        self._configured_limits: resources.CallerLimits | None = None
+        self._caller_limits = _NO_CALLER_LIMITS
         self.listener_limiters = connections.limit_listeners(
             settings.limits, self.clock
         )
@@ -147,32 +163,6 @@
         """Replace the settings by those of a reloaded settings file."""
         self.settings = settings
 
-    def _build_retry_budget(self) -> budgets.Budget:
-        if self.settings.fleet_retries is None:
-            return budgets.Budget(get_urgency=self._get_urgency)
-        return budgets.Budget(
-            fleet_budget.FleetBudget(
-                lambda: self.settings.fleet_retries,
-                lambda: self.roster.active_count,
-                self.clock,
-                lambda: self.running_calls.retry_share,
-            ),
-            lambda: (
-                fleet_budget.USABLE_SHARE * self.settings.fleet_retries.share
-            ),
-            get_urgency=self._get_urgency,
-        )
-
-    def _build_hedge_limiter(self) -> hedging.HedgeLimiter | None:
-        if self.settings.hedging is None:
-            return None
-        return hedging.HedgeLimiter(self._get_hedge_share)
-
-    def _get_hedge_share(self) -> float:
-        # A reload of the settings may have removed the limit.
-        terms = self.settings.hedging
-        return terms.share if terms is not None else 0.0
-
     def _get_urgency(self, rank: str) -> int:
         current = self.compiled_configuration
         known = current.ranks.get(rank) if current else None
@@ -369,18 +359,27 @@
             and not self.shutdown_controller.is_stopping
         )
 
-    def get_caller_idle_s(self) -> float:
-        """Return the seconds that an idle connection of a caller is kept.
+    def get_caller_limits(self) -> resources.CallerLimits:
+        """Return the limits of callers that are in force.
 
-        The configuration can lower the limit of the settings, not raise it.
+        The configuration can lower the limits of the settings, not raise
+        them.
         """
-        limit_s = self.settings.limits.caller_idle_s
-        if (
-            self.compiled_configuration is None
-            or self.compiled_configuration.caller_limits is None
-        ):
-            return limit_s
-        return min(limit_s, self.compiled_configuration.caller_limits.idle_s)
+        limits = self.settings.limits
+        configured = (
+            self.compiled_configuration.caller_limits
+            if self.compiled_configuration is not None
+            else None
+        ) or _NO_CALLER_LIMITS
+        if configured is not self._configured_limits:
+            self._configured_limits = configured
+            self._caller_limits = resources.CallerLimits(
+                header_bytes=min(limits.header_bytes, configured.header_bytes),
+                body_bytes=configured.body_bytes,
+                head_s=min(limits.head_s, configured.head_s),
+                idle_s=min(limits.caller_idle_s, configured.idle_s),
+            )
+        return self._caller_limits
 
     def list_missing(self) -> tuple[str, ...]:
         """Return the names of what the daemon needs before it can serve."""
