--- a/packages/burdockdeal/burdockdeal/serving/pipelined_connection.py
+++ b/packages/burdockdeal/burdockdeal/serving/pipelined_connection.py
@@ -287,8 +287,7 @@
     def evict(self) -> None:
         """Reset the connection, and free what it holds at once.
 
-        asyncio reports the loss in the next turn of the event loop, and
-        many other connections may be read before.
+        asyncio reports the loss later, when many others were read.
         """
         self.abort()
         self._parser.close()
