--- a/review/6/case.py
+++ b/review/6/case.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import os
 import pathlib
 import signal
 import sys
@@ -148,4 +149,7 @@
     return stages.BROKEN if has_crashed and len(cut) > 3 else stages.HELD
 
 
-stages.run(main, __file__)
+#: With TROUBLE=0 the case does the same without the disruption.
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+
+stages.run(main, __file__, HAS_TROUBLE)
--- a/review/stage.py
+++ b/review/stage.py
@@ -499,9 +499,8 @@
         return 0, repr(error).encode()
 
 
-def run(main, path):
+def run(main, path, has_trouble):
     """Run a case and exit with 0 (held), 1 (broken) or 2 (cannot run)."""
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(pathlib.Path(path).resolve().parent / "record.txt")
     record.write("with the disruption" if has_trouble else "TROUBLE=0")
 
