Choose the peer to compare rosters with after the waits

What callers saw: with one of three machines without power and the other two restarted in turn, the one that was back ended by itself, and the eight bookings that its upstream was running were closed without an answer.

Cause: the roster was checked for other daemons before the contacts in the store were reviewed. That waits for the store, and 5 s for each contact that does not respond. If the last other daemon left meanwhile, a random choice out of nobody raised IndexError, which ends the membership service and the daemon.

Evidence: the daemon's log names random.py < joining.py:110 < service.py:155. Ruled out by it: the choice of the daemon to probe and that of an instance. The new test fails on the code before in all of its four cases (the last one left, or died, during the call to the store or the wait for a contact).

--- a/packages/burdockdeal/burdockdeal/membership/joining.py
+++ b/packages/burdockdeal/burdockdeal/membership/joining.py
@@ -97,18 +97,28 @@
         if reviews_contacts:
             for contact in await self._directory.review():
                 await self._sync(contact.peer)
+        await self._sync_with_peer()
+
+    async def _sync_with_peer(self) -> None:
+        """Synchronize with an active daemon, if that is due."""
         is_due = self._clock() - self._synced_at > SYNC_INTERVAL_S
         if not (is_due or self._early_syncs_left):
             return
-        peers = targets.choose_push_targets(
-            self._roster, self._rng, includes_remote=is_due
+        # Chosen only now: the last of the others may have left while the
+        # contacts were reviewed.
+        peers = (
+            targets.choose_push_targets(
+                self._roster, self._rng, includes_remote=is_due
+            )
+            or self._roster.active_peers
         )
+        if not peers:
+            return
         if self._early_syncs_left:
             self._early_syncs_left -= 1
         else:
             self._synced_at = self._clock()
-        chosen = self._rng.choice(peers or self._roster.active_peers)
-        await self._sync(chosen.peer)
+        await self._sync(self._rng.choice(peers).peer)
 
     def _choose_contacts(
         self, listed: abc.Sequence[messages.Contact]
--- a/packages/burdockdeal/burdockdeal/membership/tests/test_joining.py
+++ b/packages/burdockdeal/burdockdeal/membership/tests/test_joining.py
@@ -3,6 +3,8 @@
 import asyncio
 import random
 
+import pytest
+
 from burdockdeal.membership import contacts
 from burdockdeal.membership import joining
 from burdockdeal.membership import messages
@@ -13,6 +15,7 @@
 from burdockdeal_standins import virtual_time
 
 _PROBE_TIMEOUT_S = 0.25
+_PAGE_TIMEOUT_S = 5.0
 
 
 def make_member(daemon: str, domain: str, port: int) -> messages.Member:
@@ -25,6 +28,7 @@
 
     def __init__(self) -> None:
         self.store = memory_store.MemoryStore()
+        self.clock = clocks.Clock()
         self.up_at: dict[int, float] = {}
         self.members: dict[int, messages.Member] = {}
         self.dark: set[int] = set()
@@ -74,6 +78,9 @@
 
         async def post(address, path, message, kind, timeout_s):
             self.pages.append(address.port)
+            if address.port in self.dark:
+                await asyncio.sleep(_PAGE_TIMEOUT_S)
+                return None
             known = [
                 member
                 for port, member in self.members.items()
@@ -88,13 +95,13 @@
                 contacts.DEFAULT_SOURCE,
                 own,
                 self.store,
-                clocks.Clock(),
+                self.clock,
                 random.Random(1),
             ),
             probe,
             post,
             random.Random(1),
-            clocks.Clock(),
+            self.clock,
         )
 
     def join(self, port: int) -> float:
@@ -182,3 +189,38 @@
     for _ in range(10):
         virtual_time.run(joiner.maintain(reviews_contacts=False))
     assert len(fleet.pages) - before == joining.EARLY_SYNCS - 1
+
+
+@pytest.mark.parametrize(
+    "health", [messages.Health.LEFT, messages.Health.DEAD]
+)
+@pytest.mark.parametrize("leaves_after_s", [0.0, 1.0])
+def test_the_last_peer_leaves_while_contacts_are_reviewed(
+    health: messages.Health, leaves_after_s: float
+) -> None:
+    """Choosing a daemon to compare rosters with ended the process.
+
+    The roster was checked for other daemons before it waited for the store
+    and for a contact that does not respond, and not after that.
+    """
+    fleet = make_fleet()
+    joiner = fleet.build_joiner(5)
+    fleet.own.merge_members([fleet.members[1]])
+    fleet.own.has_joined = True
+    fleet.dark = {2, 3, 4}
+    fleet.clock.now += contacts.REVIEW_INTERVAL_S
+
+    async def leave() -> None:
+        await asyncio.sleep(leaves_after_s)
+        fleet.own.mark_health("a1", health)
+
+    async def maintain() -> None:
+        await asyncio.gather(joiner.maintain(reviews_contacts=True), leave())
+
+    virtual_time.run(maintain())
+    assert fleet.own.active_count == 1
+    # The comparisons that are still to be made wait for the next daemon.
+    fleet.pages.clear()
+    fleet.own.merge_members([fleet.members[3]])
+    virtual_time.run(joiner.maintain(reviews_contacts=False))
+    assert fleet.pages == [3]
