Complete the requests in progress after an unforeseen error

What callers saw: requests that ran were closed without an answer, or got status 502, when an error that no code handles ended a service of the daemon.

Cause: the daemon exited within a quarter of a second of the crash of a service, and at once when its own checks raised an error. It also did so in the middle of a planned stop; and a SIGTERM during any stop that had not been requested from outside was taken for the second one, which aborts at once.

Change: a failure is an event of the shutdown. It begins a stop, or is recorded in one that has begun; requests are completed within the grace, the cause and the lines that raised it are logged, and the exit code is 1.

--- a/packages/burdockdeal/burdockdeal/daemon/components.py
+++ b/packages/burdockdeal/burdockdeal/daemon/components.py
@@ -39,6 +39,7 @@
 from burdockdeal.serving import traffic_split
 from burdockdeal.settings import model
 from burdockdeal.shutdown import controller as shutdown
+from burdockdeal.shutdown import messages as shutdown_messages
 
 _DEFAULT_SERVICE = resources.Service()
 
@@ -319,12 +320,13 @@
         )
         self.startup_gate.notify_change()
 
-    def describe_crash(self) -> str | None:
-        """Return the name and error of a crashed service, None if all run."""
-        for service in self.services:
-            if service.crashed:
-                return f"{service.label}: {service.crash_reason!r}"
-        return None
+    def list_failures(self) -> tuple[shutdown_messages.Failed, ...]:
+        """List what has ended the services that have crashed."""
+        return tuple(
+            shutdown.describe_failure(service.label, service.crash_reason)
+            for service in self.services
+            if service.crashed
+        )
 
     def build_load_shedder(self) -> load_shedder.LoadShedder:
         """Build the load shedder for the requests of callers."""
--- a/packages/burdockdeal/burdockdeal/daemon/main.py
+++ b/packages/burdockdeal/burdockdeal/daemon/main.py
@@ -11,10 +11,12 @@
 from burdockdeal.core import errors
 from burdockdeal.core import event_log
 from burdockdeal.daemon import assembly
+from burdockdeal.daemon import components as daemon_components
 from burdockdeal.daemon import loop
 from burdockdeal.settings import loader
 from burdockdeal.settings import model
 from burdockdeal.settings import reload
+from burdockdeal.shutdown import controller
 
 #: Seconds between two checks of leases, services, settings and the stop; the
 #: shorter interval applies during a stop.
@@ -30,6 +32,36 @@
 EXIT_INVALID_SETTINGS = 2
 
 
+def _check_daemon(
+    components: daemon_components.Components, reloader: reload.Reloader
+) -> None:
+    """Check leases, the name of this daemon and its settings file."""
+    components.upstream_tracker.apply(announce.Tick())
+    if components.roster.is_superseded:
+        # Another process runs under this daemon's name: stop in its favour,
+        # without aborting any request.
+        components.shutdown_controller.stop_superseded()
+    reloader.poll()
+
+
+async def _run_until_stopped(
+    components: daemon_components.Components, reloader: reload.Reloader
+) -> None:
+    """Check the daemon and its services until a shutdown is complete."""
+    stop = components.shutdown_controller
+    while not stop.is_complete:
+        try:
+            _check_daemon(components, reloader)
+        except Exception as error:
+            stop.fail(controller.describe_failure("checks", error))
+        for failure in components.list_failures():
+            stop.fail(failure)
+        stop.tick()
+        await asyncio.sleep(
+            _STOP_TICK_INTERVAL_S if stop.is_stopping else _TICK_INTERVAL_S
+        )
+
+
 async def _serve(settings: model.Settings, path: str) -> int:
     event_loop = asyncio.get_running_loop()
     async with assembly.run_daemon(settings) as components:
@@ -52,27 +84,10 @@
         gc.freeze()
         gc.set_threshold(_GC_THRESHOLD)
         gc.enable()
-        while not components.shutdown_controller.is_complete:
-            components.upstream_tracker.apply(announce.Tick())
-            crash = components.describe_crash()
-            if crash is not None:
-                # The platform restarts a daemon that exits. One that keeps
-                # running without one of its services would look healthy.
-                event_log.warn("daemon_crashed", reason=crash)
-                return EXIT_CRASHED
-            if components.roster.is_superseded:
-                # Another process runs under this daemon's name: stop in its
-                # favour, without aborting any request.
-                components.shutdown_controller.stop_superseded()
-            reloader.poll()
-            components.shutdown_controller.tick()
-            await asyncio.sleep(
-                _STOP_TICK_INTERVAL_S
-                if components.shutdown_controller.is_stopping
-                else _TICK_INTERVAL_S
-            )
+        await _run_until_stopped(components, reloader)
     event_log.record("daemon_stopped", daemon=settings.daemon)
-    return EXIT_OK
+    has_failed = components.shutdown_controller.has_failed
+    return EXIT_CRASHED if has_failed else EXIT_OK
 
 
 def serve(settings: str, *, verbose: bool = False) -> int:
--- a/packages/burdockdeal/burdockdeal/shutdown/assembly.py
+++ b/packages/burdockdeal/burdockdeal/shutdown/assembly.py
@@ -32,11 +32,8 @@
     # it runs.
     closing: set[asyncio.Future[None]] = set()
 
-    def leave() -> None:
-        tracker.reject_new_calls()
+    def announce_leaving() -> None:
         local_roster.update_own(health=membership.Health.LEFT)
-        for server in fronts:
-            server.begin_closing()
 
     def refuse_connections() -> None:
         closing.add(asyncio.ensure_future(stop_callers()))
@@ -47,8 +44,12 @@
             count_key_runs() + sum(server.active_count for server in fronts)
         ),
         {
-            state.Phase.LEAVING: leave,
-            state.Phase.FINISHING: refuse_connections,
+            state.Phase.LEAVING: (
+                tracker.reject_new_calls,
+                announce_leaving,
+                *(server.begin_closing for server in fronts),
+            ),
+            state.Phase.FINISHING: (refuse_connections,),
         },
         clock,
     )
--- a/packages/burdockdeal/burdockdeal/shutdown/decisions.py
+++ b/packages/burdockdeal/burdockdeal/shutdown/decisions.py
@@ -11,7 +11,12 @@
 #: responses.
 RESPONSE_S = 0.3
 
-Event = messages.StopRequested | messages.Superseded | messages.Tick
+Event = (
+    messages.StopRequested
+    | messages.Superseded
+    | messages.Failed
+    | messages.Tick
+)
 
 
 def _start_leaving(
@@ -20,7 +25,33 @@
     timeouts: state.Timeouts,
     now: float,
 ) -> state.Shutdown:
-    return state.Shutdown(Phase.LEAVING, now)
+    return state.Shutdown(
+        Phase.LEAVING,
+        now,
+        is_requested=isinstance(event, messages.StopRequested),
+        has_failed=isinstance(event, messages.Failed),
+    )
+
+
+def _request_again(
+    shutdown: state.Shutdown,
+    event: Event,
+    timeouts: state.Timeouts,
+    now: float,
+) -> state.Shutdown:
+    """Abort at the second request, not at one that follows a failure."""
+    if shutdown.is_requested:
+        return _abort(shutdown, event, timeouts, now)
+    return dataclasses.replace(shutdown, is_requested=True)
+
+
+def _record_failure(
+    shutdown: state.Shutdown,
+    event: Event,
+    timeouts: state.Timeouts,
+    now: float,
+) -> state.Shutdown:
+    return dataclasses.replace(shutdown, has_failed=True)
 
 
 def _abort(
@@ -61,9 +92,12 @@
 _TRANSITIONS: dict[tuple[Phase, type], abc.Callable[..., state.Shutdown]] = {
     (Phase.RUNNING, messages.StopRequested): _start_leaving,
     (Phase.RUNNING, messages.Superseded): _start_leaving,
-    (Phase.LEAVING, messages.StopRequested): _abort,
+    (Phase.RUNNING, messages.Failed): _start_leaving,
+    (Phase.LEAVING, messages.StopRequested): _request_again,
+    (Phase.LEAVING, messages.Failed): _record_failure,
     (Phase.LEAVING, messages.Tick): _check_linger,
-    (Phase.FINISHING, messages.StopRequested): _abort,
+    (Phase.FINISHING, messages.StopRequested): _request_again,
+    (Phase.FINISHING, messages.Failed): _record_failure,
     (Phase.FINISHING, messages.Tick): _check_completion,
 }
 
@@ -91,7 +125,8 @@
 ) -> state.Shutdown:
     """Compute the state of the shutdown after an event.
 
-    A second `StopRequested` aborts work in progress at once.
+    A second `StopRequested` aborts work in progress at once. A failure does
+    not: it ends the daemon as a request to stop does.
 
     :param now: monotonic time in seconds.
     :returns: the new state; unchanged by an event that does not matter in
--- a/packages/burdockdeal/burdockdeal/shutdown/messages.py
+++ b/packages/burdockdeal/burdockdeal/shutdown/messages.py
@@ -22,3 +22,15 @@
 @dataclasses.dataclass(frozen=True, slots=True)
 class Superseded:
     """Another process runs under this daemon's name."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failed:
+    """An error that no code handles ended a part of this daemon.
+
+    :param reason: the part and the error.
+    :param where: the innermost lines of the code that raised it.
+    """
+
+    reason: str
+    where: str
--- a/packages/burdockdeal/burdockdeal/shutdown/state.py
+++ b/packages/burdockdeal/burdockdeal/shutdown/state.py
@@ -24,11 +24,15 @@
     """State of a daemon's shutdown.
 
     :param requested_at: monotonic time, in seconds, at which the shutdown
-        was requested; without meaning while the daemon is RUNNING.
+        began; without meaning while the daemon is RUNNING.
+    :param is_requested: whether it was requested from outside.
+    :param has_failed: whether a part of the daemon has failed.
     """
 
     phase: Phase = Phase.RUNNING
     requested_at: float = 0.0
+    is_requested: bool = False
+    has_failed: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/standins/burdockdeal_standins/fleet.py
+++ b/packages/standins/burdockdeal_standins/fleet.py
@@ -76,6 +76,8 @@
 
     def __init__(self, folder: pathlib.Path) -> None:
         self.folder = folder
+        #: The program of the daemons.
+        self.daemon_module = "burdockdeal.daemon"
         self.session: aiohttp.ClientSession
         self.store_port = ports.free_port()
         self._store_admin = f"http://{ports.HOST}:{self.store_port}/admin"
@@ -200,7 +202,7 @@
         path = self.folder / f"{settings.daemon}.json5"
         path.write_bytes(codec.encode(settings))
         process = await self.start(
-            "burdockdeal.daemon", settings.daemon, settings=path
+            self.daemon_module, settings.daemon, settings=path
         )
         await self.wait_for_port(
             settings.listen.caller.port, process, settings.listen.caller.host
