Take a load that is out of bounds for none

What callers saw: a daemon that ended by itself, at each start, beside an upstream whose load report contains nan; requests that ran were answered 500.

Cause: float() takes nan and inf, and int() raises an error for them that no code handles, in the service that looks for the upstream after a start.

Evidence: nine of the new cases of the test fail on the code before, with ValueError, OverflowError, or a load that is taken.

--- a/packages/burdockdeal/burdockdeal/platform/headers.py
+++ b/packages/burdockdeal/burdockdeal/platform/headers.py
@@ -31,6 +31,12 @@
 _MAX_DEADLINE_MS = 1e9
 #: The longest time that an upstream may report to be cold: a day.
 _MAX_COLD_MS = 86_400_000
+#: Numbers that a load contains at least, and at most; what follows has no
+#: meaning yet.
+_MIN_LOAD_NUMBERS = 3
+_MAX_LOAD_NUMBERS = 4
+#: The largest number that a load may contain.
+_MAX_LOAD_NUMBER = 1e6
 
 
 def _read_deadline(received: header_codec.Headers) -> float | None:
@@ -102,13 +108,17 @@
     """
     fields = received.get(SERVER_LOAD, "").split(",")
     try:
-        numbers = [float(part) for part in fields]
+        numbers = [float(part) for part in fields[:_MAX_LOAD_NUMBERS]]
     except ValueError:
         return None
-    if len(numbers) < 3 or min(numbers) < 0:
+    # Neither holds for NaN.
+    if not all(0 <= number <= _MAX_LOAD_NUMBER for number in numbers):
         return None
-    slowdown = numbers[3] / 100 if len(numbers) > 3 else 1.0
-    running, waiting, slots = map(int, numbers[:3])
+    if len(numbers) < _MIN_LOAD_NUMBERS:
+        return None
+    running, waiting, slots = map(int, numbers[:_MIN_LOAD_NUMBERS])
+    slower = numbers[_MIN_LOAD_NUMBERS:]
+    slowdown = slower[0] / 100 if slower else 1.0
     return measurement.UpstreamLoad(
         running, waiting, slots, max(0.01, slowdown)
     )
--- a/packages/burdockdeal/burdockdeal/platform/tests/test_headers.py
+++ b/packages/burdockdeal/burdockdeal/platform/tests/test_headers.py
@@ -97,9 +97,27 @@
 
 
 @pytest.mark.parametrize(
-    "header", ["", "1,2", "a,b,c", "-1,0,9", "1;2;3", "1,2,nine,100"]
+    "header",
+    [
+        "",
+        "1,2",
+        "a,b,c",
+        "-1,0,9",
+        "1;2;3",
+        "1,2,nine,100",
+        "nan,0,9",
+        "0,nan,9",
+        "0,0,nan",
+        "0,0,9,nan",
+        "inf,0,9",
+        "0,0,inf",
+        "0,0,9,inf",
+        "0,0,1e300",
+        "0,0,9,1e300",
+    ],
 )
 def test_an_invalid_load_header_is_ignored(header: str) -> None:
+    """A load that is no number ended a daemon that discovers its upstream."""
     assert headers.read_load({"Server-Load": header}) is None
 
 
@@ -107,7 +125,7 @@
     load = headers.read_load({"Server-Load": "3,1,9"})
     assert (load.running, load.waiting, load.slots) == (3, 1, 9)
     assert load.slowdown == 1.0
-    slowed = headers.read_load({"Server-Load": "3,1,9,480"})
+    slowed = headers.read_load({"Server-Load": "3,1,9,480,1e12"})
     assert slowed.slowdown == pytest.approx(4.8)
 
 
