Refuse a page of a listing that leads nowhere

What would be seen: an empty page of the store that announces another one ends each daemon that reads it (IndexError in a service); a repeated page is read for ever.

The three cases of the new test fail on the code before.

--- a/packages/burdockdeal/burdockdeal/platform/store.py
+++ b/packages/burdockdeal/burdockdeal/platform/store.py
@@ -277,7 +277,7 @@
             found += page.decode_items(answer.era)
             if not page.more_pages or len(found) >= limit:
                 return messages.Listing(tuple(found[:limit]), version)
-            position = page.items[-1].key
+            position = _find_next_position(page, position)
 
     async def _read_page(
         self, prefix: str, after: str, stale: bool, timeout_s: float | None
@@ -361,3 +361,17 @@
             store_session.Call("POST", f"/api/kv-keep/{lease}", kind="leases")
         )
         return answer.status == store_session.OK
+
+
+def _find_next_position(page: wire.Page, position: str) -> str:
+    """Return the key after which the next page of a listing begins.
+
+    :param position: the key after which this page began.
+    :raises StoreUncertainError: if the page does not lead to another one.
+    """
+    last = page.items[-1].key if page.items else position
+    if last <= position:
+        raise errors.StoreUncertainError(
+            f"a page after {position!r} announces another one after {last!r}"
+        )
+    return last
--- a/packages/burdockdeal/burdockdeal/platform/tests/test_store.py
+++ b/packages/burdockdeal/burdockdeal/platform/tests/test_store.py
@@ -142,6 +142,30 @@
         assert [entry.key for entry in rest.entries] == ["a/0617", "a/0618"]
 
 
+@pytest.mark.parametrize(
+    "items", [[], [{"key": "a/1"}], [{"key": "a/1"}, {"key": "a/0"}]]
+)
+async def test_a_listing_whose_pages_lead_nowhere_is_refused(
+    items: list[dict[str, str]],
+) -> None:
+    """An empty page that announces another one ended the daemon.
+
+    One that announces the same page again was read for ever.
+    """
+
+    async def handle(request: web.Request) -> web.Response:
+        assert request.query.get("after", "") in ("", "a/1", "a/0")
+        return web.json_response(
+            {"storeRevision": 1, "items": items, "morePages": True}
+        )
+
+    app = web.Application()
+    app.router.add_get("/api/kv-range", handle)
+    async with connect(app) as client, asyncio.timeout(5):
+        with pytest.raises(errors.StoreUncertainError):
+            await client.list("a/")
+
+
 async def test_a_key_expires_with_its_lease() -> None:
     async with run_store() as (client, _):
         lease = await client.grant(0.2)
