Parse what an upstream sends in small pieces, and bound interim responses

What callers would see: a faulty upstream that sends interim responses or whole responses without end, in reads of 256 KiB, takes the daemon beside it over its memory; the requests of other callers end with it (a report of other operators).

Cause: the guard against endless framing counted bytes after they had been parsed.

Change: at most 8 KiB are parsed before the guard looks; whatever follows a whole response is no longer parsed, and a response may have 100 interim ones before it.

--- a/packages/burdockdeal/burdockdeal/serving/connection_guard.py
+++ b/packages/burdockdeal/burdockdeal/serving/connection_guard.py
@@ -16,6 +16,13 @@
 #: heads, interim responses, chunk extensions and trailers.
 MAX_FRAMING_BYTES = 262_144
 
+#: Maximum number of interim responses before a response.
+MAX_INTERIM_RESPONSES = 100
+
+#: Number of bytes that are parsed at once. Far more than what was received
+#: is allocated for very short messages, of which one read may hold thousands.
+_PARSED_BYTES = 8_192
+
 #: Responses with these statuses are followed by another one. Any other
 #: number is final, also one that is no status.
 _INTERIM_STATUSES = range(100, 200)
@@ -31,6 +38,7 @@
     def __init__(self, *args: object, **kwargs: object) -> None:
         super().__init__(*args, **kwargs)
         self._final_body: aiohttp.StreamReader | None = None
+        self._interim_responses = 0
         self._framing_bytes = 0
         self._body_bytes = 0
 
@@ -42,18 +50,28 @@
     def set_response_params(self, **kwargs: object) -> None:
         """Prepare for the response to a new request."""
         self._final_body = None
+        self._interim_responses = 0
         self._framing_bytes = self._body_bytes = 0
         super().set_response_params(**kwargs)
 
     def feed_data(self, data: object, size: int = 0) -> None:
         """Pass on the head of a response."""
         message, body = data
-        if message.code not in _INTERIM_STATUSES and self._final_body is None:
+        if message.code in _INTERIM_STATUSES:
+            self._interim_responses += 1
+        elif self._final_body is None:
             self._final_body = body
         super().feed_data(data, size)
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, or close the connection."""
+        self._parse(data[:_PARSED_BYTES])
+        for start in range(_PARSED_BYTES, len(data), _PARSED_BYTES):
+            if self.transport is None or self.transport.is_closing():
+                return
+            self._parse(data[start : start + _PARSED_BYTES])
+
+    def _parse(self, data: bytes) -> None:
         if data and self.is_response_complete:
             event_log.record("unsolicited_bytes", size=len(data))
             self.force_close()
@@ -69,9 +87,16 @@
             self._framing_bytes = 0
         self._body_bytes = body_bytes
         self._framing_bytes += size
-        if self._framing_bytes <= MAX_FRAMING_BYTES:
+        if (
+            self._framing_bytes <= MAX_FRAMING_BYTES
+            and self._interim_responses <= MAX_INTERIM_RESPONSES
+        ):
             return
-        event_log.record("endless_framing", size=self._framing_bytes)
+        event_log.record(
+            "endless_framing",
+            size=self._framing_bytes,
+            interim_responses=self._interim_responses,
+        )
         error = http_exceptions.PayloadEncodingError(
             f"no byte of a body in {self._framing_bytes} bytes"
         )
--- a/packages/standins/burdockdeal_standins/scripted_upstream.py
+++ b/packages/standins/burdockdeal_standins/scripted_upstream.py
@@ -82,9 +82,17 @@
 
 @contextlib.asynccontextmanager
 async def run_scripted_upstream(
-    service: str, daemon: str, port: int, *, incarnation: int = 1
+    service: str,
+    daemon: str,
+    port: int,
+    *,
+    incarnation: int = 1,
+    slots: int = 9,
 ) -> abc.AsyncIterator[ScriptedUpstream]:
-    """Run a scripted upstream and announce it to its daemon while in use."""
+    """Run a scripted upstream and announce it to its daemon while in use.
+
+    :param slots: number of calls that it is sent at the same time.
+    """
     scripted = ScriptedUpstream(service, daemon, port)
     server = await asyncio.start_server(scripted.accept, "127.0.0.1", port)
     announce = messages.Announce(
@@ -92,6 +100,7 @@
         host="127.0.0.1",
         port=port,
         incarnation=incarnation,
+        slots=slots,
     )
     state = upstream.UpstreamState(announce, 1)
     announcing = asyncio.create_task(upstream.announce_forever(state, daemon))
