Take a malformed answer about a send for none

What callers would see: a booking whose response was lost, and which may have run, is told as a malformed request that did not run.

Cause: the answer to the question for its fate was decoded outside of what handles a failed question, and the server takes the decoder's error for one of the caller's request.

--- a/packages/burdockdeal/burdockdeal/bookings/fencing.py
+++ b/packages/burdockdeal/burdockdeal/bookings/fencing.py
@@ -26,6 +26,13 @@
 #: the caller can still be told so.
 FATE_GRACE_S = 0.15
 
+_FAILURES = (
+    aiohttp.ClientError,
+    asyncio.TimeoutError,
+    codec.MalformedError,
+    OSError,
+)
+
 FENCE_PATH = "/v1/peer/fence"
 CLOCK_PATH = "/v1/peer/clock"
 
@@ -61,8 +68,12 @@
     """
 
     async def post(
-        peer: model.Address, path: str, body: bytes, within_s: float
-    ) -> bytes | None:
+        peer: model.Address,
+        path: str,
+        body: bytes,
+        kind: type[codec.T],
+        within_s: float,
+    ) -> codec.T | None:
         timeout_s = min(_TIMEOUT_S, within_s)
         if timeout_s <= 0:
             return None
@@ -74,8 +85,8 @@
                 timeout=aiohttp.ClientTimeout(total=timeout_s),
             ) as response:
                 response.raise_for_status()
-                return await response.read()
-        except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
+                return codec.decode(await response.read(), kind)
+        except _FAILURES as error:
             event_log.debug(
                 "peer_query_failed", peer=peer, path=path, error=error
             )
@@ -84,8 +95,7 @@
     async def query_clock(
         peer: model.Address, within_s: float
     ) -> messages.Clock | None:
-        raw = await post(peer, CLOCK_PATH, b"", within_s)
-        return codec.decode(raw, messages.Clock) if raw else None
+        return await post(peer, CLOCK_PATH, b"", messages.Clock, within_s)
 
     async def query_fate(
         peer: model.Address, fence: messages.Fence, within_s: float
@@ -95,11 +105,15 @@
             if clock() + delay_s >= ends_at:
                 break
             await asyncio.sleep(delay_s)
-            raw = await post(
-                peer, FENCE_PATH, codec.encode(fence), ends_at - clock()
+            fenced = await post(
+                peer,
+                FENCE_PATH,
+                codec.encode(fence),
+                messages.Fenced,
+                ends_at - clock(),
             )
-            if raw is not None:
-                return codec.decode(raw, messages.Fenced).fate
+            if fenced is not None:
+                return fenced.fate
         return messages.Fate.UNKNOWN
 
     return query_clock, query_fate
--- a/packages/burdockdeal/burdockdeal/bookings/tests/test_fencing.py
+++ b/packages/burdockdeal/burdockdeal/bookings/tests/test_fencing.py
@@ -44,6 +44,7 @@
     def __init__(self, session: aiohttp.ClientSession) -> None:
         self.clocks = peer_clocks.PeerClocks(read_time)
         self.sent: list[str] = []
+        self.error: errors.CallError | None = None
         queries = fencing.make_peer_queries(session, _TOKEN, read_time)
         self._open = fencing.make_fencing_opener(
             self._lose_response, self.clocks, *queries, read_time
@@ -72,9 +73,10 @@
             attempt=1,
             daemon_incarnation=1,
         )
-        with pytest.raises(errors.CallError):
+        with pytest.raises(errors.CallError) as failed:
             async with self._open(send):
                 pass
+        self.error = failed.value
         return read_time() - started
 
 
@@ -127,3 +129,29 @@
         await opener.send(address, 1.0)
         assert peer.connections == 2
     assert messages.Fate.NOT_RUN in fenced.decode()
+
+
+@pytest.mark.parametrize("body", [b"", b"[]", b'{"fate":"OTHER"}', b"\xff"])
+@pytest.mark.parametrize("asked", ["clock", "fate"])
+async def test_a_malformed_answer_is_none(
+    opener: Fencing, asked: str, body: bytes
+) -> None:
+    """The caller of a send that may have run was told that it had not.
+
+    A malformed answer was taken for a malformed request of the caller.
+    """
+
+    async def handle(reader, writer) -> None:
+        while True:
+            await reader.readuntil(b"\r\n\r\n")
+            head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+            writer.write(head.encode() + body)
+
+    async with raw_upstream.run_upstream() as peer:
+        peer.handler = handle
+        if asked == "fate":
+            opener.clocks.record("d1", 1, read_time())
+        await opener.send(model.Address("127.0.0.1", peer.port), 0.3)
+    assert bool(opener.sent) is (asked == "fate")
+    told_not_run = isinstance(opener.error, errors.NotRunError)
+    assert told_not_run is (asked == "clock")
