Bound what is read of answers of the store and of other daemons

What would be seen: a daemon runs out of memory within seconds if the store, or whatever listens at the address of another daemon, answers without end.

Cause: these answers were read whole until their message timed out, and the connections to the store had no guard against endless heads.

Change: 4 MiB of another daemon's answer, 16 MiB of the store's and 32 MiB of a listing are read; a longer one is a failed call.

--- a/packages/burdockdeal/burdockdeal/bookings/fencing.py
+++ b/packages/burdockdeal/burdockdeal/bookings/fencing.py
@@ -14,6 +14,7 @@
 from burdockdeal.core import event_log
 from burdockdeal.core import headers
 from burdockdeal.core import verdict
+from burdockdeal.overload import body_io
 from burdockdeal.serving import messages as serving
 from burdockdeal.settings import model
 
@@ -85,7 +86,9 @@
                 timeout=aiohttp.ClientTimeout(total=timeout_s),
             ) as response:
                 response.raise_for_status()
-                return codec.decode(await response.read(), kind)
+                return codec.decode(
+                    await body_io.read_whole_response(response), kind
+                )
         except _FAILURES as error:
             event_log.debug(
                 "peer_query_failed", peer=peer, path=path, error=error
--- a/packages/burdockdeal/burdockdeal/configuration/peers.py
+++ b/packages/burdockdeal/burdockdeal/configuration/peers.py
@@ -14,6 +14,7 @@
 from burdockdeal.core import errors
 from burdockdeal.core import event_log
 from burdockdeal.core import headers
+from burdockdeal.overload import body_io
 from burdockdeal.settings import model
 
 CHANGES_PATH = "/v1/peer/changes"
@@ -128,7 +129,9 @@
             if response.status == http.HTTPStatus.CONFLICT:
                 raise _SnapshotReplacedError(path)
             response.raise_for_status()
-            return codec.decode(await response.read(), kind)
+            return codec.decode(
+                await body_io.read_whole_response(response), kind
+            )
 
     async def handle_changes(self, request: web.BaseRequest) -> web.Response:
         """Serve the changes after a revision to a peer that is behind."""
--- a/packages/burdockdeal/burdockdeal/configuration/propagation.py
+++ b/packages/burdockdeal/burdockdeal/configuration/propagation.py
@@ -20,6 +20,7 @@
 from burdockdeal.core import headers
 from burdockdeal.membership import messages as membership
 from burdockdeal.membership import roster as rosters
+from burdockdeal.overload import body_io
 from burdockdeal.settings import model
 
 PATH = "/v1/peer/spread"
@@ -266,7 +267,8 @@
                 timeout=aiohttp.ClientTimeout(total=message.wait_ms / 1000),
             ) as response:
                 response.raise_for_status()
-                return codec.decode(await response.read(), messages.Applied)
+                body = await body_io.read_whole_response(response)
+                return codec.decode(body, messages.Applied)
         except (
             aiohttp.ClientError,
             asyncio.TimeoutError,
--- a/packages/burdockdeal/burdockdeal/membership/transport.py
+++ b/packages/burdockdeal/burdockdeal/membership/transport.py
@@ -8,6 +8,7 @@
 
 from burdockdeal.core import codec
 from burdockdeal.core import headers
+from burdockdeal.overload import body_io
 from burdockdeal.settings import model
 
 T = typing.TypeVar("T")
@@ -41,7 +42,8 @@
             ) as response:
                 if response.status != 200:
                     return None
-                return codec.decode_compact(await response.read(), kind)
+                body = await body_io.read_whole_response(response)
+                return codec.decode_compact(body, kind)
         except (
             aiohttp.ClientError,
             asyncio.TimeoutError,
--- a/packages/burdockdeal/burdockdeal/overload/body_io.py
+++ b/packages/burdockdeal/burdockdeal/overload/body_io.py
@@ -14,6 +14,14 @@
 from burdockdeal.overload import state
 from burdockdeal.settings import model
 
+#: Maximum length of a response of another daemon, in bytes. A page of changes
+#: or records, and a part of a snapshot, have a fraction of it.
+MAX_PEER_RESPONSE_BYTES = 4 * 1024 * 1024
+
+
+class ResponseTooLongError(aiohttp.ClientPayloadError):
+    """The body of a response is longer than any valid one."""
+
 
 def _build_error(progress: state.TransferProgress) -> errors.NotRunError:
     event_log.record(
@@ -78,6 +86,24 @@
         raise aiohttp.SocketTimeoutError("the answer stalled") from error
 
 
+async def read_whole_response(
+    response: aiohttp.ClientResponse,
+    max_bytes: int = MAX_PEER_RESPONSE_BYTES,
+) -> bytes:
+    """Read the body of a response to a message of this daemon's own.
+
+    :raises ResponseTooLongError: if it is too long; the connection is closed.
+    """
+    body = bytearray()
+    while chunk := await response.content.readany():
+        body += chunk
+        if len(body) > max_bytes:
+            response.close()
+            event_log.warn("response_too_long", url=response.url)
+            raise ResponseTooLongError(f"more than {max_bytes} bytes")
+    return bytes(body)
+
+
 async def write_response_chunk(
     response: web.StreamResponse, chunk: bytes, limits: model.Limits
 ) -> None:
--- a/packages/burdockdeal/burdockdeal/platform/store.py
+++ b/packages/burdockdeal/burdockdeal/platform/store.py
@@ -26,9 +26,12 @@
 
 _WATCH_MARGIN_S = 2.0
 
-#: Maximum number of entries in one listing.
+#: Default of the maximum number of entries in one listing.
 _MAX_LISTED = 1000
 
+#: Maximum length of all pages of a listing, in bytes.
+MAX_LISTING_BYTES = 2 * store_session.MAX_RESPONSE_BYTES
+
 #: The rate limit of clients that limit their calls by themselves, and the
 #: default.
 _UNLIMITED = state.RateLimit(1e9, 1e9)
@@ -265,8 +268,14 @@
         found: list[messages.Entry] = []
         version: messages.Version | None = None
         position = after
+        size = 0
         while True:
             answer = await self._read_page(prefix, position, stale, timeout_s)
+            size += len(answer.body)
+            if size > MAX_LISTING_BYTES:
+                raise errors.StoreUncertainError(
+                    f"more than {MAX_LISTING_BYTES} bytes below {prefix!r}"
+                )
             page = wire.decode_message(answer.body, wire.Page)
             if version is None:
                 version = messages.Version(answer.era, page.store_revision)
--- a/packages/burdockdeal/burdockdeal/platform/store_session.py
+++ b/packages/burdockdeal/burdockdeal/platform/store_session.py
@@ -10,17 +10,22 @@
 
 from burdockdeal.core import errors
 from burdockdeal.core import event_log
+from burdockdeal.overload import body_io
 from burdockdeal.platform import decisions
 from burdockdeal.platform import messages
 from burdockdeal.platform import state
 from burdockdeal.platform import store_era
 from burdockdeal.platform import store_trace
 from burdockdeal.platform import wire
+from burdockdeal.serving import connection_guard
 from burdockdeal.settings import model
 
 #: Default timeout of a call in seconds.
 TIMEOUT_S = 2.0
 
+#: Maximum length of a response in bytes: that of several pages.
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+
 OK = 200
 NOT_FOUND = 404
 GONE = 410
@@ -88,10 +93,10 @@
         self.era = store_era.EraTracker()
 
     async def __aenter__(self) -> "StoreSession":
+        connector = aiohttp.TCPConnector(socket_factory=self._socket_factory)
+        connection_guard.guard_connections(connector)
         self._http = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
-                socket_factory=self._socket_factory
-            ),
+            connector=connector,
             timeout=aiohttp.ClientTimeout(total=TIMEOUT_S),
             cookie_jar=aiohttp.DummyCookieJar(),
             trace_configs=[store_trace.build_reuse_trace()],
@@ -164,9 +169,12 @@
                 timeout=aiohttp.ClientTimeout(total=call.timeout_s),
                 trace_request_ctx=attempt,
             ) as response:
+                body = await body_io.read_whole_response(
+                    response, MAX_RESPONSE_BYTES
+                )
                 return Response(
                     response.status,
-                    await response.read(),
+                    body,
                     wire.parse_era(response.headers.get(wire.ERA_HEADER)),
                 )
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
--- a/packages/standins/burdockdeal_standins/floods.py
+++ b/packages/standins/burdockdeal_standins/floods.py
@@ -11,11 +11,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Flood:
-    """What a server sends once, and what it then sends again and again."""
+    """What a server sends once, and what it then sends again and again.
+
+    :param body_share: share of the repeated bytes that a client would keep.
+    """
 
     start: bytes
     repeated: bytes
+    body_share: float = 1.0
+
 
+#: Seconds within which a client must have closed a flooded connection.
+_CLOSE_TIMEOUT_S = 10.0
 
 _OK = b"HTTP/1.1 200 OK\r\n"
 _CHUNKED = _OK + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -46,7 +53,9 @@
         b"x" * 65_536,
     ),
     "chunks": Flood(_CHUNKED, b"10000\r\n" + b"x" * 65_536 + b"\r\n"),
-    "chunks of one byte": Flood(_CHUNKED, b"1\r\nx\r\n" * 10_922),
+    "chunks of one byte": Flood(
+        _CHUNKED, b"1\r\nx\r\n" * 10_922, body_share=1 / 6
+    ),
     "chunk size": Flood(_CHUNKED, b"0" * 65_536),
     "chunk extension": Flood(_CHUNKED + b"1", b";a=b" * 16_384),
     "trailers": Flood(_CHUNKED + b"0\r\n", b"X-Trailer: 1\r\n" * 4_681),
@@ -58,11 +67,15 @@
 }
 
 
-async def _flood(writer: asyncio.StreamWriter, flood: Flood) -> None:
+async def _flood(
+    writer: asyncio.StreamWriter, flood: Flood
+) -> abc.AsyncIterator[int]:
+    """Flood a connection until it is closed; yield the bytes written."""
     writer.write(flood.start)
     while True:
         writer.write(flood.repeated)
         await writer.drain()
+        yield len(flood.repeated)
 
 
 class FloodingUpstream:
@@ -80,7 +93,8 @@
             head = await scripted_upstream.read_head(reader)
             if "/endless" in head.start_line:
                 self.floods += 1
-                await _flood(writer, self._flood)
+                async for _ in _flood(writer, self._flood):
+                    pass
             writer.write(raw_http.OK_RESPONSE)
 
 
@@ -90,6 +104,18 @@
     def __init__(self, flood: Flood) -> None:
         self._flood = flood
         self.floods = 0
+        self._sent_bytes = 0
+        self._closed = asyncio.Event()
+
+    @property
+    def kept_bytes(self) -> float:
+        """The bytes that clients have been sent and might have kept."""
+        return self._sent_bytes * self._flood.body_share
+
+    async def wait_until_closed(self) -> None:
+        """Wait until a client has closed its connection."""
+        async with asyncio.timeout(_CLOSE_TIMEOUT_S):
+            await self._closed.wait()
 
     async def accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -98,7 +124,9 @@
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
             await reader.readuntil(b"\r\n\r\n")
             self.floods += 1
-            await _flood(writer, self._flood)
+            async for size in _flood(writer, self._flood):
+                self._sent_bytes += size
+        self._closed.set()
         writer.close()
 
 
