Give up a head that contains the beginning of another response

What callers saw: 3 to 10 of about 13,000 answers had another status than the upstream gave, with its signature: bookings that were made were answered 500, and bookings that failed 200.

Cause: on a connection that is used again, the late part of an earlier answer stands in front of the next one. If it ends within the head, its last line and the next status line are read as one, and the id is that of the next answer.

Ruled out: a connection for each request (certain, but each is priced and a cold one is slow), connections of unsafe requests only (a failed read would still come back as a success), a stricter status line (the part may end within a field).

If one is found within a reason or a field, the response is given up with its connection, on all connections of the daemon.

--- a/packages/burdockdeal/burdockdeal/serving/connection_guard.py
+++ b/packages/burdockdeal/burdockdeal/serving/connection_guard.py
@@ -5,10 +5,12 @@
 """
 
 import functools
+import re
 
 import aiohttp
 from aiohttp import client_proto
 from aiohttp import http_exceptions
+from aiohttp import http_parser
 
 from burdockdeal.core import event_log
 
@@ -23,6 +25,9 @@
 #: is allocated for very short messages, of which one read may hold thousands.
 _PARSED_BYTES = 8_192
 
+#: The beginning of a response, which no part of a head may contain.
+_STATUS_LINE = re.compile(rb"HTTP/[0-9]\.[0-9] [0-9]{3}")
+
 #: Responses with these statuses are followed by another one. Any other
 #: number is final, also one that is no status.
 _INTERIM_STATUSES = range(100, 200)
@@ -55,8 +60,14 @@
         super().set_response_params(**kwargs)
 
     def feed_data(self, data: object, size: int = 0) -> None:
-        """Pass on the head of a response."""
+        """Pass on the head of a response, or close the connection."""
         message, body = data
+        if _contains_status_line(message):
+            # Bytes that belong to no response came in front of one. What was
+            # read as one head is made of two.
+            event_log.record("mixed_responses", status=message.code)
+            self._fail("a response within a head")
+            return
         if message.code in _INTERIM_STATUSES:
             self._interim_responses += 1
         elif self._final_body is None:
@@ -97,10 +108,13 @@
             size=self._framing_bytes,
             interim_responses=self._interim_responses,
         )
-        error = http_exceptions.PayloadEncodingError(
-            f"no byte of a body in {self._framing_bytes} bytes"
-        )
+        self._fail(f"no byte of a body in {self._framing_bytes} bytes")
+
+    def _fail(self, reason: str) -> None:
+        """Give up the response and its connection."""
+        error = http_exceptions.PayloadEncodingError(reason)
         self.set_exception(error)
+        body = self._final_body
         if body is not None and not body.is_eof():
             body.set_exception(aiohttp.ClientPayloadError(error.message))
         self._close_transport()
@@ -117,6 +131,15 @@
             self.transport.abort()
 
 
+def _contains_status_line(message: http_parser.RawResponseMessage) -> bool:
+    """Return whether a head contains the beginning of another response."""
+    values = [value for _, value in message.raw_headers]
+    return any(
+        b"HTTP/" in text and _STATUS_LINE.search(text)
+        for text in (message.reason.encode(errors="replace"), *values)
+    )
+
+
 def guard_connections(connector: aiohttp.BaseConnector) -> None:
     """Make a connector use guarded connections from now on."""
     # aiohttp has no public way to set the protocol of its connections.
