Refuse a heartbeat that is not whole

What callers saw: 14 or 15 requests reached a worker later than drainMs after it was acknowledged that it drains.

Cause: a heartbeat of another writer that lacks a field was taken, and its sequence with it. The later ones of the upstream were outdated by it and acknowledged all the same. Only the fields that a decision uses were decoded.

Change: a heartbeat has all fields that the protocol lists, and a start once one was reported; otherwise it gets 400 with a text, and changes nothing. The same cause in other messages that carry an order: a response of the store is decoded before its era counts, and a configuration has its lists of routes and services.

A test that took a heartbeat without coldRemainingMs for valid now checks that it is refused, and what a whole one changes: PROTOCOL lists the field among those that the call includes. Fixtures that lacked fields have them.

--- a/packages/burdockdeal/burdockdeal/daemon/tests/test_evacuated_owner.py
+++ b/packages/burdockdeal/burdockdeal/daemon/tests/test_evacuated_owner.py
@@ -43,6 +43,7 @@
     )
     document = {
         "version": "r1",
+        "routes": [],
         "services": [{"name": SERVICE, "coldPerS": rate}],
     }
     shared.active_configuration.apply_snapshot(
--- a/packages/burdockdeal/burdockdeal/platform/configuration.py
+++ b/packages/burdockdeal/burdockdeal/platform/configuration.py
@@ -144,8 +144,8 @@
     """
 
     version: str
-    routes: tuple[Route, ...] = ()
-    services: tuple[Service, ...] = ()
+    routes: tuple[Route, ...]
+    services: tuple[Service, ...]
     tenants: tuple[msgspec.Raw, ...] = ()
     limits: Limits = Limits()
 
--- a/packages/burdockdeal/burdockdeal/platform/heartbeats.py
+++ b/packages/burdockdeal/burdockdeal/platform/heartbeats.py
@@ -28,7 +28,12 @@
 class Heartbeat(msgspec.Struct, frozen=True, rename="camel"):
     """The state that an upstream reports about itself.
 
+    All fields but the last are part of each heartbeat of an upstream, also
+    those that no decision uses: what lacks one comes from another writer.
+
     :param address: the address at which it accepts requests.
+    :param zone: the failure domain in which it runs.
+    :param version: the version of its software.
     :param slots: the number of calls that it runs concurrently.
     :param state: `ready` or `draining`.
     :param sequence: increases with each message until the upstream
@@ -36,15 +41,17 @@
     :param cold_remaining_ms: the remaining warm-up time, in milliseconds,
         during which the upstream is slow.
     :param born: the time of its start in Unix milliseconds; None if it does
-        not report one.
+        not report one. An upstream that has reported it once always does.
     """
 
     service: str
     address: str
+    zone: str
+    version: str
     slots: validation.SlotCount
     state: str
     sequence: validation.Counter
-    cold_remaining_ms: validation.Milliseconds = 0.0
+    cold_remaining_ms: validation.Milliseconds
     born: validation.Counter | None = None
 
 
@@ -277,21 +284,32 @@
             )
         )
 
-    def is_from_upstream(self, heartbeat: Heartbeat) -> bool:
-        """Return whether a heartbeat can come from this daemon's upstream."""
+    def find_fault(self, heartbeat: Heartbeat) -> str | None:
+        """Find why a heartbeat can't come from this daemon's upstream.
+
+        :returns: a short text, None if it can.
+        """
         latest_born_ms = time.time_ns() // 1_000_000 + _MAX_BORN_LEAD_MS
-        return (
-            heartbeat.service == self._deployment.service
-            and heartbeat.address == str(self._deployment.upstream)
-            and heartbeat.state in (_READY, _DRAINING)
-            and heartbeat.slots > 0
-            and (heartbeat.born or 0) <= latest_born_ms
+        has_start = heartbeat.born is not None
+        checks = {
+            "another service": heartbeat.service == self._deployment.service,
+            "another address": (
+                heartbeat.address == str(self._deployment.upstream)
+            ),
+            "an unknown state": heartbeat.state in (_READY, _DRAINING),
+            "no slots": heartbeat.slots > 0,
+            "a start in the future": (heartbeat.born or 0) <= latest_born_ms,
+            "no start": has_start or self._known.born is None,
+        }
+        return next(
+            (fault for fault, holds in checks.items() if not holds), None
         )
 
 
-def _reply(status: int) -> web.Response:
+def _reply(status: int, error: str = "") -> web.Response:
+    body = codec.encode({"error": error} if error else {})
     return web.Response(
-        status=status, body=b"{}", content_type="application/json"
+        status=status, body=body, content_type="application/json"
     )
 
 
@@ -309,12 +327,16 @@
             heartbeat = codec.decode(await request.read(), Heartbeat)
         except codec.MalformedError as error:
             event_log.warn("heartbeat_unreadable", name=name, error=error)
-            return _reply(400)
-        if not receiver.is_from_upstream(heartbeat):
+            return _reply(400, str(error))
+        fault = receiver.find_fault(heartbeat)
+        if fault is not None:
             event_log.warn(
-                "heartbeat_mismatched", name=name, service=heartbeat.service
+                "heartbeat_mismatched",
+                name=name,
+                service=heartbeat.service,
+                error=fault,
             )
-            return _reply(400)
+            return _reply(400, fault)
         receiver.receive(name, heartbeat)
         return _reply(200)
 
--- a/packages/burdockdeal/burdockdeal/platform/store.py
+++ b/packages/burdockdeal/burdockdeal/platform/store.py
@@ -172,12 +172,12 @@
                 "GET",
                 f"/api/kv-key?{query}",
                 timeout_s=timeout_s or store_session.TIMEOUT_S,
+                bodies={store_session.OK: wire.StoredItem},
             )
         )
         if answer.status == store_session.NOT_FOUND:
             return None
-        item = wire.decode_message(answer.body, wire.Item)
-        return wire.decode_item(item, answer.era)
+        return wire.decode_item(answer.body, answer.era)
 
     async def put(
         self,
@@ -230,17 +230,19 @@
                 kind="writes",
                 body=codec.encode(transaction),
                 expected=(key, version),
+                bodies={
+                    store_session.OK: wire.Committed,
+                    store_session.CONFLICT: wire.Conflict,
+                },
             )
         )
         if answer.status == store_session.CONFLICT:
-            conflict = wire.decode_message(answer.body, wire.Conflict)
             raise errors.StoreConflictError(
-                key, conflict.find_version(key, answer.era)
+                key, answer.body.find_version(key, answer.era)
             )
         if answer.status == store_session.NOT_FOUND:
             raise errors.StoreLeaseError("the lease has ended")
-        committed = wire.decode_message(answer.body, wire.Committed)
-        return messages.Version(answer.era, committed.revision)
+        return messages.Version(answer.era, answer.body.revision)
 
     async def list(
         self,
@@ -271,12 +273,12 @@
         size = 0
         while True:
             answer = await self._read_page(prefix, position, stale, timeout_s)
-            size += len(answer.body)
+            size += answer.size
             if size > MAX_LISTING_BYTES:
                 raise errors.StoreUncertainError(
                     f"more than {MAX_LISTING_BYTES} bytes below {prefix!r}"
                 )
-            page = wire.decode_message(answer.body, wire.Page)
+            page: wire.Page = answer.body
             if version is None:
                 version = messages.Version(answer.era, page.store_revision)
             elif not decisions.can_continue(version, answer.era):
@@ -299,7 +301,10 @@
         path = f"/api/kv-range?{parse.urlencode(query)}"
         return await self._send(
             store_session.Call(
-                "GET", path, timeout_s=timeout_s or store_session.TIMEOUT_S
+                "GET",
+                path,
+                timeout_s=timeout_s or store_session.TIMEOUT_S,
+                bodies={store_session.OK: wire.Page},
             )
         )
 
@@ -331,13 +336,14 @@
                 f"/api/kv-watch?{query}",
                 kind="watches",
                 timeout_s=wait_s + _WATCH_MARGIN_S,
+                bodies={store_session.OK: wire.Events},
             )
         )
         if answer.status == store_session.GONE or not decisions.can_continue(
             after, answer.era
         ):
             return await self.list(prefix)
-        events = wire.decode_message(answer.body, wire.Events)
+        events: wire.Events = answer.body
         return messages.Listing(
             events.decode_items(answer.era),
             messages.Version(answer.era, events.store_revision),
@@ -355,9 +361,10 @@
                 "/api/kv-lease",
                 kind="leases",
                 body=codec.encode(wire.LeaseRequest(round(ttl_s * 1000))),
+                bodies={store_session.OK: wire.LeaseGrant},
             )
         )
-        granted = wire.decode_message(answer.body, wire.LeaseGrant)
+        granted: wire.LeaseGrant = answer.body
         return messages.Lease(granted.lease, granted.ttl_ms / 1000, answer.era)
 
     async def renew(self, lease: int) -> bool:
--- a/packages/burdockdeal/burdockdeal/platform/store_session.py
+++ b/packages/burdockdeal/burdockdeal/platform/store_session.py
@@ -4,6 +4,7 @@
 from collections import abc
 import dataclasses
 import socket
+import typing
 
 import aiohttp
 import yarl
@@ -45,6 +46,8 @@
     :param kind: the counter of its kind, a field of CallCounts.
     :param expected: the key and version that a write is conditional on, None
         for a call that is not a conditional write.
+    :param bodies: the type of a response's body, by the response's status;
+        that of any other response does not matter.
     """
 
     method: str
@@ -53,20 +56,31 @@
     body: bytes | None = None
     timeout_s: float = TIMEOUT_S
     expected: tuple[str, messages.Version] | None = None
+    bodies: abc.Mapping[int, type] = dataclasses.field(default_factory=dict)
 
     def __str__(self) -> str:
         return f"{self.method} {self.path}"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _RawResponse:
+    status: int
+    body: bytes
+    era: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Response:
     """A response of the store.
 
+    :param body: the message in its body, None if that does not matter.
+    :param size: length of its body in bytes.
     :param era: the store's era.
     """
 
     status: int
-    body: bytes
+    body: typing.Any
+    size: int
     era: int
 
 
@@ -129,6 +143,9 @@
             raise errors.StoreUnavailableError(f"{call}: {response.status}")
         if response.status not in _EXPECTED_STATUSES:
             raise errors.StoreUncertainError(f"{call}: {response.status}")
+        # Only a response that is wholly valid shows a new era.
+        kind = call.bodies.get(response.status)
+        body = wire.decode_message(response.body, kind) if kind else None
         if not decisions.is_result(
             self.era.record(response.era),
             answered=response.era,
@@ -141,7 +158,9 @@
                 answered=response.era,
             )
             raise errors.StoreEraError(f"{call}: era {response.era}")
-        return response
+        return Response(
+            response.status, body, len(response.body), response.era
+        )
 
     def _check_version(self, call: Call) -> None:
         if call.expected is None:
@@ -157,7 +176,7 @@
         )
         raise errors.StoreVersionOutdatedError(key, version)
 
-    async def _exchange(self, call: Call) -> Response:
+    async def _exchange(self, call: Call) -> _RawResponse:
         assert self._http is not None
         attempt = store_trace.Attempt()
         try:
@@ -172,7 +191,7 @@
                 body = await body_io.read_whole_response(
                     response, MAX_RESPONSE_BYTES
                 )
-                return Response(
+                return _RawResponse(
                     response.status,
                     body,
                     wire.parse_era(response.headers.get(wire.ERA_HEADER)),
--- a/packages/burdockdeal/burdockdeal/platform/tests/test_endless_store.py
+++ b/packages/burdockdeal/burdockdeal/platform/tests/test_endless_store.py
@@ -70,7 +70,11 @@
     async def handle(request: web.Request) -> web.Response:
         nonlocal pages
         pages += 1
-        item = {"key": f"a/{pages:08d}", "value": "A" * _PAGE_BYTES}
+        item = {
+            "key": f"a/{pages:08d}",
+            "revision": 1,
+            "value": "A" * _PAGE_BYTES,
+        }
         return web.json_response(
             {"storeRevision": 1, "items": [item], "morePages": True}
         )
--- a/packages/burdockdeal/burdockdeal/platform/tests/test_heartbeats.py
+++ b/packages/burdockdeal/burdockdeal/platform/tests/test_heartbeats.py
@@ -159,8 +159,7 @@
     receiver = heartbeats.HeartbeatReceiver(tracker, DEPLOYMENT)
     receiver.record_discovered("i-1", 9)
     assert tracker.may_start_call()
-    heartbeat = heartbeats.Heartbeat("orders", "10.0.0.1:80", 9, "ready", 3)
-    receiver.receive("i-1", heartbeat)
+    receiver.receive("i-1", make_heartbeat(3, born=None))
     assert tracker.may_start_call()
     assert tracker.upstream.announce.name == "i-1"
 
@@ -169,9 +168,12 @@
     fields = {
         "service": "orders",
         "address": "10.0.0.1:80",
+        "zone": "here",
+        "version": "v1",
         "slots": 9,
         "state": "ready",
         "sequence": sequence,
+        "cold_remaining_ms": 0.0,
         "born": 1000,
     }
     return heartbeats.Heartbeat(**{**fields, **changed})
@@ -310,7 +312,11 @@
     tracker.apply(decisions.ColdReport(999, 0.0))
     await put(client, sequence=5, coldRemainingMs=2500)
     assert tracker.upstream.cold_until == now + 2.5
-    await put(client, sequence=6, born=1001, coldRemainingMs=None)
+    # What lacks the field comes from another writer and changes nothing.
+    missing = {"sequence": 6, "born": 1001, "coldRemainingMs": None}
+    assert await put(client, **missing) == 400
+    assert tracker.upstream.cold_until == now + 2.5
+    await put(client, sequence=6, born=1001, coldRemainingMs=0)
     assert tracker.upstream.cold_until == now
 
 
--- a/packages/burdockdeal/burdockdeal/platform/tests/test_store.py
+++ b/packages/burdockdeal/burdockdeal/platform/tests/test_store.py
@@ -143,10 +143,15 @@
 
 
 @pytest.mark.parametrize(
-    "items", [[], [{"key": "a/1"}], [{"key": "a/1"}, {"key": "a/0"}]]
+    "items",
+    [
+        [],
+        [{"key": "a/1", "revision": 1}],
+        [{"key": "a/1", "revision": 1}, {"key": "a/0", "revision": 1}],
+    ],
 )
 async def test_a_listing_whose_pages_lead_nowhere_is_refused(
-    items: list[dict[str, str]],
+    items: list[dict[str, object]],
 ) -> None:
     """An empty page that announces another one ended the daemon.
 
--- a/packages/burdockdeal/burdockdeal/platform/tests/test_watcher.py
+++ b/packages/burdockdeal/burdockdeal/platform/tests/test_watcher.py
@@ -15,7 +15,8 @@
 
 
 def encode_document(number: int) -> str:
-    return json.dumps({"version": f"r{number}"})
+    document = {"version": f"r{number}", "routes": [], "services": []}
+    return json.dumps(document)
 
 
 class FakeStore:
--- a/packages/burdockdeal/burdockdeal/platform/wire.py
+++ b/packages/burdockdeal/burdockdeal/platform/wire.py
@@ -38,6 +38,14 @@
     tombstone: bool = False
 
 
+class StoredItem(Item, frozen=True, rename="camel"):
+    """An item of a key that exists, or its deletion."""
+
+    def __post_init__(self) -> None:
+        if self.revision < 1:
+            raise ValueError("an item without a revision")
+
+
 class Precondition(_Message):
     """A condition under which a transaction takes effect.
 
@@ -93,8 +101,8 @@
     """One page of a listing."""
 
     store_revision: int
-    items: tuple[Item, ...] = ()
-    more_pages: bool = False
+    items: tuple[StoredItem, ...]
+    more_pages: bool
 
     def decode_items(self, era: int) -> tuple[messages.Entry, ...]:
         """Decode the entries of the page, read in an era."""
@@ -105,7 +113,7 @@
     """The response to a watch: the changes since the given revision."""
 
     store_revision: int
-    events: tuple[Item, ...] = ()
+    events: tuple[StoredItem, ...]
 
     def decode_items(self, era: int) -> tuple[messages.Entry, ...]:
         """Decode the entries written in an era; deletions are omitted."""
