Read a short response whole before relaying it

Cause: a response was relayed from its first byte on. When it then broke off, only the end of the connection could say so.

Ruled out: sending the requests behind on later (they would wait for each other), going on behind a broken response (nothing marks its end), reading everything whole (no bound, and streams would not arrive).

Change: up to 16 KiB are read before the first byte is relayed; a response that breaks off by then is replaced by 502, and the connection goes on.

--- a/packages/burdockdeal/burdockdeal/serving/forwarding.py
+++ b/packages/burdockdeal/burdockdeal/serving/forwarding.py
@@ -19,6 +19,7 @@
 from burdockdeal.serving import framing
 from burdockdeal.serving import messages
 from burdockdeal.serving import peer_responses
+from burdockdeal.serving import short_responses
 from burdockdeal.settings import model
 
 #: Timeout of a connect in seconds: several round trips between regions. The
@@ -190,7 +191,7 @@
     remaining_s: float,
     to_peer: bool = False,
 ) -> web.StreamResponse:
-    """Relay a response to the client while it arrives.
+    """Relay a response to the client, a long one while it arrives.
 
     :param response: the response to relay.
     :param added: headers of burdockdeal's own.
@@ -216,19 +217,20 @@
     )
     try:
         async with relay_timeout:
-            chunk = await body_io.read_response_chunk(response.content, limits)
-            if chunk and response.content.at_eof():
+            start = await short_responses.read_start(response, limits)
+            if start.content and start.is_whole:
                 kept.popall("Content-Length", None)
                 return whole_type(
                     status=response.status,
                     reason=response.reason,
                     headers=kept,
-                    body=chunk,
+                    body=start.content,
                 )
             relayed = stream_type(
                 status=response.status, reason=response.reason, headers=kept
             )
             await relayed.prepare(request)
+            chunk = start.content
             while chunk:
                 await body_io.write_response_chunk(relayed, chunk, limits)
                 chunk = await body_io.read_response_chunk(
--- a/packages/burdockdeal/burdockdeal/serving/peers.py
+++ b/packages/burdockdeal/burdockdeal/serving/peers.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import abc
 import contextlib
+import dataclasses
 
 import aiohttp
 
@@ -112,6 +113,6 @@
             if report.reason is not None:
                 await _drain(response.content)
                 raise _build_error(report, report.reason)
-            yield response
+            yield dataclasses.replace(response, is_relayed=True)
 
     return open_response
