Check the source of the configuration, and read it if that is lost

What callers saw: 404 on a route up to 5 s after the version that adds it was acknowledged, at machines without any disruption, after the three daemons that read the store had been lost.

Cause: the others relied on those three until the failure detector had suspected all of them, which takes the longer the more daemons are lost.

Change: each daemon checks one particular other each 0.6 s, the first of its domain or one of a square root of it, and reads the store itself if two probes in a row get no response. What was read goes to those that check this daemon. Off in the product's own deployments.

--- a/packages/burdockdeal/burdockdeal/daemon/assembly.py
+++ b/packages/burdockdeal/burdockdeal/daemon/assembly.py
@@ -23,6 +23,7 @@
 from burdockdeal.measurement import prober
 from burdockdeal.membership import contacts
 from burdockdeal.membership import service as membership
+from burdockdeal.membership import source_check
 from burdockdeal.membership import transport
 from burdockdeal.overload import load_shedder
 from burdockdeal.platform import state as rates
@@ -95,6 +96,27 @@
     )
 
 
+def _build_source_checks(
+    shared: components.Components,
+    membership_service: membership.Membership,
+    control_plane: deployment_adapter.ControlPlane,
+) -> tuple[source_check.SourceCheck, ...]:
+    """Build what checks the source of the configuration, if that is used."""
+    read = control_plane.read_configuration
+    if read is None:
+        return ()
+    check = source_check.SourceCheck(
+        shared.roster,
+        membership_service.ping,
+        membership_service.probe,
+        read,
+        shared.rng,
+        reader_count=shared.settings.deployment.watchers,
+    )
+    shared.active_configuration.on_change(check.notify_dependents)
+    return (check,)
+
+
 def _build_quotas(
     shared: components.Components, peer_session: aiohttp.ClientSession
 ) -> quotas.Quotas | None:
@@ -350,6 +372,7 @@
         shared.services = (
             *control_plane.services,
             membership_service,
+            *_build_source_checks(shared, membership_service, control_plane),
             load_probing.prober,
             at_most_once.claim_keeper,
         )
--- a/packages/burdockdeal/burdockdeal/daemon/deployment_adapter.py
+++ b/packages/burdockdeal/burdockdeal/daemon/deployment_adapter.py
@@ -45,6 +45,8 @@
         the daemon's metrics.
     :param query_upstream_load: queries the upstream for its load.
     :param contact_source: where the store has the contacts.
+    :param read_configuration: reads the configuration in the store; None if
+        daemons other than those that read for the fleet never do.
     """
 
     services: tuple[mode.Service, ...]
@@ -56,6 +58,7 @@
     ]
     query_upstream_load: load_refresher.QueryLoad
     contact_source: contacts.Source = contacts.DEFAULT_SOURCE
+    read_configuration: abc.Callable[[], abc.Awaitable[None]] | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/burdockdeal/burdockdeal/membership/service.py
+++ b/packages/burdockdeal/burdockdeal/membership/service.py
@@ -75,7 +75,7 @@
             settings.peers,
             local_roster,
             directory,
-            self._ping,
+            self.ping,
             post,
             rng,
             clock,
@@ -132,7 +132,7 @@
             self._expire_suspicions()
             target = self._probe_order.take_next()
             if target is not None:
-                self.add_future(self._probe(target))
+                self.add_future(self.probe(target))
             if tick_count % _PERIODS_BETWEEN_DEAD_PROBES == 0:
                 self._probe_dead_member()
 
@@ -157,8 +157,9 @@
                 in self._roster.choose_store_readers(1)
             )
 
-    async def _probe(self, target: messages.Member) -> None:
-        if await self._ping(target.peer, target.daemon) is not None:
+    async def probe(self, target: messages.Member) -> None:
+        """Probe a daemon, also through others; suspect it if none responds."""
+        if await self.ping(target.peer, target.daemon) is not None:
             return
         peers = [
             peer
@@ -193,7 +194,7 @@
             )
             self._roster.apply_claims([suspect])
 
-    async def _ping(
+    async def ping(
         self, address: model.Address, daemon: str = ""
     ) -> messages.Member | None:
         """Probe the daemon at an address.
@@ -302,7 +303,7 @@
         for peer in targets.choose_push_targets(
             self._roster, self._rng, includes_remote=includes_remote
         ):
-            self.add_future(self._ping(peer.peer, peer.daemon))
+            self.add_future(self.ping(peer.peer, peer.daemon))
 
     def _handle_change(
         self, known: messages.Member | None, current: messages.Member
@@ -356,7 +357,7 @@
         ]
         if dead:
             selected = self._rng.choice(dead)
-            self.add_future(self._ping(selected.peer, selected.daemon))
+            self.add_future(self.ping(selected.peer, selected.daemon))
 
     async def handle_ping(self, request: web.BaseRequest) -> web.Response:
         """Respond to a probe."""
@@ -374,7 +375,7 @@
         member = self._roster.find(message.daemon)
         answered = (
             member is not None
-            and await self._ping(member.peer, member.daemon) is not None
+            and await self.ping(member.peer, member.daemon) is not None
         )
         return _reply(messages.PingResult(answered))
 
--- a/packages/burdockdeal/burdockdeal/platform/assembly.py
+++ b/packages/burdockdeal/burdockdeal/platform/assembly.py
@@ -165,6 +165,7 @@
             startup_prefix=_STARTUP_PREFIX,
             on_startup_listing=apply_startup_listing,
         ),
+        read_configuration=store_watcher.poll,
     )
 
 
--- a/packages/burdockdeal/burdockdeal/platform/watcher.py
+++ b/packages/burdockdeal/burdockdeal/platform/watcher.py
@@ -136,7 +136,7 @@
         while not self.should_stop:
             await self.sleep(self._poll_interval_s)
             if self._is_poller():
-                self.add_future(self._poll())
+                self.add_future(self.poll())
 
     @mode.Service.task
     async def _confirm_forever(self) -> None:
@@ -149,7 +149,8 @@
                 event_log.debug("configuration_not_confirmed", error=error)
             await self.sleep(self._confirm_interval_s)
 
-    async def _poll(self) -> None:
+    async def poll(self) -> None:
+        """Read the configuration now, through other daemons if need be."""
         try:
             await self.read(POLL_TIMEOUT_S)
         except errors.PlatformError as error:
