--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,152 +1,152 @@
-"""One tenant asks for more than its quota while its lender is cut off."""
+"""Clients pipeline two safe requests; one worker breaks off some answers.
+
+Counts connections that are closed before the answer to the first request,
+which a sound worker is running, when the answer to the second breaks off.
+"""
 
 import asyncio
 import pathlib
-import re
+import random
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
 import lab  # noqa: E402
-import links  # noqa: E402
-
-#: The tenant of `fleetbench wire`, and the bounds of ngc-red-grown.
-KEY = "wuakn2ftimaj3nr26tta"
-RATE, BURST = 76, 76
-BOUNDS = {
-    "drainMs": 2500, "configApplyMs": 2500, "revokeMs": 5000,
-    "failClosed": False, "quotaWindowS": 5, "quotaOver": 0.1,
-    "quotaSlack": 20, "budgetMinRetries": 160,
-}
-WINDOW_S = 5.0
-MOST = (RATE * WINDOW_S + BURST) * 1.1 + 20
-ZONES = ("norte-a", "norte-b", "norte-c")
-MACHINES = 9
-#: Requests a second at each machine: three times the quota in all, and
-#: as many at the machine that is cut off as at all others together.
-AT_OTHERS, AT_ONE = 15, 120
-CALM_S, CUT_S, AFTER_S = 10.0, 5.5, 4.0
-ROUTE = {
-    "name": "r-balance", "host": lab.HOST, "pathPrefix": "/balance/",
-    "kind": "safe", "timeoutMs": 1000, "targetLatencyMs": 414,
-    "priority": 1, "service": "consultas", "maxAttempts": 2,
-    "allowAnonymous": False,
-}
-
-
-class Crowd:
-    """The tenant's clients: each machine gets requests at a steady rate."""
-
-    def __init__(self, deployment):
-        self.lab = deployment
-        self.sent = {}
-        self.statuses = {}
-
-    async def play(self, machine, per_s, ends_at):
-        asked, number = set(), 0
-        next_at = self.lab.now()
+
+CLIENTS = 16
+PLAYED_S = 70.0
+#: `garble` on half of the workers: the largest share and x that
+#: `fleetbench kinds` gives for answers that are broken off.
+GARBLED_SHARE = 0.02
+BODY_BYTES = 24_000
+#: A pair is a look at a job, which takes longer, and one at an order.
+PATHS = ("/job/", "/look/")
+ROUTES = [
+    {"name": f"r-{path[1:-1]}", "host": lab.HOST, "pathPrefix": path,
+     "kind": "safe", "timeoutMs": 1500, "targetLatencyMs": 600,
+     "priority": 1, "service": service, "maxAttempts": 2}
+    for path, service in zip(PATHS, ("tracking", "orders"))
+]
+
+
+class Shop(lab.Worker):
+    """A worker whose answers have a body of some length."""
+
+    def __init__(self, *args, rng, work_s, garbles=False):
+        super().__init__(*args)
+        self.rng = rng
+        self.most_s = work_s
+        self.garbles = garbles
+        self.answer = self.answer_shop
+
+    async def answer_shop(self, run, reader, writer):
+        await lab.read_body(reader, run.fields)
+        await asyncio.sleep(self.rng.uniform(0.03, self.most_s))
+        body = run.attempt.encode().ljust(BODY_BYTES, b".")
+        writer.write(self.head(run, len(body)))
+        if self.garbles and self.rng.random() < GARBLED_SHARE:
+            run.ended = "broken off"
+            writer.write(body[: BODY_BYTES - 2_000])
+            await writer.drain()
+            return False
+        writer.write(body)
+        await writer.drain()
+        run.ended = "answered"
+        return True
+
+
+def format_request(path, attempt):
+    return (
+        f"GET {path}{attempt} HTTP/1.1\r\nHost: {lab.HOST}\r\n"
+        f"Attempt-Id: {attempt}\r\nDeadline-Ms: 1500\r\n\r\n"
+    ).encode()
+
+
+class Client:
+    """Keeps a connection and sends two requests at a time on it."""
+
+    def __init__(self, deployment, entry, number, log):
+        self.lab, self.entry, self.number = deployment, entry, number
+        self.log = log
+        self.sent = 0
+
+    async def run(self, ends_at):
+        streams, uses = None, 0
         while self.lab.now() < ends_at:
-            next_at += 1 / per_s
-            await asyncio.sleep(max(0.0, next_at - self.lab.now()))
-            number += 1
-            asked.add(asyncio.ensure_future(
-                self.ask(machine, f"{machine.name}-{number}")))
-            asked = {task for task in asked if not task.done()}
-        await asyncio.gather(*asked)
-
-    async def ask(self, machine, attempt):
-        self.sent[attempt] = self.lab.now()
-        fields = {
-            "Host": lab.HOST, "Attempt-Id": attempt, "Deadline-Ms": "1000",
-            "Authorization": f"Bearer {KEY}",
-        }
-        try:
-            status, _, _ = await asyncio.wait_for(lab.call(
-                machine.ip, machine.port("outbound"), "GET",
-                f"/balance/{attempt}", fields), 2.0)
-        except (OSError, EOFError, asyncio.TimeoutError):
-            status = 0
-        self.statuses[attempt] = status
-
-
-def find_lender(deployment):
-    pattern = re.compile(r"event=quota_lending_began")
-    found = [machine for machine in deployment.machines.values()
-             if pattern.search(machine.log.read_text())]
-    if len(found) != 1:
-        raise lab.CannotRun(f"{len(found)} daemons lend in calm")
-    return found[0]
-
-
-def count_most(sent, runs):
-    """Return the most requests sent and run in a window, and its start."""
-    spans = sorted((sent[run.attempt], run.started) for run in runs
-                   if run.attempt in sent)
-    most, at = 0, 0.0
-    for start, _ in spans:
-        count = sum(start <= first and last <= start + WINDOW_S
-                    for first, last in spans)
-        if count > most:
-            most, at = count, start
-    return most, at
+            if streams is None:
+                streams = await asyncio.open_connection(
+                    self.entry.ip, self.entry.port("outbound"))
+                uses = 0
+            pair = [f"c{self.number}n{self.sent + n}" for n in (0, 1)]
+            self.sent += 2
+            streams[1].write(b"".join(map(format_request, PATHS, pair)))
+            for position, attempt in enumerate(pair):
+                try:
+                    status, fields, body = await lab.read_response(streams[0])
+                except (OSError, EOFError) as error:
+                    self.log.append((pair, position, uses, repr(error)))
+                    streams[1].close()
+                    streams = None
+                    break
+                assert fields.get("attempt-id") == attempt, "MIXED"
+                if status != 200:
+                    self.log.append((pair, position, uses, str(status)))
+                elif fields.get("connection") == "close":
+                    streams = None
+            uses += 1
+        if streams:
+            streams[1].close()
 
 
 async def script(record, trouble):
-    async with lab.Lab(record, BOUNDS) as deployment:
-        hosts = [f"127.0.8.{n + 1}" for n in range(MACHINES)]
-        mesh = links.Links(deployment, lab.find_ports(hosts, 1)[0])
-        for number in range(MACHINES):
-            machine = deployment.add_machine(
-                f"sidecar-{number + 1}", ZONES[number % 3], "consultas")
-            deployment.write_settings(machine, mesh.advertise(machine))
-            lab.Worker(deployment, machine, work_s=0.055)
-        await deployment.configure(
-            1, [ROUTE],
-            [{"name": "consultas", "healthPath": "/health",
-              "maxConnections": 840}],
-            tenants=[{"name": "bozi300", "apiKeys": [KEY], "priority": 1,
-                      "ratePerS": RATE, "burst": BURST}])
-        machines = list(deployment.machines.values())
-        for machine in machines:
-            await mesh.start(machine)
+    rng = random.Random(1)
+    async with lab.Lab(record) as deployment:
+        entry = deployment.add_machine("side-1", "shotton", "tracking")
+        other = deployment.add_machine("side-2", "sealand", "tracking")
+        first = deployment.add_machine("side-3", "queensferry", "orders")
+        second = deployment.add_machine("side-4", "sealand", "orders")
+        sound = [Shop(deployment, each, rng=rng, work_s=0.4)
+                 for each in (entry, other)]
+        sound.append(Shop(deployment, first, rng=rng, work_s=0.12))
+        faulty = Shop(deployment, second, rng=rng, work_s=0.12,
+                      garbles=trouble)
+        await deployment.configure(1, ROUTES, [
+            {"name": name, "healthPath": "/health", "maxConnections": 220}
+            for name in ("orders", "tracking")])
+        for machine in deployment.machines.values():
             await machine.worker.start()
-            await deployment.start_daemon(machine, wait=False)
-        await asyncio.sleep(8.0)
-        crowd = Crowd(deployment)
-        await crowd.ask(machines[0], "first")
-        await asyncio.sleep(1.0)
-        lender = find_lender(deployment)
-        deployment.note(f"{lender.name} lends")
-        ends_at = deployment.now() + CALM_S + CUT_S + AFTER_S
-        playing = asyncio.gather(*(
-            crowd.play(machine, AT_ONE if machine is lender else AT_OTHERS,
-                       ends_at) for machine in machines))
-        await asyncio.sleep(CALM_S)
-        cut_at = deployment.now()
-        if trouble:
-            mesh.cut(lender)
-        await asyncio.sleep(CUT_S)
-        if trouble:
-            mesh.heal(lender)
-        await playing
-        runs = [run for machine in machines for run in machine.worker.runs]
-        most, at = count_most(crowd.sent, runs)
-        calm, _ = count_most(crowd.sent,
-                             [run for run in runs if run.started < cut_at])
-        for second in range(int(ends_at) + 1):
-            here = [run for run in runs if second <= run.started < second + 1]
-            own = sum(run.attempt.startswith(lender.name + "-")
-                      for run in here)
-            if here:
-                record.write(f"{second:4d} s: {len(here)} run, {own} of them "
-                             f"sent at {lender.name}\n")
+            await deployment.start_daemon(machine)
+        # Machines count as in touch `contactMs` after their start.
+        await asyncio.sleep(5.0)
+        log = []
+        ends_at = deployment.now() + PLAYED_S
+        clients = [Client(deployment, entry, n, log) for n in range(CLIENTS)]
+        await asyncio.gather(*(each.run(ends_at) for each in clients))
+        runs = {run.attempt: (worker, run)
+                for worker in (faulty, *sound) for run in worker.runs}
+        broken = 0
+        for pair, position, uses, what in log:
+            places = [
+                f"{name} by {runs[name][0].ident}: {runs[name][1].ended}"
+                if name in runs else f"{name}: not run" for name in pair]
+            is_lost = (
+                position == 0 and uses > 0 and not what.isdecimal()
+                and pair[0] in runs and runs[pair[0]][0] in sound
+                and pair[1] in runs and runs[pair[1]][1].ended == "broken off"
+            )
+            broken += is_lost
+            record.write(
+                f"{'LOST' if is_lost else 'ends'} at answer {position + 1}, "
+                f"after {uses} pairs: {what}; {'; '.join(places)}\n")
         record.write(
-            f"sent {len(crowd.sent)}, run {len(runs)}; most in {WINDOW_S:g} s "
-            f"before {cut_at:.1f} s: {calm}; most in all: {most}, from "
-            f"{at:.2f} s on; bound {MOST:.0f}\n")
-        print(f"most {most} calm {calm} bound {MOST:.0f}")
-        return most > MOST
+            f"requests sent {sum(each.sent for each in clients)}, run "
+            f"{len(runs)}, by the faulty worker {len(faulty.runs)}, answers broken off "
+            f"{sum(run.ended == 'broken off' for run in faulty.runs)}, "
+            f"closed without the answer of a sound worker that was due "
+            f"first: {broken} (more than 3 break LOST)\n")
+        print(f"lost {broken}")
+        return broken > 3
 
 
 sys.exit(lab.main(script, FOLDER))
