Answer a request in its turn, whatever ends it

Cause: a request that ended without having written a response was completed at once; if it was not the first on its connection, the connection was reset. Whatever ended it did so: an answer that breaks off, an error that nobody foresaw, a wait that was cancelled, a response that can't be built.

Ruled out: ResponseChannel.abort, which waited for its turn.

Change: a request ends in its turn only. A response that breaks off before it is replaced by an error, as nothing of it was sent, and the connection goes on. One that breaks off later ends the connection after what was written. The log says response_truncated of the one, and request_cancelled with a cause of those that the daemon ends itself.

--- a/packages/burdockdeal/burdockdeal/serving/entry.py
+++ b/packages/burdockdeal/burdockdeal/serving/entry.py
@@ -24,6 +24,7 @@
 from burdockdeal.routing import tracking
 from burdockdeal.serving import bodies
 from burdockdeal.serving import classification
+from burdockdeal.serving import connection_end
 from burdockdeal.serving import final_response
 from burdockdeal.serving import forwarding
 from burdockdeal.serving import header_codec
@@ -295,8 +296,24 @@
                 detail=error.detail,
             )
             return caller_headers.build_error_response(error, request_id)
-        except asyncio.CancelledError:
-            log_end("caller_gone")
+        except forwarding.TruncatedResponseError as truncated:
+            # It is sent if nothing of the response was; otherwise the
+            # response ends with its connection.
+            error = errors.RanError(truncated.reason, str(truncated))
+            count_outcome(rank, error.outcome)
+            log_end(
+                "response_truncated",
+                verdict=error.outcome,
+                reason=error.reason,
+                detail=error.detail,
+            )
+            return caller_headers.build_error_response(error, request_id)
+        except asyncio.CancelledError as cancelled:
+            cause = connection_end.find_cause(cancelled)
+            if cause is connection_end.Cause.CALLER_GONE:
+                log_end("caller_gone")
+            else:
+                log_end("request_cancelled", cause=cause)
             raise
 
     return handle
--- a/packages/burdockdeal/burdockdeal/serving/exchange.py
+++ b/packages/burdockdeal/burdockdeal/serving/exchange.py
@@ -35,24 +35,10 @@
     """
     if message.method not in _SAFE_METHODS:
         await channel.wait_turn()
-    request = _Request(
-        message,
-        channel.payload,
-        channel,
-        channel.writer,
-        asyncio.current_task(),
-        asyncio.get_running_loop(),
-    )
-    try:
-        response = await server.handle(request)
-    except asyncio.CancelledError:
-        raise
-    except Exception as error:
-        response = server.respond_to_error(error)
-        if channel.writer.output_size > 0:
-            channel.abort()
-            return False
-    return await _finish(channel, request, response)
+    response = await _handle(server, _build_request(channel, message))
+    if not response.prepared:
+        return await _respond(server, channel, message, response)
+    return await _finish(channel, response)
 
 
 async def refuse(
@@ -71,18 +57,68 @@
     return False
 
 
-async def _finish(
+def _build_request(
+    channel: response_channels.ResponseChannel,
+    message: http_parser.RawRequestMessage,
+) -> _Request:
+    return _Request(
+        message,
+        channel.payload,
+        channel,
+        channel.writer,
+        asyncio.current_task(),
+        asyncio.get_running_loop(),
+    )
+
+
+async def _handle(
+    server: caller_server.Server, request: _Request
+) -> web.StreamResponse:
+    try:
+        return await server.handle(request)
+    except asyncio.CancelledError as error:
+        if asyncio.current_task().cancelling():
+            raise
+        # Something that the handler waited for was cancelled, not the request.
+        return server.respond_to_error(error)
+    except Exception as error:
+        return server.respond_to_error(error)
+
+
+async def _respond(
+    server: caller_server.Server,
     channel: response_channels.ResponseChannel,
-    request: web.BaseRequest,
+    message: http_parser.RawRequestMessage,
     response: web.StreamResponse,
+) -> bool:
+    """Write a response in place of what was written of another one."""
+    if channel.has_output and not channel.restart():
+        return _abort(channel)
+    try:
+        await response.prepare(_build_request(channel, message))
+    except (ConnectionError, RuntimeError):
+        return _abort(channel)
+    except Exception as error:
+        if not channel.restart():
+            return _abort(channel)
+        response = server.respond_to_error(error)
+        await response.prepare(_build_request(channel, message))
+    return await _finish(channel, response)
+
+
+async def _finish(
+    channel: response_channels.ResponseChannel, response: web.StreamResponse
 ) -> bool:
     try:
-        await response.prepare(request)
         await response.write_eof()
     except (ConnectionError, RuntimeError):
-        channel.abort()
-        return False
+        return _abort(channel)
     await channel.wait_turn()
     if not response.keep_alive:
         return False
     return await request_reading.drain_body(channel.payload)
+
+
+def _abort(channel: response_channels.ResponseChannel) -> bool:
+    channel.abort()
+    return False
--- a/packages/burdockdeal/burdockdeal/serving/forwarding.py
+++ b/packages/burdockdeal/burdockdeal/serving/forwarding.py
@@ -179,7 +179,14 @@
 
 
 class TruncatedResponseError(errors.BurdockdealError):
-    """A response was truncated after a part of it had been relayed."""
+    """A response was truncated after a part of it had been relayed.
+
+    :param reason: why it was truncated.
+    """
+
+    def __init__(self, reason: verdict.Reason, detail: str) -> None:
+        self.reason = reason
+        super().__init__(detail)
 
 
 async def relay_response(
@@ -203,9 +210,9 @@
         written.
     :raises RanError: if the response broke off before any of it was
         relayed.
-    :raises TruncatedResponseError: if it broke off later; the connection to
-        the client is then reset, so that the client can't take the response
-        for complete.
+    :raises TruncatedResponseError: if it broke off later. What was written
+        is then given up, and its connection ends, so that the client can't
+        take the response for complete.
     """
     kept = copy_end_to_end_headers(response.headers)
     kept.update(added)
@@ -249,4 +256,4 @@
             raise errors.RanError(reason, repr(error)) from error
         if request.transport is not None:
             request.transport.abort()
-        raise TruncatedResponseError(repr(error)) from error
+        raise TruncatedResponseError(reason, repr(error)) from error
--- a/packages/burdockdeal/burdockdeal/serving/http_server.py
+++ b/packages/burdockdeal/burdockdeal/serving/http_server.py
@@ -27,7 +27,7 @@
     if isinstance(exc, codec.MalformedError):
         return errors.NotRunError(verdict.Reason.MALFORMED, str(exc))
     if isinstance(exc, forwarding.TruncatedResponseError):
-        return errors.RanError(verdict.Reason.BROKEN_CONNECTION, str(exc))
+        return errors.RanError(exc.reason, str(exc))
     if isinstance(exc, http_exceptions.LineTooLong):
         return errors.NotRunError(verdict.Reason.HEADER_TOO_LARGE)
     if status < http.HTTPStatus.INTERNAL_SERVER_ERROR:
--- a/packages/burdockdeal/burdockdeal/serving/pipelined_connection.py
+++ b/packages/burdockdeal/burdockdeal/serving/pipelined_connection.py
@@ -13,6 +13,7 @@
 from burdockdeal.core import verdict
 from burdockdeal.overload import state
 from burdockdeal.serving import caller_server
+from burdockdeal.serving import connection_end
 from burdockdeal.serving import connection_usage
 from burdockdeal.serving import exchange
 from burdockdeal.serving import half_closed
@@ -36,6 +37,7 @@
     """
 
     __slots__ = (
+        "_end_cause",
         "_exchanges",
         "_has_client_closed",
         "_linger_timer",
@@ -69,6 +71,7 @@
             response_channels.ResponseChannel, asyncio.Task[None]
         ] = {}
         self._request_count = 0
+        self._end_cause = connection_end.Cause.CALLER_GONE
         self._has_client_closed = False
         self._linger_timer: asyncio.TimerHandle | None = None
         self._usage = connection_usage.ConnectionUsage(loop.time())
@@ -107,9 +110,12 @@
         """When the client last took a part of what is left to send to it."""
         return self._usage.unread_since
 
-    def is_last(self, channel: response_channels.ResponseChannel) -> bool:
-        """Return whether no request follows the channel's request."""
-        return bool(self._exchanges) and self._exchanges[-1] is channel
+    def decide_close(self, channel: response_channels.ResponseChannel) -> bool:
+        """Decide whether the connection closes after a channel's response."""
+        if not self._exchanges or self._exchanges[-1] is not channel:
+            return False
+        self.closing = self.closing or self._server.closing
+        return self.closing
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection with the server."""
@@ -209,9 +215,10 @@
         if self.transport is not None:
             self.transport.close()
 
-    def abort(self) -> None:
-        """Reset the connection, so that no response looks complete."""
+    def abort(self, cause: connection_end.Cause) -> None:
+        """Close the connection without the bytes that are not yet sent."""
         self.closing = True
+        self._end_cause = cause
         if self.transport is not None:
             self.transport.abort()
 
@@ -285,11 +292,11 @@
         )
 
     def evict(self) -> None:
-        """Reset the connection, and free what it holds at once.
+        """Close the connection, and free what it holds at once.
 
         asyncio reports the loss later, when many others were read.
         """
-        self.abort()
+        self.abort(connection_end.Cause.MEMORY_LIMIT)
         self._parser.close()
         self._cancel_exchanges()
 
@@ -297,7 +304,7 @@
         for channel in self._exchanges:
             channel.mark_lost()
         for task in self._tasks.values():
-            task.cancel()
+            task.cancel(self._end_cause)
 
     def _has_open_body(self) -> bool:
         return any(
@@ -338,6 +345,17 @@
     async def _run(
         self, channel: response_channels.ResponseChannel, work: abc.Coroutine
     ) -> None:
+        try:
+            is_reusable = await self._work_in_turn(channel, work)
+        finally:
+            self._tasks.pop(channel, None)
+        if self._exchanges and self.transport is not None:
+            self._complete(channel, is_reusable)
+
+    async def _work_in_turn(
+        self, channel: response_channels.ResponseChannel, work: abc.Coroutine
+    ) -> bool:
+        """Do a request's work until its turn has come, however it ends."""
         is_reusable = False
         try:
             is_reusable = await work
@@ -345,23 +363,19 @@
             # Nobody awaits this task, so it has to report the error itself.
             self._server.respond_to_error(error)
             channel.abort()
-        finally:
-            self._tasks.pop(channel, None)
-            self._complete(channel, is_reusable)
+        await channel.wait_turn()
+        return is_reusable
 
     def _complete(
         self, channel: response_channels.ResponseChannel, is_reusable: bool
     ) -> None:
-        if not self._exchanges or self.transport is None:
-            return
-        if self._exchanges[0] is not channel:
-            # It was cancelled before its turn, so the connection can't go on.
-            self.abort()
-            return
         self._exchanges.popleft()
         self._usage.record_response()
+        if channel.is_cut:
+            self._close(connection_end.Cause.RESPONSE_CUT)
+            return
         if not is_reusable or (self._is_ending and not self._exchanges):
-            self._close_after_response()
+            self._close(connection_end.Cause.LAST_RESPONSE)
             return
         if self._exchanges:
             self._exchanges[0].start_turn()
@@ -374,8 +388,8 @@
     def _is_ending(self) -> bool:
         return self.closing or self._server.closes_idle
 
-    def _close_after_response(self) -> None:
-        """Close the connection so that its last response arrives.
+    def _close(self, cause: connection_end.Cause) -> None:
+        """Close the connection so that what was written arrives.
 
         A socket that is closed with unread bytes resets its connection, and
         a reset can overtake the response (RFC 9112, section 9.6). So the
@@ -387,13 +401,14 @@
             self.force_close()
             return
         self.closing = True
+        self._end_cause = cause
         self._cancel_exchanges()
         self._exchanges.clear()
         try:
             transport.write_eof()
         except OSError:
             # The client has reset the connection, which is not yet reported.
-            self.abort()
+            self.abort(connection_end.Cause.CALLER_GONE)
             return
         self._resume_transport_reading()
         self._linger_timer = self._loop.call_later(LINGER_S, self.force_close)
--- a/packages/burdockdeal/burdockdeal/serving/pipelined_server.py
+++ b/packages/burdockdeal/burdockdeal/serving/pipelined_server.py
@@ -16,6 +16,7 @@
 from burdockdeal.configuration import resources
 from burdockdeal.core import event_log
 from burdockdeal.overload import memory
+from burdockdeal.serving import connection_end
 from burdockdeal.serving import header_codec
 from burdockdeal.serving import http_server
 from burdockdeal.serving import pipelined_connection
@@ -88,7 +89,7 @@
         if self._timer is not None:
             self._timer.cancel()
         for connection in tuple(self._connections):
-            connection.abort()
+            connection.abort(connection_end.Cause.DAEMON_STOPPED)
 
     @property
     def active_count(self) -> int:
@@ -170,7 +171,7 @@
                 slow_heads += 1
             if connection.unread_since <= now - self.limits.answer_idle_s:
                 event_log.record("slow_reader")
-                connection.abort()
+                connection.abort(connection_end.Cause.SLOW_READER)
         if slow_heads:
             self._record_slow_heads(slow_heads)
         self._schedule_sweep()
--- a/packages/burdockdeal/burdockdeal/serving/response_channels.py
+++ b/packages/burdockdeal/burdockdeal/serving/response_channels.py
@@ -18,15 +18,12 @@
     transport: asyncio.Transport | None
     closing: bool
 
-    def is_last(self, channel: "ResponseChannel") -> bool:
-        """Return whether no request follows the channel's request."""
+    def decide_close(self, channel: "ResponseChannel") -> bool:
+        """Decide whether the connection closes after a channel's response."""
 
     def record_write(self, size: int) -> None:
         """Record that bytes of a response were written or buffered."""
 
-    def abort(self) -> None:
-        """Reset the connection."""
-
 
 class ResponseChannel:
     """Buffers a response until the responses before it are written.
@@ -52,10 +49,13 @@
     ) -> None:
         self._body_bytes = body_bytes
         self._connection = connection
+        self._loop = loop
         self._buffer: list[bytes] = []
         self._buffered_bytes = 0
         self._turn: asyncio.Future[None] = loop.create_future()
+        self._has_sent = False
         self._is_aborted = False
+        self._is_lost = False
         #: Whether the head of its response is built, and so says whether the
         #: connection closes.
         self.has_head = False
@@ -67,6 +67,24 @@
         """Whether its response is the next one on the connection."""
         return self._turn.done()
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether a part of its response was sent to the client.
+
+        Interim responses are no part of it.
+        """
+        return self._has_sent and self.writer.output_size > 0
+
+    @property
+    def has_output(self) -> bool:
+        """Whether a part of its response was written, or it was given up."""
+        return self._is_aborted or self.writer.output_size > 0
+
+    @property
+    def is_cut(self) -> bool:
+        """Whether its response was given up after a part was sent."""
+        return self._is_aborted and self.has_begun
+
     @property
     def buffered_bytes(self) -> int:
         """Bytes of its response that wait for its turn."""
@@ -125,6 +143,7 @@
     def write(self, chunk: bytes) -> None:
         """Write bytes, or buffer them until the channel's turn."""
         if self.is_current:
+            self._has_sent = True
             self._connection.transport.write(chunk)
         else:
             self._buffer.append(bytes(chunk))
@@ -136,29 +155,40 @@
         self.write(b"".join(chunks))
 
     def abort(self) -> None:
-        """Reset the connection at the channel's turn."""
+        """Give up the response; nothing more of it is written.
+
+        The connection ends with it at its turn, and not before, as the
+        responses before it have to arrive.
+        """
         self._is_aborted = True
-        if self.is_current:
-            self._connection.abort()
+        self._drop_buffer()
+
+    def restart(self) -> bool:
+        """Drop the response, so that another one can take its place.
+
+        :returns: whether that is possible: nothing of it was sent.
+        """
+        if self.has_begun or self._is_lost:
+            return False
+        self._drop_buffer()
+        self._is_aborted = self.has_head = False
+        self.writer = http_writer.StreamWriter(self, self._loop)
+        return True
 
     def start_turn(self) -> None:
         """Write the buffered bytes; later writes go straight through."""
         if self._turn.done():
             return
         self._turn.set_result(None)
-        if self._is_aborted:
-            self._connection.abort()
-            return
         if self._buffer and self._connection.transport is not None:
+            self._has_sent = True
             self._connection.transport.write(b"".join(self._buffer))
-        self._buffer.clear()
-        self._buffered_bytes = 0
+        self._drop_buffer()
 
     def mark_lost(self) -> None:
         """Handle the loss of the connection."""
-        self._is_aborted = True
-        self._buffer.clear()
-        self._buffered_bytes = 0
+        self._is_aborted = self._is_lost = True
+        self._drop_buffer()
         held_memory.break_off_body(self.payload, ConnectionResetError())
         if not self._turn.done():
             self._turn.cancel()
@@ -179,4 +209,8 @@
         to the last one, so that every request that was read is answered.
         """
         self.has_head = True
-        return self._connection.closing and self._connection.is_last(self)
+        return self._connection.decide_close(self)
+
+    def _drop_buffer(self) -> None:
+        self._buffer.clear()
+        self._buffered_bytes = 0
--- a/packages/burdockdeal/burdockdeal/serving/tests/pipelining.py
+++ b/packages/burdockdeal/burdockdeal/serving/tests/pipelining.py
@@ -4,6 +4,7 @@
 from collections import abc
 import contextlib
 import dataclasses
+import socket
 
 from aiohttp import web
 
@@ -56,6 +57,7 @@
     *,
     idle_s: float = 60.0,
     limits: model.Limits | None = None,
+    send_buffer_bytes: int | None = None,
 ) -> abc.AsyncIterator[tuple[pipelined_server.PipelinedServer, int]]:
     handler: http_server.Handler = blocking.handle
     loop = asyncio.get_running_loop()
@@ -73,6 +75,11 @@
     )
     async with served:
         server = await loop.create_server(served, HOST, 0)
+        if send_buffer_bytes is not None:
+            # Connections inherit it.
+            server.sockets[0].setsockopt(
+                socket.SOL_SOCKET, socket.SO_SNDBUF, send_buffer_bytes
+            )
         try:
             yield served, server.sockets[0].getsockname()[1]
         finally:
--- a/packages/operator/burdockdeal_operator/explanation.py
+++ b/packages/operator/burdockdeal_operator/explanation.py
@@ -34,7 +34,13 @@
     "FENCED": "the response was lost; the owner said it had not run",
 }
 
-_FINAL_EVENTS = ("request_answered", "request_refused", "caller_gone")
+_FINAL_EVENTS = (
+    "request_answered",
+    "request_refused",
+    "response_truncated",
+    "request_cancelled",
+    "caller_gone",
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -98,6 +104,10 @@
     last = final_steps[-1]
     if last.event == "caller_gone":
         return "the caller disconnected before the response"
+    if last.event == "response_truncated":
+        return f"the response broke off: {last.fields.get('reason')}"
+    if last.event == "request_cancelled":
+        return f"cancelled by the daemon: {last.fields.get('cause')}"
     if last.event == "request_answered":
         return f"answered with {last.fields.get('status')}"
     reason = last.fields.get("reason", "")
