Break off a body whose framing is malformed

What callers saw: an answer with a chunk that has no valid length was answered 500 "may have run", where 502 "ran" is true, and logged as an unforeseen error.

Cause: aiohttp closes such a connection and sets the error on the connection, not on the body; who reads the body gets RuntimeError("Connection closed.").

Change: the guard of the connection gives the body the error.

--- a/packages/burdockdeal/burdockdeal/serving/connection_guard.py
+++ b/packages/burdockdeal/burdockdeal/serving/connection_guard.py
@@ -89,8 +89,22 @@
             self._close_transport()
             return
         super().data_received(data)
+        self._report_parser_error()
         self._check_progress(len(data))
 
+    def _report_parser_error(self) -> None:
+        """Break off a body whose framing is malformed.
+
+        aiohttp only closes the connection, and the reader of the body gets a
+        RuntimeError.
+        """
+        error = self.exception()
+        body = self._final_body
+        if error is None or body is None or body.is_eof():
+            return
+        if body.exception() is None:
+            body.set_exception(aiohttp.ClientPayloadError(repr(error)))
+
     def _check_progress(self, size: int) -> None:
         body = self._final_body
         body_bytes = body.total_bytes if body is not None else 0
--- a/tests/test_answers_in_turn.py
+++ b/tests/test_answers_in_turn.py
@@ -69,6 +69,13 @@
     writer.close()
 
 
+async def _write_bad_chunk(writer: asyncio.StreamWriter) -> None:
+    # It ends the chunk that was begun, and what follows is no length.
+    writer.write(b"x" * 2_000 + b"\r\nno length\r\n")
+    await asyncio.sleep(_STALL_S)
+    writer.close()
+
+
 #: Ways in which an answer breaks off: its framing, and what comes after all
 #: of the answer but its last 2,000 bytes.
 _ENDINGS: dict[str, tuple[_Framing, abc.Callable]] = {
@@ -78,6 +85,7 @@
     "chunks, reset": (_CHUNKS, _reset),
     "chunks, closed": (_CHUNKS, _close),
     "chunks, stalled": (_CHUNKS, _stall),
+    "chunks, no length of a chunk": (_CHUNKS, _write_bad_chunk),
     "no length, reset": (_CLOSED, _reset),
     "no length, stalled": (_CLOSED, _stall),
     "gzip, closed": (_GZIP, _close),
