Reset a connection within a response that has no length

What callers saw: a client of HTTP/1.0 took the beginning of a response that broke off for all of it. It has no length and no chunks, and the connection was closed rather than reset, as asyncio's abort() does.

Evidence: test_a_response_without_a_length_that_breaks_off_is_reset failed in both rows before.

Change: such a connection is reset once what was written to it is sent.

--- a/packages/burdockdeal/burdockdeal/serving/connection_end.py
+++ b/packages/burdockdeal/burdockdeal/serving/connection_end.py
@@ -1,7 +1,12 @@
-"""Why the connection of a caller ended before its requests were answered."""
+"""The end of a caller's connection before its requests are answered."""
 
 import asyncio
 import enum
+import socket
+import struct
+
+#: Makes a socket that is closed reset its connection.
+_NO_LINGER = struct.pack("ii", 1, 0)
 
 
 class Cause(enum.StrEnum):
@@ -25,3 +30,11 @@
         if isinstance(argument, Cause):
             return argument
     return None
+
+
+def reset_after_writes(transport: asyncio.Transport) -> None:
+    """Reset a connection once what was written to it is sent."""
+    transport.get_extra_info("socket").setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER
+    )
+    transport.close()
--- a/packages/burdockdeal/burdockdeal/serving/pipelined_connection.py
+++ b/packages/burdockdeal/burdockdeal/serving/pipelined_connection.py
@@ -300,6 +300,12 @@
         self._parser.close()
         self._cancel_exchanges()
 
+    def _abandon_exchanges(self, cause: connection_end.Cause) -> None:
+        self.closing = True
+        self._end_cause = cause
+        self._cancel_exchanges()
+        self._exchanges.clear()
+
     def _cancel_exchanges(self) -> None:
         for channel in self._exchanges:
             channel.mark_lost()
@@ -372,7 +378,7 @@
         self._exchanges.popleft()
         self._usage.record_response()
         if channel.is_cut:
-            self._close(connection_end.Cause.RESPONSE_CUT)
+            self._end_within_response(channel)
             return
         if not is_reusable or (self._is_ending and not self._exchanges):
             self._close(connection_end.Cause.LAST_RESPONSE)
@@ -388,6 +394,17 @@
     def _is_ending(self) -> bool:
         return self.closing or self._server.closes_idle
 
+    def _end_within_response(
+        self, channel: response_channels.ResponseChannel
+    ) -> None:
+        cause = connection_end.Cause.RESPONSE_CUT
+        if channel.has_length:
+            self._close(cause)
+            return
+        # The client would take the end of the connection for that of the body.
+        self._abandon_exchanges(cause)
+        connection_end.reset_after_writes(self.transport)
+
     def _close(self, cause: connection_end.Cause) -> None:
         """Close the connection so that what was written arrives.
 
@@ -400,10 +417,7 @@
         if self._has_client_closed or transport.is_closing():
             self.force_close()
             return
-        self.closing = True
-        self._end_cause = cause
-        self._cancel_exchanges()
-        self._exchanges.clear()
+        self._abandon_exchanges(cause)
         try:
             transport.write_eof()
         except OSError:
--- a/packages/burdockdeal/burdockdeal/serving/response_channels.py
+++ b/packages/burdockdeal/burdockdeal/serving/response_channels.py
@@ -85,6 +85,11 @@
         """Whether its response was given up after a part was sent."""
         return self._is_aborted and self.has_begun
 
+    @property
+    def has_length(self) -> bool:
+        """Whether its response says where it ends, or its chunks do."""
+        return self.writer.chunked or self.writer.length is not None
+
     @property
     def buffered_bytes(self) -> int:
         """Bytes of its response that wait for its turn."""
--- a/packages/burdockdeal/burdockdeal/serving/tests/test_turns.py
+++ b/packages/burdockdeal/burdockdeal/serving/tests/test_turns.py
@@ -58,6 +58,16 @@
     raise _TRUNCATED
 
 
+async def _truncate_without_length(
+    request: web.BaseRequest,
+) -> web.StreamResponse:
+    response = web.StreamResponse()
+    await response.prepare(request)
+    await response.write(b"x" * 20_000)
+    request.transport.abort()
+    raise _TRUNCATED
+
+
 async def _replace(request: web.BaseRequest) -> web.StreamResponse:
     await _begin(request, 20_000)
     request.transport.abort()
@@ -198,3 +208,24 @@
         assert len(rest) <= 20_000
         assert handler.started.count("/behind") <= 1
         writer.close()
+
+
+@pytest.mark.parametrize(
+    "before", [b"", b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"]
+)
+async def test_a_response_without_a_length_that_breaks_off_is_reset(
+    before: bytes,
+) -> None:
+    """To a client of HTTP/1.0 the end of the connection ends the body."""
+    handler = _Handler(_truncate_without_length)
+    handler.release("/1")
+    async with pipelining.serve(handler) as (_, port):
+        reader, writer = await asyncio.open_connection(pipelining.HOST, port)
+        writer.write(before + b"POST /ends HTTP/1.0\r\n\r\n")
+        async with asyncio.timeout(5):
+            if before:
+                response = await pipelining.read_response(reader)
+                assert response == (200, b"/1:0")
+            with pytest.raises(ConnectionResetError):
+                await reader.read()
+        writer.close()
