Move the queue of a connection's requests into a module of its own

The queue runs the work of requests and ends each in its turn; the connection reads, writes and closes.

--- a/packages/burdockdeal/burdockdeal/serving/connection_usage.py
+++ b/packages/burdockdeal/burdockdeal/serving/connection_usage.py
@@ -46,7 +46,7 @@
 
     def measure(
         self,
-        channels: abc.Collection[response_channels.ResponseChannel],
+        channels: abc.Iterable[response_channels.ResponseChannel],
         transport: asyncio.WriteTransport | None,
         *,
         unparsed_bytes: int,
--- a/packages/burdockdeal/burdockdeal/serving/pipelined_connection.py
+++ b/packages/burdockdeal/burdockdeal/serving/pipelined_connection.py
@@ -1,7 +1,6 @@
 """One client connection whose pipelined requests are handled concurrently."""
 
 import asyncio
-import collections
 from collections import abc
 
 from aiohttp import base_protocol
@@ -16,6 +15,7 @@
 from burdockdeal.serving import connection_end
 from burdockdeal.serving import connection_usage
 from burdockdeal.serving import exchange
+from burdockdeal.serving import exchange_queue
 from burdockdeal.serving import half_closed
 from burdockdeal.serving import held_memory
 from burdockdeal.serving import request_intake
@@ -43,7 +43,6 @@
         "_linger_timer",
         "_request_count",
         "_server",
-        "_tasks",
         "_usage",
         "closing",
         "idle_since",
@@ -64,12 +63,9 @@
             server.turn_budget,
         )
         self._server = server
-        self._exchanges: collections.deque[
-            response_channels.ResponseChannel
-        ] = collections.deque()
-        self._tasks: dict[
-            response_channels.ResponseChannel, asyncio.Task[None]
-        ] = {}
+        self._exchanges = exchange_queue.ExchangeQueue(
+            loop, server.respond_to_error, self._complete
+        )
         self._request_count = 0
         self._end_cause = connection_end.Cause.CALLER_GONE
         self._has_client_closed = False
@@ -112,7 +108,7 @@
 
     def decide_close(self, channel: response_channels.ResponseChannel) -> bool:
         """Decide whether the connection closes after a channel's response."""
-        if not self._exchanges or self._exchanges[-1] is not channel:
+        if self._exchanges.last is not channel:
             return False
         self.closing = self.closing or self._server.closing
         return self.closing
@@ -132,7 +128,7 @@
         self._parser.close()
         self._server.ledger.remove(self)
         self._server.connection_lost(self, exc)
-        self._cancel_exchanges()
+        self._exchanges.cancel(self._end_cause)
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer for the next read, which bounds its size."""
@@ -192,7 +188,7 @@
         :returns: whether the transport stays open for writing.
         """
         self.closing = self._has_client_closed = True
-        if self.is_idle or self._has_open_body():
+        if self.is_idle or self._exchanges.has_open_body:
             return False
         self._loop.call_soon(
             half_closed.probe, self._loop, self._write_interim
@@ -206,7 +202,8 @@
         sends behind the response that closes the connection is not read, so
         that the client may send it again.
         """
-        if self._exchanges and not self._exchanges[-1].has_head:
+        last = self._exchanges.last
+        if last is not None and not last.has_head:
             self.closing = True
 
     def force_close(self) -> None:
@@ -227,7 +224,7 @@
         """Whether what the client sends is not read any more."""
         if self.transport is None:
             return True
-        return self.closing and not self._has_open_body()
+        return self.closing and not self._exchanges.has_open_body
 
     @property
     def is_held(self) -> bool:
@@ -277,7 +274,7 @@
         # What follows the last request of a connection is no request.
         if self.is_ignoring:
             return
-        if not self._has_open_body():
+        if not self._exchanges.has_open_body:
             self._refuse(error)
             return
         self.closing = True
@@ -288,7 +285,7 @@
         # The handler reads the error, and responds if it still can. The frames
         # of its traceback would keep what was received.
         held_memory.break_off_body(
-            self._exchanges[-1].payload, error.with_traceback(None)
+            self._exchanges.last.payload, error.with_traceback(None)
         )
 
     def evict(self) -> None:
@@ -298,32 +295,18 @@
         """
         self.abort(connection_end.Cause.MEMORY_LIMIT)
         self._parser.close()
-        self._cancel_exchanges()
+        self._exchanges.cancel(self._end_cause)
 
     def _abandon_exchanges(self, cause: connection_end.Cause) -> None:
         self.closing = True
         self._end_cause = cause
-        self._cancel_exchanges()
-        self._exchanges.clear()
-
-    def _cancel_exchanges(self) -> None:
-        for channel in self._exchanges:
-            channel.mark_lost()
-        for task in self._tasks.values():
-            task.cancel(self._end_cause)
-
-    def _has_open_body(self) -> bool:
-        return any(
-            not channel.payload.is_eof()
-            and channel.payload.exception() is None
-            for channel in self._exchanges
-        )
+        self._exchanges.abandon(cause)
 
     def _write_interim(self) -> bool:
         transport = self.transport
         if transport is None or transport.is_closing() or self.is_idle:
             return False
-        if self._exchanges[0].writer.output_size > 0:
+        if self._exchanges.first.writer.output_size > 0:
             # Writing the response shows whether the client is still there.
             return False
         transport.write(half_closed.INTERIM_RESPONSE)
@@ -340,42 +323,16 @@
     def _enqueue(
         self, channel: response_channels.ResponseChannel, work: abc.Coroutine
     ) -> None:
-        self._exchanges.append(channel)
-        if len(self._exchanges) == 1:
-            channel.start_turn()
+        self._exchanges.add(channel, work)
         if len(self._exchanges) > MAX_PIPELINED_REQUESTS:
             self._pause_reading_for_buffer()
-        task = self._loop.create_task(self._run(channel, work))
-        self._tasks[channel] = task
-
-    async def _run(
-        self, channel: response_channels.ResponseChannel, work: abc.Coroutine
-    ) -> None:
-        try:
-            is_reusable = await self._work_in_turn(channel, work)
-        finally:
-            self._tasks.pop(channel, None)
-        if self._exchanges and self.transport is not None:
-            self._complete(channel, is_reusable)
-
-    async def _work_in_turn(
-        self, channel: response_channels.ResponseChannel, work: abc.Coroutine
-    ) -> bool:
-        """Do a request's work until its turn has come, however it ends."""
-        is_reusable = False
-        try:
-            is_reusable = await work
-        except Exception as error:
-            # Nobody awaits this task, so it has to report the error itself.
-            self._server.respond_to_error(error)
-            channel.abort()
-        await channel.wait_turn()
-        return is_reusable
 
     def _complete(
         self, channel: response_channels.ResponseChannel, is_reusable: bool
     ) -> None:
-        self._exchanges.popleft()
+        if self.transport is None:
+            return
+        self._exchanges.remove_first()
         self._usage.record_response()
         if channel.is_cut:
             self._end_within_response(channel)
@@ -383,10 +340,9 @@
         if not is_reusable or (self._is_ending and not self._exchanges):
             self._close(connection_end.Cause.LAST_RESPONSE)
             return
-        if self._exchanges:
-            self._exchanges[0].start_turn()
-        else:
+        if self.is_idle:
             self.idle_since = self._loop.time()
+        self._exchanges.start_next()
         self.resume_if_free()
         self.update_holding()
 
