Check a version where it enters the fleet, and take names as they come

Cause: a copy between daemons was checked more strictly than what the store holds. A rule's service had to be a DNS label there.

Ruled out: that the six were not told, and that the copy was damaged.

Change: a name that another system has chosen is one type, of up to 200 printable characters, for services, ranks, regions, failure domains and workspaces. What the store holds is copied once where it is read, and refused for the whole fleet if the copy differs, with the field and the reason. An entry that was read before is not parsed again. What operators declare by our own interface stays a DNS label.

--- a/packages/burdockdeal/burdockdeal/configuration/resources.py
+++ b/packages/burdockdeal/burdockdeal/configuration/resources.py
@@ -1,5 +1,6 @@
 """The kinds of resources that operators declare, and their validation."""
 
+from collections import abc
 import dataclasses
 import typing
 
@@ -79,7 +80,7 @@
         rule.
     """
 
-    service: validation.Name
+    service: validation.ExternalName
     weight: typing.Annotated[float, msgspec.Meta(ge=0)]
 
 
@@ -106,8 +107,8 @@
         empty for all.
     """
 
-    service: validation.Name
-    rank: validation.Name
+    service: validation.ExternalName
+    rank: validation.ExternalName
     match: Match = Match()
     order: validation.NonNegativeInt = 100
     idempotent: bool = False
@@ -116,7 +117,7 @@
     split: tuple[WeightedService, ...] = ()
     most_sends: validation.PositiveInt = 3
     allow_anonymous: bool = False
-    regions: tuple[validation.Name, ...] = ()
+    regions: tuple[validation.ExternalName, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -141,7 +142,7 @@
     urgency: validation.NonNegativeInt | None = None
     requests_per_s: validation.Quantity = 0.0
     burst: validation.Quantity = 0.0
-    regions: tuple[validation.Name, ...] = ()
+    regions: tuple[validation.ExternalName, ...] = ()
     weight: validation.PositiveFloat = 1.0
 
 
@@ -218,11 +219,43 @@
     changed_at_ms: int
 
 
-def _check_name(kind: str, name: str) -> tuple[errors.FieldViolation, ...]:
+def _check_label(field: str, name: str) -> tuple[errors.FieldViolation, ...]:
     try:
         msgspec.convert(name, validation.Name)
     except msgspec.ValidationError as error:
-        return (errors.FieldViolation("name", str(error)),)
+        return (errors.FieldViolation(field, str(error)),)
+    return ()
+
+
+def _list_names(spec: Spec | None) -> abc.Iterator[tuple[str, str]]:
+    """List the names in a spec, each with its field."""
+    if isinstance(spec, Rule):
+        yield "service", spec.service
+        yield "rank", spec.rank
+        for position, portion in enumerate(spec.split):
+            yield f"split[{position}].service", portion.service
+    if isinstance(spec, Rule | Workspace):
+        for position, region in enumerate(spec.regions):
+            yield f"regions[{position}]", region
+
+
+def _check_names(spec: Spec | None) -> tuple[errors.FieldViolation, ...]:
+    """Check that an operator's spec refers to names that may be declared.
+
+    Names that come from another system have fewer limits, and so have those
+    of specs in general.
+    """
+    return tuple(
+        fault
+        for field, name in _list_names(spec)
+        for fault in _check_label(field, name)
+    )
+
+
+def _check_name(kind: str, name: str) -> tuple[errors.FieldViolation, ...]:
+    faults = _check_label("name", name)
+    if faults:
+        return faults
     required = _SINGLETON_NAMES.get(kind, name)
     if name != required:
         return (
@@ -248,7 +281,7 @@
         dataclasses.replace(
             fault, field=f"spec.{fault.field}" if fault.field else "spec"
         )
-        for fault in faults
+        for fault in (*faults, *_check_names(spec))
     )
     if spec is None or faults:
         raise errors.ResourceError(subject, faults)
--- a/packages/burdockdeal/burdockdeal/configuration/snapshots.py
+++ b/packages/burdockdeal/burdockdeal/configuration/snapshots.py
@@ -5,6 +5,7 @@
 
 from burdockdeal.configuration import decisions
 from burdockdeal.configuration import messages
+from burdockdeal.configuration import resources
 from burdockdeal.configuration import state
 from burdockdeal.core import codec
 
@@ -62,12 +63,33 @@
         raise IncompleteError(
             f"snapshot of revision {revision} has a missing or foreign part"
         )
-    resources = {
+    joined = {
         state.Key(stored.kind, stored.name): decisions.from_stored(stored)
         for part in ordered
         for stored in part.resources
     }
-    return state.Configuration(revision, types.MappingProxyType(resources))
+    return state.Configuration(revision, types.MappingProxyType(joined))
+
+
+def check_copies(originals: abc.Iterable[resources.Resource]) -> None:
+    """Check that daemons can copy resources from each other.
+
+    :raises MalformedError: naming the first resource that they can't.
+    """
+    for original in originals:
+        stored = codec.encode(decisions.to_stored(original))
+        try:
+            copied = decisions.from_stored(
+                codec.decode(stored, messages.StoredResource)
+            )
+        except codec.MalformedError as error:
+            raise codec.MalformedError(
+                f"{original.kind}/{original.name}: {error}"
+            ) from error
+        if copied != original:
+            raise codec.MalformedError(
+                f"{original.kind}/{original.name} changes when it is copied"
+            )
 
 
 def is_due(
--- a/packages/burdockdeal/burdockdeal/core/validation.py
+++ b/packages/burdockdeal/burdockdeal/core/validation.py
@@ -13,6 +13,14 @@
     str,
     msgspec.Meta(pattern=r"^[a-z0-9]([a-z0-9-]*[a-z0-9])?$", max_length=63),
 ]
+#: Name that another system has chosen. It travels in header fields, so it has
+#: no control characters, and no blank at either end.
+ExternalName = typing.Annotated[
+    str,
+    msgspec.Meta(
+        pattern=r"^(?!\s)[^\x00-\x1f\x7f-\x9f]+(?<!\s)\Z", max_length=200
+    ),
+]
 PositiveFloat = typing.Annotated[float, msgspec.Meta(gt=0)]
 #: A rate per second or a number of requests; its bound keeps sums exact.
 Quantity = typing.Annotated[float, msgspec.Meta(ge=0, le=1e9)]
--- a/packages/burdockdeal/burdockdeal/membership/contacts.py
+++ b/packages/burdockdeal/burdockdeal/membership/contacts.py
@@ -36,8 +36,8 @@
 class Source:
     """Where the contacts are in the store.
 
-    :param key_prefix: prefix of the contacts' keys; a failure domain's name
-        follows.
+    :param key_prefix: prefix of the contacts' keys; the name of a failure
+        domain's list follows.
     :param startup_prefix: prefix of the keys that a starting daemon reads.
         If it also covers the configuration, a start takes a single call.
     :param on_startup_listing: called with the entries read at startup.
@@ -178,12 +178,12 @@
     async def _restore_lists(self, lost: set[str]) -> None:
         """Write the lists again that a restored store has lost.
 
-        :param lost: their domains. The lists of those with active daemons
+        :param lost: their names. The lists of domains with active daemons
             have been updated already.
         """
         rewrite_at, before = self._rewrite_at, self._listed_before
-        for domain in sorted(lost - self._listed.keys()):
-            await self._write(domain, before[domain].contacts)
+        for name in sorted(lost - self._listed.keys()):
+            await self._write_list(name, before[name].contacts)
         if self._rewrite_at == rewrite_at:
             # Otherwise the store was restored again meanwhile.
             self._rewrite_at, self._listed_before = None, {}
@@ -207,7 +207,7 @@
         )
 
     def _get_contacts(self, domain: str) -> messages.Contacts:
-        listed = self._listed.get(domain)
+        listed = self._listed.get(decisions.name_contact_list(domain))
         return listed.contacts if listed else _NO_CONTACTS
 
     async def _update_domain(self, domain: str) -> None:
@@ -219,17 +219,20 @@
             await self._write(domain, updated)
 
     async def _write(self, domain: str, updated: messages.Contacts) -> None:
-        listed = self._listed.get(domain)
+        await self._write_list(decisions.name_contact_list(domain), updated)
+
+    async def _write_list(self, name: str, updated: messages.Contacts) -> None:
+        listed = self._listed.get(name)
         try:
             version = await self._store.put(
-                self._source.key_prefix + domain,
+                self._source.key_prefix + name,
                 codec.encode(updated).decode(),
                 version=listed.version if listed else self._absent,
             )
         except errors.StoreConflictError:
             # Another daemon wrote the key first; the next read tries again.
             return
-        self._listed[domain] = _Listed(updated, version)
+        self._listed[name] = _Listed(updated, version)
 
     def _read_listing(
         self, listing: platform_messages.Listing
--- a/packages/burdockdeal/burdockdeal/membership/decisions.py
+++ b/packages/burdockdeal/burdockdeal/membership/decisions.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 import dataclasses
+import hashlib
 import itertools
 import math
 import typing
@@ -12,6 +13,10 @@
 #: Maximum number of contacts in the store for one failure domain.
 CONTACTS_PER_DOMAIN = 3
 
+#: Maximum length of the name of a list of contacts, so that the store takes
+#: the key that it is a part of.
+_MAX_LIST_NAME_BYTES = 150
+
 #: Number of daemons of a failure domain that watch the store on behalf of
 #: the others.
 RELAYS_PER_DOMAIN = 2
@@ -182,6 +187,17 @@
     )
 
 
+def name_contact_list(domain: str) -> str:
+    """Name the list of a domain's contacts, which is part of a key.
+
+    :returns: the domain's name, or a digest of one that is too long.
+    """
+    encoded = domain.encode()
+    if len(encoded) <= _MAX_LIST_NAME_BYTES:
+        return domain
+    return hashlib.sha256(encoded).hexdigest()
+
+
 def add_contact(
     contacts: messages.Contacts, contact: messages.Contact
 ) -> messages.Contacts:
--- a/packages/burdockdeal/burdockdeal/platform/configuration.py
+++ b/packages/burdockdeal/burdockdeal/platform/configuration.py
@@ -1,11 +1,11 @@
 """Conversion of the platform's configuration document into resources."""
 
 import types
-import typing
 
 import msgspec
 
 from burdockdeal.configuration import resources
+from burdockdeal.configuration import snapshots
 from burdockdeal.configuration import state
 from burdockdeal.core import codec
 from burdockdeal.core import event_log
@@ -34,12 +34,6 @@
 
 _CHANGED_BY = "platform"
 
-#: Name of a workspace. It is sent in a header, so it has no control
-#: characters.
-WorkspaceName = typing.Annotated[
-    str, msgspec.Meta(pattern=r"^[!-~]+$", max_length=200)
-]
-
 #: Digits of a version; the greatest number has 16 (`validation.Counter`).
 _MAX_VERSION_DIGITS = 16
 
@@ -54,7 +48,7 @@
     :param weight: the portion in proportion to the weights of the others.
     """
 
-    service: str
+    service: validation.ExternalName
     weight: float
 
 
@@ -90,7 +84,7 @@
     service: str = ""
     traffic_split: tuple[Portion, ...] = ()
     allow_anonymous: bool = False
-    allowed_regions: tuple[validation.Name, ...] = ()
+    allowed_regions: tuple[validation.ExternalName, ...] = ()
 
 
 class Service(_Message):
@@ -102,7 +96,7 @@
         is still slow after its start, 0 for no limit.
     """
 
-    name: str
+    name: validation.ExternalName
     health_path: str = ""
     max_connections: validation.Counter = 0
     cold_per_s: validation.Quantity = 0.0
@@ -119,12 +113,12 @@
         and queued, empty for all.
     """
 
-    name: WorkspaceName
+    name: validation.ExternalName
     api_keys: tuple[str, ...] = ()
     priority: validation.Counter | None = None
     rate_per_s: validation.Quantity = 0.0
     burst: validation.Quantity = 0.0
-    allowed_regions: tuple[validation.Name, ...] = ()
+    allowed_regions: tuple[validation.ExternalName, ...] = ()
 
 
 class Limits(_Message):
@@ -285,6 +279,9 @@
 def parse(value: str) -> state.Configuration:
     """Parse a configuration document.
 
+    This is where a version enters the fleet. Daemons that don't read the store
+    get copies, so what can't be copied is refused here, for all of them.
+
     :param value: the document as it is stored, in JSON.
     :returns: its resources; their revision is the number of the version.
     :raises MalformedError: if the document is invalid.
@@ -297,4 +294,5 @@
         )
         for key, spec in _build_specs(document).items()
     }
+    snapshots.check_copies(parsed.values())
     return state.Configuration(revision, types.MappingProxyType(parsed))
--- a/packages/burdockdeal/burdockdeal/platform/evacuations.py
+++ b/packages/burdockdeal/burdockdeal/platform/evacuations.py
@@ -20,7 +20,7 @@
 
 def _is_name(text: str) -> bool:
     try:
-        msgspec.convert(text, validation.Name)
+        msgspec.convert(text, validation.ExternalName)
     except msgspec.ValidationError:
         return False
     return True
--- a/packages/burdockdeal/burdockdeal/platform/watcher.py
+++ b/packages/burdockdeal/burdockdeal/platform/watcher.py
@@ -8,6 +8,7 @@
 
 from burdockdeal.configuration import active_configuration
 from burdockdeal.configuration import confirmation as confirmations
+from burdockdeal.configuration import state
 from burdockdeal.core import codec
 from burdockdeal.core import errors
 from burdockdeal.core import event_log
@@ -104,6 +105,8 @@
         self._confirm_interval_s = confirm_interval_s
         self._apply_operator_keys = apply_operator_keys
         self._failures = 0
+        self._parsed_entry: messages.Entry | None = None
+        self._parsed = state.Configuration()
         self._reported_era = 0
         self._is_stopping = False
         self._pending_watch: asyncio.Future[messages.Listing] | None = None
@@ -258,7 +261,7 @@
 
     def _apply(self, entry: messages.Entry) -> None:
         try:
-            parsed = configuration.parse(entry.value)
+            parsed = self._parse(entry)
             self._in_force.apply_snapshot(parsed)
             if parsed.revision < self._in_force.revision:
                 self._report_lost(parsed.revision)
@@ -269,6 +272,13 @@
                 error=error,
             )
 
+    def _parse(self, entry: messages.Entry) -> state.Configuration:
+        """Parse an entry, unless it is the one that was parsed last."""
+        if entry != self._parsed_entry:
+            self._parsed = configuration.parse(entry.value)
+            self._parsed_entry = entry
+        return self._parsed
+
     def _report_lost(self, stored: object) -> None:
         """Report once an era that the store lacks what is in force."""
         era = self._store.era
--- a/packages/burdockdeal/burdockdeal/settings/model.py
+++ b/packages/burdockdeal/burdockdeal/settings/model.py
@@ -274,12 +274,12 @@
     """
 
     daemon: validation.Name
-    failure_domain: validation.Name
+    failure_domain: validation.ExternalName
     listen: Listen
     store: Address
     peer_token: Secret
     operators: tuple[Operator, ...] = ()
-    region: validation.Name = "local"
+    region: validation.ExternalName = "local"
     peers: tuple[Address, ...] = ()
     advertise: Address | None = None
     deployment: Deployment | None = None
--- a/packages/standins/burdockdeal_standins/platform_fleet.py
+++ b/packages/standins/burdockdeal_standins/platform_fleet.py
@@ -110,6 +110,8 @@
         self.tenants: tuple[dict[str, object], ...] = ()
         #: Fields of the configuration's only service besides the usual ones.
         self.service_terms: dict[str, object] = {}
+        #: The service of all workers, and the only one configured.
+        self.service = SERVICE
         self.has_evacuations = False
         #: How closely the daemons that are added keep quotas.
         self.quotas: fleet_terms.QuotaTerms | None = None
@@ -128,7 +130,7 @@
         settings = self.fleet.make_settings(
             fleets.NodeSpec(name, failure_domain),
             deployment=model.Deployment(
-                service=SERVICE,
+                service=self.service,
                 upstream=model.Address("127.0.0.1", server.port),
                 metrics=model.Address("127.0.0.1", ports.free_port()),
                 has_evacuations=self.has_evacuations,
@@ -174,13 +176,14 @@
             "targetLatencyMs": 500,
             "maxAttempts": 2,
             "priority": 1,
-            "service": SERVICE,
+            "service": self.service,
         }
         document = {
             "version": f"r{version}",
             "routes": [{**route, **changed}],
             "services": [
-                {"name": SERVICE, "healthPath": "/health"} | self.service_terms
+                {"name": self.service, "healthPath": "/health"}
+                | self.service_terms
             ],
             "tenants": self.tenants,
         }
@@ -249,7 +252,7 @@
         """
         place = self.places[name]
         heartbeat = {
-            "service": SERVICE,
+            "service": self.service,
             "address": str(place.settings.deployment.upstream),
             "zone": place.settings.failure_domain,
             "version": "v1",
--- a/packages/standins/burdockdeal_standins/store.py
+++ b/packages/standins/burdockdeal_standins/store.py
@@ -22,6 +22,9 @@
 #: The size limit of a value in base64.
 ENCODED_LIMIT_BYTES = VALUE_LIMIT_BYTES * 4 // 3 + 4
 
+#: Maximum length of a key.
+MAX_KEY_BYTES = 200
+
 #: Maximum number of items on one page of a listing.
 MAX_PAGE_ITEMS = 500
 
@@ -148,6 +151,8 @@
         ):
             current = (state.items.get(each.key) for each in wanted.expected)
             return _reply(wire.Conflict(tuple(filter(None, current))), 412)
+        if any(len(put.key.encode()) > MAX_KEY_BYTES for put in wanted.puts):
+            return web.Response(status=400)
         if any(
             put.lease and put.lease not in state.leases for put in wanted.puts
         ):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -8,6 +8,9 @@
 from burdockdeal_standins import fleet as standins
 from burdockdeal_standins import platform_fleet
 
+#: Seconds within which a version is in force at all daemons.
+_APPLY_S = 2.0
+
 
 @pytest_asyncio.fixture
 async def platform(
