Decide what a figure of 0 or below means where a version enters

What callers saw: a version with a limit, a timeout or a weight of 0 or below was put in force by the daemons that read the store and refused by all that get copies; a maxHeaderBytes of 0 let no request through at the first.

Cause: the figures were converted without the checks of copies; with them, the version is refused by all, also where 0 is a fair thing to write.

Change: 0 means that none is given, as it does for quotas: the deadline is our own, and the daemon's own limits hold. A negative figure is refused, with its field.

--- a/packages/burdockdeal/burdockdeal/configuration/resources.py
+++ b/packages/burdockdeal/burdockdeal/configuration/resources.py
@@ -9,6 +9,9 @@
 from burdockdeal.core import errors
 from burdockdeal.core import validation
 
+#: Milliseconds within which an answer must begin if no rule says otherwise.
+DEFAULT_DEADLINE_MS = 10_000.0
+
 Share = typing.Annotated[float, msgspec.Meta(ge=0, le=1)]
 
 
@@ -113,7 +116,7 @@
     order: validation.NonNegativeInt = 100
     idempotent: bool = False
     safe_methods: bool = True
-    deadline_ms: validation.PositiveFloat = 10_000.0
+    deadline_ms: validation.PositiveFloat = DEFAULT_DEADLINE_MS
     split: tuple[WeightedService, ...] = ()
     most_sends: validation.PositiveInt = 3
     allow_anonymous: bool = False
--- a/packages/burdockdeal/burdockdeal/core/validation.py
+++ b/packages/burdockdeal/burdockdeal/core/validation.py
@@ -22,6 +22,7 @@
     ),
 ]
 PositiveFloat = typing.Annotated[float, msgspec.Meta(gt=0)]
+NonNegativeFloat = typing.Annotated[float, msgspec.Meta(ge=0)]
 #: A rate per second or a number of requests; its bound keeps sums exact.
 Quantity = typing.Annotated[float, msgspec.Meta(ge=0, le=1e9)]
 #: A SHA-256 digest in hexadecimal.
--- a/packages/burdockdeal/burdockdeal/platform/configuration.py
+++ b/packages/burdockdeal/burdockdeal/platform/configuration.py
@@ -34,6 +34,9 @@
 
 _CHANGED_BY = "platform"
 
+#: A limit that nothing reaches, in bytes or milliseconds.
+_UNLIMITED = 2**53
+
 #: Digits of a version; the greatest number has 16 (`validation.Counter`).
 _MAX_VERSION_DIGITS = 16
 
@@ -49,7 +52,7 @@
     """
 
     service: validation.ExternalName
-    weight: float
+    weight: validation.NonNegativeFloat
 
 
 class Route(_Message):
@@ -59,7 +62,7 @@
     :param path_prefix: the prefix of the requests' paths.
     :param kind: whether the requests are idempotent.
     :param timeout_ms: milliseconds after which a request gets its final
-        answer.
+        answer; 0 if not specified.
     :param target_latency_ms: milliseconds within which an answer is on
         time; 0 if not specified.
     :param max_attempts: the maximum number of instances to which one
@@ -77,8 +80,8 @@
     host: str
     path_prefix: str
     kind: str
-    timeout_ms: float
-    target_latency_ms: float = 0.0
+    timeout_ms: validation.NonNegativeFloat
+    target_latency_ms: validation.NonNegativeFloat = 0.0
     max_attempts: validation.Counter = 1
     priority: validation.Counter = 0
     service: str = ""
@@ -122,12 +125,15 @@
 
 
 class Limits(_Message):
-    """Limits on the size and the duration of clients' requests."""
+    """Limits on the size and the duration of clients' requests, 0 for none.
+
+    The limits of the daemon's own settings apply besides.
+    """
 
     max_header_bytes: validation.Counter = 16_384
     max_body_bytes: validation.Counter = 67_108_864
-    header_timeout_ms: float = 10_000.0
-    idle_timeout_ms: float = 75_000.0
+    header_timeout_ms: validation.NonNegativeFloat = 10_000.0
+    idle_timeout_ms: validation.NonNegativeFloat = 75_000.0
 
 
 class Document(_Message):
@@ -155,6 +161,14 @@
     return int(digits)
 
 
+def _find_deadline_ms(route: Route) -> float:
+    return route.timeout_ms or resources.DEFAULT_DEADLINE_MS
+
+
+def _find_target_ms(route: Route) -> float:
+    return route.target_latency_ms or _find_deadline_ms(route)
+
+
 def _format_rank_name(route: Route, priority: int) -> str:
     return f"p{priority}-{route.target_latency_ms:.0f}"
 
@@ -164,7 +178,7 @@
     return resources.Rank(
         urgency=priority,
         worth=_WORTH_STEP**steps,
-        target_ms=_QUEUE_SHARE * (route.target_latency_ms or route.timeout_ms),
+        target_ms=_QUEUE_SHARE * _find_target_ms(route),
         late_share=_LATE_SHARE,
     )
 
@@ -181,7 +195,7 @@
         match=resources.Match(path_prefix=route.path_prefix, host=route.host),
         idempotent=route.kind == _IDEMPOTENT_KIND,
         safe_methods=False,
-        deadline_ms=route.timeout_ms,
+        deadline_ms=_find_deadline_ms(route),
         split=tuple(
             resources.WeightedService(portion.service, portion.weight)
             for portion in route.traffic_split
@@ -239,10 +253,10 @@
 
 def _build_limits(limits: Limits) -> resources.CallerLimits:
     return resources.CallerLimits(
-        header_bytes=limits.max_header_bytes,
-        body_bytes=limits.max_body_bytes,
-        head_s=limits.header_timeout_ms / 1000,
-        idle_s=limits.idle_timeout_ms / 1000,
+        header_bytes=limits.max_header_bytes or _UNLIMITED,
+        body_bytes=limits.max_body_bytes or _UNLIMITED,
+        head_s=(limits.header_timeout_ms or _UNLIMITED) / 1000,
+        idle_s=(limits.idle_timeout_ms or _UNLIMITED) / 1000,
     )
 
 
--- a/packages/burdockdeal/burdockdeal/platform/tests/test_names.py
+++ b/packages/burdockdeal/burdockdeal/platform/tests/test_names.py
@@ -5,6 +5,7 @@
 more strictly than what the operator wrote.
 """
 
+import dataclasses
 import json
 import typing
 
@@ -13,11 +14,14 @@
 import pytest
 
 from burdockdeal.configuration import messages
+from burdockdeal.configuration import resources
 from burdockdeal.configuration import snapshots
 from burdockdeal.configuration import state
 from burdockdeal.core import codec
 from burdockdeal.platform import configuration
 
+_DAY_MS = 86_400_000
+
 _ROUTE = {
     "name": "all",
     "host": "shop.example",
@@ -120,3 +124,51 @@
     except codec.MalformedError:
         return
     assert copy(original) == original
+
+
+@pytest.mark.parametrize(
+    ("part", "field", "invalid"),
+    [
+        ("routes", "timeoutMs", -1),
+        ("routes", "targetLatencyMs", -0.5),
+        ("routes", "trafficSplit", [{"service": "a", "weight": -1}]),
+        ("routes", "trafficSplit", [{"service": " a", "weight": 1}]),
+        ("services", "name", "x" * 201),
+        ("limits", "maxHeaderBytes", -1),
+        ("limits", "maxBodyBytes", -1),
+        ("limits", "headerTimeoutMs", -1),
+        ("limits", "idleTimeoutMs", -1),
+    ],
+)
+def test_a_version_is_refused_with_the_field(
+    part: str, field: str, invalid: object
+) -> None:
+    value = {"routes": _ROUTE, "services": _SERVICE, "limits": _LIMITS}[part]
+    changed = {**value, field: invalid}
+    document = build_document(
+        **{part: changed if part == "limits" else [changed]}
+    )
+    with pytest.raises(codec.MalformedError, match=rf"\$\.{part}.*\.{field}"):
+        read(document)
+
+
+@pytest.mark.parametrize(
+    "field",
+    ["maxHeaderBytes", "maxBodyBytes", "headerTimeoutMs", "idleTimeoutMs"],
+)
+def test_a_limit_of_zero_is_none(field: str) -> None:
+    """The daemons that read the store refused all requests with it."""
+    original = read(build_document(limits={**_LIMITS, field: 0}))
+    (limits,) = original.of_kind("CallerLimits")
+    bounds = dataclasses.astuple(limits.spec)
+    assert max(bounds) > _DAY_MS
+    assert min(bounds) > 0
+    assert copy(original) == original
+
+
+def test_a_route_without_a_timeout_has_the_usual_deadline() -> None:
+    route = {**_ROUTE, "timeoutMs": 0, "targetLatencyMs": 0}
+    original = read(build_document(routes=[route]))
+    (rule,) = original.of_kind("Rule")
+    assert rule.spec.deadline_ms == resources.DEFAULT_DEADLINE_MS
+    assert copy(original) == original
