Name a rank by the exact figures that set its terms

What callers saw: of two routes with one priority and targets of 100 and 100.4 ms, the one that came last set the target of both; likewise two without a target and with different timeouts.

Cause: the rank's name had the target rounded, and 0 if there was none.

Change: the name has the figure from which the target is computed, unrounded. Ranks with a whole target keep their names.

--- a/packages/burdockdeal/burdockdeal/platform/configuration.py
+++ b/packages/burdockdeal/burdockdeal/platform/configuration.py
@@ -37,6 +37,9 @@
 #: A limit that nothing reaches, in bytes or milliseconds.
 _UNLIMITED = 2**53
 
+#: The least whole number that a float may not represent exactly.
+_LEAST_ROUNDED = 2.0**53
+
 #: Digits of a version; the greatest number has 16 (`validation.Counter`).
 _MAX_VERSION_DIGITS = 16
 
@@ -170,7 +173,10 @@
 
 
 def _format_rank_name(route: Route, priority: int) -> str:
-    return f"p{priority}-{route.target_latency_ms:.0f}"
+    """Name the rank of a route's requests by all that sets its terms."""
+    target_ms = _find_target_ms(route)
+    is_whole = target_ms.is_integer() and target_ms < _LEAST_ROUNDED
+    return f"p{priority}-{int(target_ms) if is_whole else target_ms!r}"
 
 
 def _build_rank(route: Route, priority: int) -> resources.Rank:
--- a/packages/burdockdeal/burdockdeal/platform/tests/test_names.py
+++ b/packages/burdockdeal/burdockdeal/platform/tests/test_names.py
@@ -172,3 +172,27 @@
     (rule,) = original.of_kind("Rule")
     assert rule.spec.deadline_ms == resources.DEFAULT_DEADLINE_MS
     assert copy(original) == original
+
+
+@pytest.mark.parametrize(
+    ("field", "figures"),
+    [
+        ("targetLatencyMs", (100, 100.4)),
+        ("targetLatencyMs", (0.1, 0.2)),
+        ("targetLatencyMs", (2.0**53, 2.0**53 + 2)),
+        ("timeoutMs", (1000, 2000)),
+    ],
+)
+def test_routes_with_different_targets_have_different_ranks(
+    field: str, figures: tuple[float, float]
+) -> None:
+    """The last of two routes set the target of both."""
+    terms = [{"targetLatencyMs": 0, field: figure} for figure in figures]
+    first = {**_ROUTE, **terms[0]}
+    second = {**_ROUTE, **terms[1], "name": "second"}
+    original = read(build_document(routes=[first, second]))
+    alone = [read(build_document(routes=[route])) for route in (first, second)]
+    rules = {rule.name: rule.spec for rule in original.of_kind("Rule")}
+    for route, expected in zip((first, second), alone, strict=True):
+        rank = state.Key("Rank", rules[route["name"]].rank)
+        assert original.resources[rank].spec == expected.resources[rank].spec
