Escape the labels of metrics

What an operator saw: none yet. A rank whose name has a quote or a backslash would have made the whole page of metrics unreadable; since names are taken as they come, it could.

Evidence: test_a_metric_has_names_as_labels failed for such a name before: aioprometheus writes values of labels as they are.

--- a/packages/burdockdeal/burdockdeal/core/tests/test_names.py
+++ b/packages/burdockdeal/burdockdeal/core/tests/test_names.py
@@ -16,6 +16,8 @@
 from burdockdeal.core import call
 from burdockdeal.core import codec
 from burdockdeal.core import validation
+from burdockdeal.core import verdict
+from burdockdeal.daemon import metrics
 from burdockdeal.evacuation import messages as evacuation
 from burdockdeal.membership import decisions as membership_decisions
 from burdockdeal.membership import messages as membership
@@ -121,3 +123,24 @@
     listed = membership_decisions.name_contact_list(name)
     assert len(f"op-members/{listed}".encode()) <= _MAX_KEY_BYTES
     assert membership_decisions.name_contact_list(listed) == listed
+
+
+@pytest.mark.parametrize("name", _EXAMPLES)
+async def test_a_metric_has_names_as_labels(name: str) -> None:
+    counted = metrics.Metrics(())
+    counted.count_outcome(name, verdict.Verdict.RAN)
+
+    class Request:
+        headers = type("Headers", (), {"getall": lambda *_: []})()
+
+    response = await counted.handle(Request())
+    (line,) = (
+        line
+        for line in response.body.decode().splitlines()
+        if line.startswith("burdockdeal_requests_total{")
+    )
+    (label,) = re.findall(r'rank="((?:[^"\\]|\\.)*)"', line)
+    unescaped = re.sub(
+        r"\\(.)", lambda found: {"n": "\n"}.get(found[1], found[1]), label
+    )
+    assert unescaped == name
--- a/packages/burdockdeal/burdockdeal/daemon/metrics.py
+++ b/packages/burdockdeal/burdockdeal/daemon/metrics.py
@@ -106,6 +106,10 @@
     )
 
 
+#: Escapes of a label's value, which aioprometheus writes as it is.
+_LABEL_ESCAPES = str.maketrans({"\\": r"\\", '"': r"\"", "\n": r"\n"})
+
+
 class Metrics:
     """The metrics registry of one daemon.
 
@@ -145,7 +149,10 @@
     async def handle(self, request: web.Request) -> web.Response:
         """Respond to a scrape."""
         for (rank, outcome), count in self._outcome_counts.items():
-            labels = {"rank": rank, "verdict": outcome.value}
+            labels = {
+                "rank": rank.translate(_LABEL_ESCAPES),
+                "verdict": outcome.value,
+            }
             self._requests.set(labels, count)
         for read, metric in self._gauges:
             metric.set({}, read())
