Choose a rule by the path that is sent on

Cause: a rule was chosen by the decoded path, and the request was sent on with the path as it came. /book/list%2F7 was taken for a path below /book/list/, where requests may be repeated.

Ruled out: that a send is repeated against its rule, and that the upstream gets another path.

Change: one function parses the target; rules, the path of the keys' interface and what is sent on come from it. Nothing is decoded or normalized, as an upstream need not do so. A prefix is encoded where no path can contain its characters. The route of a target in absolute form is that of its own host.

--- a/packages/burdockdeal/burdockdeal/bookings/api.py
+++ b/packages/burdockdeal/burdockdeal/bookings/api.py
@@ -19,6 +19,7 @@
 from burdockdeal.membership import messages as membership
 from burdockdeal.serving import header_codec
 from burdockdeal.serving import messages as serving
+from burdockdeal.serving import targets
 
 KEYS_PATH = "/burdockdeal/v1/keys"
 
@@ -199,7 +200,8 @@
 
     async def handle(request: web.BaseRequest) -> web.Response:
         try:
-            if request.method != "POST" or request.path != KEYS_PATH:
+            path = targets.find_path(request.raw_path)
+            if request.method != "POST" or path != KEYS_PATH:
                 raise errors.NotRunError(verdict.Reason.NO_RULE)
             return _build_response(
                 await issue_key(request.query.get("service", ""))
--- a/packages/burdockdeal/burdockdeal/bookings/assembly.py
+++ b/packages/burdockdeal/burdockdeal/bookings/assembly.py
@@ -21,6 +21,7 @@
 from burdockdeal.membership import roster
 from burdockdeal.platform import store
 from burdockdeal.serving import messages as serving
+from burdockdeal.serving import targets
 from burdockdeal.settings import model
 
 #: Chooses an instance for a call, leaving out the daemons in the set.
@@ -167,7 +168,8 @@
         )
 
         async def handle(request: web.BaseRequest) -> web.StreamResponse:
-            is_own_path = request.path.startswith(_OWN_PATH_PREFIX)
+            path = targets.find_path(request.raw_path)
+            is_own_path = path.startswith(_OWN_PATH_PREFIX)
             return await (handle_key_request if is_own_path else handle_entry)(
                 request
             )
--- a/packages/burdockdeal/burdockdeal/configuration/rules.py
+++ b/packages/burdockdeal/burdockdeal/configuration/rules.py
@@ -2,10 +2,15 @@
 
 from collections import abc
 import dataclasses
+import string
+from urllib import parse
 
 from burdockdeal.configuration import resources
 from burdockdeal.configuration import state
 
+#: Characters of a prefix that are not encoded.
+_PATH_CHARACTERS = string.punctuation
+
 #: Returns the rule for (method, path, host), None if none matches.
 MatchRule = abc.Callable[[str, str, str], resources.Rule | None]
 
@@ -31,10 +36,20 @@
 _Table = dict[tuple[str, str], list[_Entry]]
 
 
+def encode_prefix(prefix: str) -> str:
+    """Encode a path prefix as it begins the paths of requests.
+
+    Only what no path can contain is encoded (RFC 3987, section 3.1): an
+    escape in a prefix matches the same escape and nothing else.
+    """
+    return parse.quote(prefix, safe=_PATH_CHARACTERS)
+
+
 def _build_table(ordered: abc.Iterable[resources.Rule]) -> _Table:
     table: _Table = {}
     for position, rule in enumerate(ordered):
-        key = (rule.match.host.lower(), rule.match.path_prefix)
+        prefix = encode_prefix(rule.match.path_prefix)
+        key = (rule.match.host.lower(), prefix)
         entry = _Entry(position, frozenset(rule.match.methods), rule)
         table.setdefault(key, []).append(entry)
     return table
@@ -52,7 +67,10 @@
     table = _build_table(
         sorted(
             (resource.spec for resource in configuration.of_kind("Rule")),
-            key=lambda rule: (rule.order, -len(rule.match.path_prefix)),
+            key=lambda rule: (
+                rule.order,
+                -len(encode_prefix(rule.match.path_prefix)),
+            ),
         )
     )
     lengths = sorted({len(prefix) for _, prefix in table})
--- a/packages/burdockdeal/burdockdeal/serving/entry.py
+++ b/packages/burdockdeal/burdockdeal/serving/entry.py
@@ -30,6 +30,7 @@
 from burdockdeal.serving import header_codec
 from burdockdeal.serving import messages
 from burdockdeal.serving import startup
+from burdockdeal.serving import targets
 from burdockdeal.settings import model
 
 #: Counts the outcome of a request, by rank and verdict.
@@ -175,6 +176,7 @@
 
     async def forward_call(
         request: web.BaseRequest,
+        target: targets.Target,
         inbound: call.Call,
         caller_limits: resources.CallerLimits | None,
         *,
@@ -186,10 +188,12 @@
         if has_workspaces:
             for name in caller_headers.identity_headers:
                 forwarded.popall(name, None)
+        if target.authority:
+            forwarded["Host"] = target.authority
         forwarded.update(caller_headers.build_origin_headers())
         outbound = messages.OutboundRequest(
             method=request.method,
-            target=request.raw_path,
+            target=target.origin_form,
             headers=forwarded,
             body=await bodies.prepare_body(
                 request,
@@ -220,14 +224,15 @@
     def classify(
         current: classification.CompiledConfiguration,
         request: web.BaseRequest,
+        target: targets.Target,
         metadata: header_codec.RequestMetadata,
         request_id: str,
     ) -> call.Call:
         inbound = classification.classify_request(
             current,
             request.method,
-            request.path,
-            request.headers.get("Host", ""),
+            target.path,
+            target.authority or request.headers.get("Host", ""),
             metadata,
             request_id=request_id,
             now=clock(),
@@ -260,25 +265,31 @@
         try:
             metadata = caller_headers.read_metadata(request.headers)
             request_id = metadata.request_id or request_id
+            target = targets.parse_target(request.raw_path)
             await startup_gate.wait_for(lambda: configuration() is not None)
             current = configuration()
             if current is None:
                 raise errors.NotRunError(verdict.Reason.NOT_CONFIGURED)
             try:
-                inbound = classify(current, request, metadata, request_id)
+                inbound = classify(
+                    current, request, target, metadata, request_id
+                )
             except errors.NotRunError as error:
                 if error.reason is not verdict.Reason.KEY_REFUSED:
                     raise
                 if not await find_newer_configuration(current.revision):
                     raise
                 current = configuration()
-                inbound = classify(current, request, metadata, request_id)
+                inbound = classify(
+                    current, request, target, metadata, request_id
+                )
             rank = inbound.rank
             await startup_gate.wait_for(lambda: has_instance(inbound))
             check_placement(inbound)
             with shedder.admit(inbound):
                 response = await forward_call(
                     request,
+                    target,
                     inbound,
                     current.caller_limits,
                     has_workspaces=not current.workspaces.is_empty,
