Send targets on as they came

Cause: the target was parsed as a URL again before it was sent on, behind the upstream's address.

Evidence: tests/test_targets.py, four rows failed before.

Change: the target is handed to the HTTP client as a path. One in absolute form is sent on in origin form, with its authority as Host (RFC 9112, section 3.2.2). Tests that name the upstream's address name it without a scheme.

--- a/packages/burdockdeal/burdockdeal/serving/forwarding.py
+++ b/packages/burdockdeal/burdockdeal/serving/forwarding.py
@@ -100,6 +100,17 @@
     return kept
 
 
+def build_url(authority: str, target: str) -> yarl.URL:
+    """Build a URL whose request line has exactly the target.
+
+    The target is all path here: from a query, yarl would drop a question mark
+    with nothing behind it, and it would drop a fragment.
+    """
+    return yarl.URL.build(
+        scheme="http", authority=authority, path=target, encoded=True
+    )
+
+
 def _keep(response: messages.Response) -> bool:
     return True
 
@@ -107,7 +118,7 @@
 @contextlib.asynccontextmanager
 async def open_response(
     session: aiohttp.ClientSession,
-    base: str,
+    authority: str,
     outbound: messages.OutboundRequest,
     added: abc.Mapping[str, str],
     *,
@@ -117,7 +128,7 @@
 ) -> abc.AsyncIterator[messages.Response]:
     """Send a request and wait for the head of its response.
 
-    :param base: scheme, address and port.
+    :param authority: address and port.
     :param added: headers for this hop.
     :param remaining_s: seconds within which the head must arrive.
     :param expect: whether to wait for 100 Continue before sending the body.
@@ -136,7 +147,7 @@
         async with asyncio.timeout(remaining_s):
             response = await session.request(
                 outbound.method,
-                yarl.URL(base + outbound.target, encoded=True),
+                build_url(authority, outbound.target),
                 headers=request_headers,
                 data=outbound.body.open(),
                 allow_redirects=False,
--- a/packages/burdockdeal/burdockdeal/serving/owner.py
+++ b/packages/burdockdeal/burdockdeal/serving/owner.py
@@ -230,7 +230,7 @@
             ):
                 async with forwarding.open_response(
                     choose_session(send),
-                    f"http://{announced.host}:{announced.port}",
+                    f"{announced.host}:{announced.port}",
                     send.outbound,
                     upstream_headers.build_send_headers(
                         send, announced.name, now
--- a/packages/burdockdeal/burdockdeal/serving/peers.py
+++ b/packages/burdockdeal/burdockdeal/serving/peers.py
@@ -98,7 +98,7 @@
         )
         async with forwarding.open_response(
             session,
-            f"http://{send.peer}",
+            str(send.peer),
             send.outbound,
             {
                 headers.ENVELOPE: codec.encode_compact(envelope).decode(),
--- a/packages/burdockdeal/burdockdeal/serving/tests/test_broken_heads.py
+++ b/packages/burdockdeal/burdockdeal/serving/tests/test_broken_heads.py
@@ -44,7 +44,7 @@
         forwarding.build_session(8192) as session,
         forwarding.open_response(
             session,
-            f"http://127.0.0.1:{port}",
+            f"127.0.0.1:{port}",
             outbound,
             {},
             remaining_s=5.0,
--- a/packages/burdockdeal/burdockdeal/serving/tests/test_connection_guard.py
+++ b/packages/burdockdeal/burdockdeal/serving/tests/test_connection_guard.py
@@ -44,7 +44,7 @@
     )
     async with forwarding.open_response(
         session,
-        upstream.base,
+        upstream.authority,
         outbound,
         {},
         remaining_s=remaining_s,
--- a/packages/burdockdeal/burdockdeal/serving/tests/test_cut_copies.py
+++ b/packages/burdockdeal/burdockdeal/serving/tests/test_cut_copies.py
@@ -37,7 +37,7 @@
 
 
 async def fetch(
-    session: aiohttp.ClientSession, base: str, request_id: str
+    session: aiohttp.ClientSession, authority: str, request_id: str
 ) -> Outcome | None:
     """Send a request; return None for an answer that is not taken."""
     outbound = messages.OutboundRequest(
@@ -48,7 +48,7 @@
     )
     try:
         async with forwarding.open_response(
-            session, base, outbound, {}, remaining_s=2.0, expect=False
+            session, authority, outbound, {}, remaining_s=2.0, expect=False
         ) as response:
             if response.headers.get(_ID) != request_id:
                 return None
@@ -134,8 +134,8 @@
         for size in range(len(copied) + 1):
             copying.size = size
             async with forwarding.build_session(16_384) as session:
-                await fetch(session, upstream.base, _OTHER_ID)
-                outcome = await fetch(session, upstream.base, _OWN_ID)
+                await fetch(session, upstream.authority, _OTHER_ID)
+                outcome = await fetch(session, upstream.authority, _OWN_ID)
             if outcome not in (None, expected):
                 wrong[size] = outcome
             taken += outcome == expected
--- a/packages/burdockdeal/burdockdeal/serving/tests/test_forwarding.py
+++ b/packages/burdockdeal/burdockdeal/serving/tests/test_forwarding.py
@@ -37,7 +37,7 @@
     )
     async with forwarding.open_response(
         FailingSession(error),
-        "http://127.0.0.1:1",
+        "127.0.0.1:1",
         outbound,
         {},
         remaining_s=1.0,
--- a/packages/burdockdeal/burdockdeal/serving/tests/test_targets.py
+++ b/packages/burdockdeal/burdockdeal/serving/tests/test_targets.py
@@ -14,6 +14,7 @@
 from burdockdeal.configuration import rules
 from burdockdeal.configuration import state
 from burdockdeal.core import errors
+from burdockdeal.serving import forwarding
 from burdockdeal.serving import targets
 
 #: Pieces of paths, some of which are equal to others when they are decoded or
@@ -66,12 +67,13 @@
     prefixes: list[str], path: str, query: str
 ) -> None:
     target = targets.parse_target(path + query)
-    assert target.origin_form == path + query
+    sent = forwarding.build_url("127.0.0.1:80", target.origin_form)
+    assert sent.raw_path_qs == path + query
     rule = build_matcher(prefixes)("POST", target.path, "here")
     matching = [
         prefix
         for prefix in prefixes
-        if target.origin_form.startswith(rules.encode_prefix(prefix))
+        if sent.raw_path_qs.startswith(rules.encode_prefix(prefix))
     ]
     if rule is None:
         assert not matching
--- a/packages/standins/burdockdeal_standins/raw_upstream.py
+++ b/packages/standins/burdockdeal_standins/raw_upstream.py
@@ -11,7 +11,7 @@
     def __init__(self) -> None:
         self.connections = 0
         self.port = 0
-        self.base = ""
+        self.authority = ""
         self.handler: abc.Callable[..., abc.Awaitable[None]] | None = None
 
     async def accept(
@@ -31,7 +31,7 @@
     server = await asyncio.start_server(upstream.accept, "127.0.0.1", 0)
     port = server.sockets[0].getsockname()[1]
     upstream.port = port
-    upstream.base = f"http://127.0.0.1:{port}"
+    upstream.authority = f"127.0.0.1:{port}"
     try:
         yield upstream
     finally:
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -1,6 +1,7 @@
 """Targets of requests, as the upstream gets them through one hop and two.
 
-A booking with an encoded slash in its path ran twice.
+The question mark of an empty query and a fragment were dropped, and a target
+in absolute form was answered 500.
 """
 
 import pytest
@@ -8,6 +9,15 @@
 from burdockdeal.configuration import resources
 from burdockdeal_standins import raw_http
 
+_TARGETS = [
+    b"/jobs/1?",
+    b"/jobs/1#part",
+    b"/jobs/a%2Fb%2f%62;c=%3B",
+    b"/jobs//..//./x?/y?z=%20+#",
+    b"//jobs/1",
+    b'/jobs/^|{}"<>',
+]
+
 
 def _build_request(target: bytes, method: bytes = b"GET") -> bytes:
     return (
@@ -16,6 +26,31 @@
     )
 
 
+@pytest.mark.parametrize("node", ["d1", "d2"])
+async def test_a_target_reaches_the_upstream_as_it_was_sent(
+    harness: raw_http.Harness, node: str
+) -> None:
+    heads = harness.respond_to_all(raw_http.OK_RESPONSE)
+    for target in _TARGETS:
+        async with harness.connect(_build_request(target), node) as caller:
+            await caller.read_response()
+        expected = f"GET {target.decode()} HTTP/1.1"
+        assert heads.pop().start_line == expected
+
+
+@pytest.mark.parametrize("node", ["d1", "d2"])
+async def test_a_target_in_absolute_form_is_sent_on_in_origin_form(
+    harness: raw_http.Harness, node: str
+) -> None:
+    heads = harness.respond_to_all(raw_http.OK_RESPONSE)
+    request = _build_request(b"http://there:8080/jobs/1?")
+    async with harness.connect(request, node) as caller:
+        await caller.read_response()
+    (head,) = heads
+    assert head.start_line == "GET /jobs/1? HTTP/1.1"
+    assert head.values("Host") == ["there:8080"]
+
+
 @pytest.mark.parametrize("node", ["d1", "d2"])
 async def test_an_encoded_slash_chooses_no_rule_for_the_decoded_path(
     harness: raw_http.Harness, node: str
