Receive signals from the first line of the daemon to its last

SIGTERM ended them with -15 in place of 0.

Cause: signals were handled by the event loop only, from the moment at which the daemon served until the loop was closed.

Ruled out: a reload that fails; the process ends by the signal, with no log.

Change: handlers of our own are there all the time, and keep what comes until the loop can handle it. SIGTERM before the daemon listens ends it with 0. A change of the settings file between its first reading and the watch for changes is not missed any more.

--- a/packages/burdockdeal/burdockdeal/daemon/__main__.py
+++ b/packages/burdockdeal/burdockdeal/daemon/__main__.py
@@ -2,9 +2,12 @@
 
 import gc
 
+from burdockdeal.daemon import signals
+
 
 def start() -> None:
     """Import and run the daemon with garbage collection disabled."""
+    receiver = signals.SignalReceiver()
     # Imported modules are never freed, and collecting garbage among them makes
     # the start a fifth longer. The daemon enables the collector again once it
     # serves.
@@ -12,7 +15,7 @@
 
     from burdockdeal.daemon import main
 
-    main.run()
+    main.run(receiver)
 
 
 if __name__ == "__main__":
--- a/packages/burdockdeal/burdockdeal/daemon/main.py
+++ b/packages/burdockdeal/burdockdeal/daemon/main.py
@@ -1,8 +1,8 @@
 """The burdockdeald command."""
 
 import asyncio
+from collections import abc
 import gc
-import signal
 import sys
 
 import fire
@@ -13,6 +13,7 @@
 from burdockdeal.daemon import assembly
 from burdockdeal.daemon import components as daemon_components
 from burdockdeal.daemon import loop
+from burdockdeal.daemon import signals
 from burdockdeal.settings import loader
 from burdockdeal.settings import model
 from burdockdeal.settings import reload
@@ -62,17 +63,24 @@
         )
 
 
-async def _serve(settings: model.Settings, path: str) -> int:
+async def _serve(
+    settings: model.Settings,
+    file: reload.SettingsFile,
+    receiver: signals.SignalReceiver,
+) -> int:
     event_loop = asyncio.get_running_loop()
     async with assembly.run_daemon(settings) as components:
-        for signal_number in (signal.SIGTERM, signal.SIGINT):
-            event_loop.add_signal_handler(
-                signal_number, components.shutdown_controller.request_stop
-            )
         reloader = reload.Reloader(
-            path, settings, components.replace_settings, components.clock
+            file, settings, components.replace_settings, components.clock
+        )
+        request_stop = components.shutdown_controller.request_stop
+        receiver.handle_on(
+            event_loop.call_soon_threadsafe,
+            {
+                **dict.fromkeys(signals.STOP_SIGNALS, request_stop),
+                signals.RELOAD_SIGNAL: reloader.reload,
+            },
         )
-        event_loop.add_signal_handler(signal.SIGHUP, reloader.reload)
         event_log.record(
             "daemon_started",
             daemon=settings.daemon,
@@ -85,32 +93,44 @@
         gc.set_threshold(_GC_THRESHOLD)
         gc.enable()
         await _run_until_stopped(components, reloader)
+        receiver.keep()
     event_log.record("daemon_stopped", daemon=settings.daemon)
     has_failed = components.shutdown_controller.has_failed
     return EXIT_CRASHED if has_failed else EXIT_OK
 
 
-def serve(settings: str, *, verbose: bool = False) -> int:
-    """Run the daemon beside one upstream until SIGTERM or SIGINT.
+def _make_command(
+    receiver: signals.SignalReceiver,
+) -> abc.Callable[..., int]:
+    def serve(settings: str, *, verbose: bool = False) -> int:
+        """Run the daemon beside one upstream until SIGTERM or SIGINT.
 
-    :param settings: path of the settings file, JSON with comments.
-    :param verbose: log every request, not only the refused ones.
-    """
-    event_log.configure(verbose=verbose)
-    try:
-        checked = loader.load(settings)
-    except errors.SettingsError as error:
-        for fault in error.faults:
-            print(f"{error.subject}: {fault}", file=sys.stderr)
-        return EXIT_INVALID_SETTINGS
-    with asyncio.Runner(loop_factory=loop.new_loop) as runner:
-        return runner.run(_serve(checked, settings))
+        :param settings: path of the settings file, JSON with comments.
+        :param verbose: log every request, not only the refused ones.
+        """
+        event_log.configure(verbose=verbose)
+        file = reload.SettingsFile(settings)
+        try:
+            checked = loader.load(settings)
+        except errors.SettingsError as error:
+            for fault in error.faults:
+                print(f"{error.subject}: {fault}", file=sys.stderr)
+            return EXIT_INVALID_SETTINGS
+        if receiver.is_stop_requested:
+            event_log.record("daemon_stopped", daemon=checked.daemon)
+            return EXIT_OK
+        with asyncio.Runner(loop_factory=loop.new_loop) as runner:
+            return runner.run(_serve(checked, file, receiver))
 
+    return serve
 
-def run() -> None:
-    """Run the command and exit with its code."""
-    sys.exit(fire.Fire(serve, name="burdockdeald", serialize=lambda _: ""))
 
+def run(receiver: signals.SignalReceiver) -> None:
+    """Run the command and exit with its code.
 
-if __name__ == "__main__":
-    run()
+    :param receiver: has received the signals since the process started.
+    """
+    command = _make_command(receiver)
+    code = fire.Fire(command, name="burdockdeald", serialize=lambda _: "")
+    receiver.ignore()
+    sys.exit(code)
--- a/packages/burdockdeal/burdockdeal/settings/reload.py
+++ b/packages/burdockdeal/burdockdeal/settings/reload.py
@@ -1,6 +1,7 @@
 """Reloading of the settings file while the daemon runs."""
 
 from collections import abc
+import contextlib
 import dataclasses
 import pathlib
 
@@ -37,10 +38,45 @@
     return dataclasses.replace(before, **reloadable)
 
 
+#: What reading a file raises if it can't be read as text.
+_READ_ERRORS = (OSError, UnicodeDecodeError)
+
+
+class SettingsFile:
+    """The settings file, and what it contained when it was last read.
+
+    It is read before the settings are loaded from it for the first time, so
+    that no change is missed.
+
+    :param path: the path of the file.
+    """
+
+    def __init__(self, path: str) -> None:
+        self.path = pathlib.Path(path)
+        self._text = ""
+        with contextlib.suppress(*_READ_ERRORS):
+            self._text = self._read()
+
+    def has_changed(self) -> bool:
+        """Read the file, and return whether it has other contents now."""
+        try:
+            text = self._read()
+        except _READ_ERRORS as error:
+            event_log.warn("settings_unreadable", error=error)
+            return False
+        if not text or text == self._text:
+            return False
+        self._text = text
+        return True
+
+    def _read(self) -> str:
+        return self.path.read_text(encoding="utf-8")
+
+
 class Reloader:
     """Reloads the settings file when its contents change.
 
-    :param path: the path of the settings file.
+    :param file: the settings file.
     :param settings: the settings that the daemon started with.
     :param apply: called with the new settings after each valid reload.
     :param clock: returns monotonic time in seconds.
@@ -48,17 +84,16 @@
 
     def __init__(
         self,
-        path: str,
+        file: SettingsFile,
         settings: model.Settings,
         apply: abc.Callable[[model.Settings], None],
         clock: abc.Callable[[], float],
     ) -> None:
-        self._path = pathlib.Path(path)
+        self._file = file
         self._settings = settings
         self._apply = apply
         self._clock = clock
         self._last_polled_at = clock()
-        self._text = self._read()
 
     def poll(self) -> None:
         """Check the file for changes if the poll interval has passed."""
@@ -66,15 +101,13 @@
         if now - self._last_polled_at < POLL_INTERVAL_S:
             return
         self._last_polled_at = now
-        text = self._read()
-        if text and text != self._text:
-            self._text = text
+        if self._file.has_changed():
             self.reload()
 
     def reload(self) -> None:
         """Load the file and apply it; an invalid file changes nothing."""
         try:
-            loaded = loader.load(self._path)
+            loaded = loader.load(self._file.path)
         except errors.SettingsError as error:
             event_log.warn("settings_invalid", error=error)
             return
@@ -88,10 +121,3 @@
         )
         self._settings = merge_reloadable(self._settings, loaded)
         self._apply(self._settings)
-
-    def _read(self) -> str:
-        try:
-            return self._path.read_text(encoding="utf-8")
-        except (OSError, UnicodeDecodeError) as error:
-            event_log.warn("settings_unreadable", error=error)
-            return ""
--- a/packages/burdockdeal/burdockdeal/settings/tests/test_reload.py
+++ b/packages/burdockdeal/burdockdeal/settings/tests/test_reload.py
@@ -30,7 +30,9 @@
     path: pathlib.Path, clock: clocks.Clock, applied: list[model.Settings]
 ) -> reload.Reloader:
     settings = reload.loader.load(path)
-    return reload.Reloader(str(path), settings, applied.append, clock)
+    return reload.Reloader(
+        reload.SettingsFile(str(path)), settings, applied.append, clock
+    )
 
 
 def test_a_changed_file_is_reloaded_without_a_signal(
--- a/packages/standins/burdockdeal_standins/failing_daemon.py
+++ b/packages/standins/burdockdeal_standins/failing_daemon.py
@@ -4,6 +4,7 @@
 import signal
 
 from burdockdeal.daemon import main
+from burdockdeal.daemon import signals
 from burdockdeal.membership import service
 from burdockdeal.settings import reload
 
@@ -29,4 +30,4 @@
 if __name__ == "__main__":
     for fault_signal, (fault_owner, fault_name) in FAULTS.items():
         _raise_from(fault_signal, fault_owner, fault_name)
-    main.run()
+    main.run(signals.SignalReceiver())
