Lend by the share of the fleet that a lender reaches

Cause: the other daemons of the lender's failure domain confirmed its loss, so a substitute lent at the full rate; the lender itself went on, as its roster suspects the others one a second.

Ruled out: credit from before the cut used twice, which is half a second's worth; a burst lent again.

Change: a lender probes daemons at random while it lends, and lends at the rate times the share that answers. The share falls at once and rises slowly. A substitute lends next to nothing until it has probed. No call to the store.

--- a/packages/burdockdeal/burdockdeal/quotas/decisions.py
+++ b/packages/burdockdeal/burdockdeal/quotas/decisions.py
@@ -1,5 +1,6 @@
 """Decides what is lent, held, refused and returned of a workspace's credit."""
 
+from collections import abc
 import dataclasses
 import math
 
@@ -42,6 +43,10 @@
 #: lender; the entries' own allowance has the other half.
 _SLACK_SHARE = 0.5
 
+#: The most by which the share of the fleet that a lender reaches rises with
+#: a sample.
+_SHARE_STEP = 0.25
+
 #: Minimum seconds between two requests of one entry on its own allowance.
 _MIN_OWN_INTERVAL_S = 1.0
 
@@ -158,6 +163,23 @@
     return min(rate, _SLACK_SHARE * terms.slack / terms.window_s)
 
 
+def update_reached_share(
+    share: float, answered: abc.Collection[bool]
+) -> float:
+    """Update the share of the fleet that a lender reaches by a sample.
+
+    Answers a network partition: what the lenders of its sides lend adds up to
+    the rate. The share falls at once and rises slowly, since a daemon that has
+    lent in this one's place takes a moment to notice that it is back.
+
+    :param answered: whether each daemon of the sample has answered.
+    """
+    if not answered:
+        return 1.0
+    reached = sum(answered) / len(answered)
+    return min(reached, share + _SHARE_STEP)
+
+
 def compute_own_interval_s(
     terms: fleet_terms.QuotaTerms, daemon_count: int
 ) -> float:
--- a/packages/burdockdeal/burdockdeal/quotas/lending.py
+++ b/packages/burdockdeal/burdockdeal/quotas/lending.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 from burdockdeal.core import event_log
+from burdockdeal.quotas import contact
 from burdockdeal.quotas import decisions
 from burdockdeal.quotas import fleet_view
 from burdockdeal.quotas import messages
@@ -18,6 +19,9 @@
 TICK_S = 0.1
 STALL_S = 0.3
 
+#: Seconds without a request after which a lender probes no other daemons.
+_PROBED_S = 2.0
+
 #: Seconds without a request after which a full bucket is dropped.
 _IDLE_S = 30.0
 
@@ -61,6 +65,7 @@
         clock: abc.Callable[[], float],
         call_later: CallLater,
     ) -> None:
+        self._contact = contact.Contact(view, routes, clock)
         self._view = view
         self._routes = routes
         self._find_limit = find_limit
@@ -77,6 +82,7 @@
 
     def close(self) -> None:
         """Cancel what is scheduled."""
+        self._contact.close()
         if self._timer is not None:
             self._timer.cancel()
         for check in self._checks.values():
@@ -184,14 +190,17 @@
             return self._tell_start(now)
         if _is_probe(request):
             return messages.CreditReply()
-        rate = limit.requests_per_s * self._view.compute_alive_share()
+        reached = self._view.compute_alive_share() * self._contact.share
+        rate = limit.requests_per_s * reached
         since = self._view.lends_since
         if substitution is not None:
             since = max(since, substitution.since)
-            if now < substitution.held_until:
+            if now < substitution.held_until or not self._contact.is_known:
                 rate = decisions.compute_held_rate(self._terms, rate)
         bucket = self._buckets.get(workspace)
         if bucket is None:
+            if substitution is not None:
+                self._contact.begin(workspace)
             bucket = decisions.open_bucket(limit, rate, since, now)
             self._log("quota_lending_began", workspace, substitution)
         else:
@@ -211,6 +220,8 @@
             _, limit = self._find_limit(workspace)
             if decisions.is_disposable(bucket, limit, now, _IDLE_S):
                 self._drop(workspace)
+            elif now - bucket.asked_at < _PROBED_S:
+                self._contact.probe(workspace)
         if self._buckets:
             self._timer = self._call_later(TICK_S, self._tick)
 
--- a/packages/burdockdeal/burdockdeal/quotas/ring.py
+++ b/packages/burdockdeal/burdockdeal/quotas/ring.py
@@ -4,6 +4,7 @@
 from collections import abc
 import functools
 import hashlib
+import random
 
 
 @functools.lru_cache(maxsize=4096)
@@ -39,6 +40,10 @@
         if self._points[index : index + 1] == [point]:
             del self._points[index]
 
+    def choose(self, rng: random.Random) -> str:
+        """Choose a daemon at random; there has to be one."""
+        return rng.choice(self._points)[1]
+
     def walk(self, key: str) -> abc.Iterator[str]:
         """Return all daemons in the order in which they would lend."""
         start = bisect.bisect_left(self._points, (hash_name(key), ""))
--- a/packages/burdockdeal/burdockdeal/quotas/tests/quota_fleet.py
+++ b/packages/burdockdeal/burdockdeal/quotas/tests/quota_fleet.py
@@ -4,6 +4,7 @@
 import collections
 from collections import abc
 import dataclasses
+import enum
 import random
 
 from burdockdeal.configuration import resources
@@ -31,6 +32,14 @@
     return membership.Member(f"{domain}{number}", domain, "r", address, 1)
 
 
+class Direction(enum.Enum):
+    """Which messages of daemons that are cut off are lost."""
+
+    BOTH = "both"
+    OUT = "theirs"
+    IN = "those to them"
+
+
 class Node:
     """One daemon: its roster, its quotas, and whether it runs."""
 
@@ -128,6 +137,9 @@
         self.rng = random.Random(seed)
         self.by_address: dict[model.Address, Node] = {}
         self.cuts: set[frozenset[str]] = set()
+        #: Daemons that the others don't reach, and the direction that is cut.
+        self.apart: frozenset[Node] = frozenset()
+        self.direction = Direction.BOTH
         self.tasks: set[asyncio.Task[object]] = set()
         self.questions: collections.Counter[str] = collections.Counter()
         self.runs: list[float] = []
@@ -162,10 +174,48 @@
         domains = frozenset(
             {source.member.failure_domain, target.member.failure_domain}
         )
-        if domains in self.cuts:
+        if domains in self.cuts or self._is_lost(source, target):
             await asyncio.Event().wait()
         await asyncio.sleep(_FAR_S if len(domains) > 1 else _NEAR_S)
 
+    def _is_lost(self, source: Node, target: Node) -> bool:
+        is_out, is_in = source in self.apart, target in self.apart
+        if is_out == is_in:
+            return False
+        return self.direction in (
+            Direction.BOTH,
+            Direction.OUT if is_out else Direction.IN,
+        )
+
+    def cut_off(
+        self,
+        nodes: abc.Collection[Node],
+        direction: "Direction",
+    ) -> None:
+        """Cut daemons off from the others, which notice it one by one."""
+        self.apart, self.direction = frozenset(nodes), direction
+        others = [node for node in self.nodes if node not in self.apart]
+        for here, there in ((others, list(nodes)), (list(nodes), others)):
+            for place, node in enumerate(self.rng.sample(there, len(there))):
+                self.after(
+                    1.5 + place / len(here),
+                    self._suspect_across,
+                    node,
+                    here,
+                )
+
+    def _suspect_across(self, node: Node, observers: list[Node]) -> None:
+        if self.apart:
+            self.claim(node, membership.Health.SUSPECT, observers)
+
+    def heal(self) -> None:
+        """End the cut; the daemons notice it within a second."""
+        self.apart = frozenset()
+        for node in self.nodes:
+            self.after(
+                self.rng.random(), self.claim, node, membership.Health.ALIVE
+            )
+
     async def restart(self, node: Node) -> None:
         """Kill a daemon and start it again, too soon to be suspected."""
         node.is_up = False
