Treat a call of an unknown rank by the nearest urgency

Cause: a call names its rank, and the daemon beside the upstream refused one that its own configuration did not have, yet or any more.

Evidence: test_a_call_of_an_unknown_rank_has_the_nearest_one; with the owner's code of before, four of its five rows fail with UNKNOWN_RANK.

Change: a call carries the urgency of its rank, as a last field with a default. An owner that doesn't know the rank uses the one of the nearest urgency.

--- a/packages/burdockdeal/burdockdeal/core/call.py
+++ b/packages/burdockdeal/burdockdeal/core/call.py
@@ -31,6 +31,8 @@
         disclosing it; empty for an anonymous call.
     :param regions: the regions in which it may be served, empty for all.
     :param revision: revision of the configuration by which it was accepted.
+    :param urgency: order of priority of its rank in that configuration, None
+        if it is not known.
     """
 
     request_id: str
@@ -48,6 +50,7 @@
     key_id: str = ""
     regions: frozenset[str] = frozenset()
     revision: int = 0
+    urgency: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -73,6 +76,8 @@
     :param key_id: identifies the key that the call came with.
     :param revision: revision of the configuration by which the call was
         accepted.
+    :param urgency: order of priority of the call's rank in that
+        configuration, None if it is not known.
     """
 
     request_id: str
@@ -93,6 +98,7 @@
     workspace: str = ""
     key_id: str = ""
     revision: int = 0
+    urgency: int | None = None
 
 
 def build_envelope(
@@ -130,6 +136,7 @@
         workspace=call.workspace,
         key_id=call.key_id,
         revision=call.revision,
+        urgency=call.urgency,
     )
 
 
@@ -157,4 +164,5 @@
         workspace=envelope.workspace,
         key_id=envelope.key_id,
         revision=envelope.revision,
+        urgency=envelope.urgency,
     )
--- a/packages/burdockdeal/burdockdeal/serving/classification.py
+++ b/packages/burdockdeal/burdockdeal/serving/classification.py
@@ -109,12 +109,40 @@
     if requested not in configuration.ranks:
         detail = f"no rank is named {requested!r}"
         raise errors.NotRunError(verdict.Reason.UNKNOWN_RANK, detail)
-    own_urgency = configuration.ranks[own].urgency
-    return (
-        requested
-        if configuration.ranks[requested].urgency > own_urgency
-        else own
-    )
+    own_urgency = _find_urgency(configuration, own)
+    requested_urgency = configuration.ranks[requested].urgency
+    is_lower = own_urgency is not None and requested_urgency > own_urgency
+    return requested if is_lower else own
+
+
+def _find_urgency(
+    configuration: CompiledConfiguration, name: str
+) -> int | None:
+    rank = configuration.ranks.get(name)
+    return rank.urgency if rank else None
+
+
+def find_nearest_rank(
+    ranks: abc.Mapping[str, resources.Rank], name: str, urgency: int | None
+) -> tuple[str, resources.Rank] | None:
+    """Find the rank of a call that another daemon has classified.
+
+    That daemon may have a newer configuration, or an older one, so that this
+    one doesn't know the rank yet, or no more.
+
+    :param urgency: the order of priority of the rank, None if not known.
+    :returns: the rank itself, or else the one of the nearest urgency, the
+        least urgent one if that is not known; None if there is no rank.
+    """
+    if name in ranks:
+        return name, ranks[name]
+
+    def measure_distance(item: tuple[str, resources.Rank]) -> tuple:
+        candidate, rank = item
+        distance = 0 if urgency is None else abs(rank.urgency - urgency)
+        return distance, -rank.urgency, candidate
+
+    return min(ranks.items(), key=measure_distance, default=None)
 
 
 def _combine_regions(
@@ -174,12 +202,11 @@
     if metadata.timeout_ms is not None:
         timeout_ms = min(timeout_ms, metadata.timeout_ms)
     is_safe = rule.safe_methods and method in _SAFE_METHODS
+    rank = _choose_rank(configuration, rule, metadata.rank, workspace.urgency)
     return call.Call(
         request_id=request_id,
         service=service,
-        rank=_choose_rank(
-            configuration, rule, metadata.rank, workspace.urgency
-        ),
+        rank=rank,
         deadline=now + timeout_ms / 1000,
         depth=metadata.depth,
         retry_tokens=retry.grant_tokens(metadata.depth, metadata.retry_tokens),
@@ -191,4 +218,5 @@
         key_id=identity.key_id,
         regions=_combine_regions(rule, workspace),
         revision=configuration.revision,
+        urgency=_find_urgency(configuration, rank),
     )
--- a/packages/burdockdeal/burdockdeal/serving/owner.py
+++ b/packages/burdockdeal/burdockdeal/serving/owner.py
@@ -13,7 +13,6 @@
 from burdockdeal.announce import decisions as announce
 from burdockdeal.bookings import messages as bookings_messages
 from burdockdeal.bookings import send_registry
-from burdockdeal.configuration import resources
 from burdockdeal.core import call
 from burdockdeal.core import codec
 from burdockdeal.core import errors
@@ -52,13 +51,16 @@
 
 
 def _build_rank_policy(
-    configuration: classification.CompiledConfiguration, rank: str
+    configuration: classification.CompiledConfiguration, request: call.Call
 ) -> admission.RankPolicy:
-    spec: resources.Rank | None = configuration.ranks.get(rank)
-    if spec is None:
-        raise errors.NotRunError(verdict.Reason.UNKNOWN_RANK)
+    found = classification.find_nearest_rank(
+        configuration.ranks, request.rank, request.urgency
+    )
+    if found is None:
+        raise errors.NotRunError(verdict.Reason.NOT_CONFIGURED)
+    name, spec = found
     return admission.RankPolicy(
-        name=rank,
+        name=name,
         urgency=spec.urgency,
         worth=spec.worth,
         target_s=spec.target_ms / 1000,
@@ -191,7 +193,7 @@
             raise errors.NotRunError(verdict.Reason.NOT_CONFIGURED)
         arrived = clock()
         check(send)
-        policy = _build_rank_policy(current, send.request.rank)
+        policy = _build_rank_policy(current, send.request)
         if slots.is_busy and not send.may_queue:
             raise errors.NotRunError(verdict.Reason.BUSY)
         await refresher.refresh()
--- a/packages/burdockdeal/burdockdeal/serving/tests/test_owner.py
+++ b/packages/burdockdeal/burdockdeal/serving/tests/test_owner.py
@@ -6,11 +6,13 @@
 
 from collections import abc
 import contextlib
+import dataclasses
 import types
 
 import multidict
 import pytest
 
+from burdockdeal.admission import state as admission
 from burdockdeal.bookings import send_registry
 from burdockdeal.configuration import resources
 from burdockdeal.core import call
@@ -31,6 +33,7 @@
 
 _HEADER_BYTES = 16_384
 _RANK = "tracking"
+_RANKS = {_RANK: resources.Rank(0, 100.0, 500.0, 0.2)}
 _ADDRESS = model.Address("127.0.0.1", 1)
 _SETTINGS = types.SimpleNamespace(
     deployment=types.SimpleNamespace(service="orders")
@@ -51,14 +54,18 @@
 
 
 class _Slots:
-    """Admits every call at once."""
+    """Admits every call at once, and keeps the ranks of all."""
 
     is_busy = False
     running = 0
     waiting = 0
 
+    def __init__(self) -> None:
+        self.ranks: list[str] = []
+
     @contextlib.asynccontextmanager
-    async def hold_slot(self, *args: object, **kwargs: object):
+    async def hold_slot(self, policy: admission.RankPolicy, *args, **kwargs):
+        self.ranks.append(policy.name)
         yield lambda: None
 
 
@@ -75,6 +82,8 @@
     port: int,
     sessions: owner.UpstreamSessions,
     is_evacuated: abc.Callable[[], bool] = lambda: False,
+    ranks: abc.Mapping[str, resources.Rank] = _RANKS,
+    slots: _Slots | None = None,
 ) -> messages.OpenResponse:
     clock = clocks.Clock()
     announced = types.SimpleNamespace(
@@ -90,11 +99,11 @@
     configuration = types.SimpleNamespace(
         revision=0,
         workspaces=workspaces.EMPTY_INDEX,
-        ranks={_RANK: resources.Rank(0, 100.0, 500.0, 0.2)},
+        ranks=ranks,
     )
     return owner.make_upstream_opener(
         tracker,
-        _Slots(),
+        slots or _Slots(),
         sessions,
         lambda: configuration,
         clock,
@@ -232,3 +241,52 @@
             await run(open_response, make_send("a"))
         assert caught.value.reason is verdict.Reason.EVACUATED
         assert not upstream.connections
+
+
+@pytest.mark.parametrize(
+    ("rank", "urgency", "expected"),
+    [
+        ("p2", 2, "p2"),
+        ("p1", 1, "p0"),
+        ("p3", 3, "p4"),
+        ("p9", 9, "p4"),
+        ("old", None, "p4"),
+    ],
+)
+async def test_a_call_of_an_unknown_rank_has_the_nearest_one(
+    rank: str, urgency: int | None, expected: str
+) -> None:
+    """While a priority changes, the entry may know a rank that is new here.
+
+    Such calls were refused for good, with 400.
+    """
+    ranks = {
+        f"p{each}": resources.Rank(each, 100.0, 500.0) for each in (0, 2, 4)
+    }
+    if rank != "p2":
+        del ranks["p2"]
+    slots = _Slots()
+    async with (
+        raw_upstream.run_upstream() as upstream,
+        forwarding.build_session(_HEADER_BYTES) as session,
+    ):
+        sessions = owner.UpstreamSessions(session, session)
+        open_response = build_opener(
+            upstream.port, sessions, ranks=ranks, slots=slots
+        )
+
+        async def answer(reader, writer) -> None:
+            request_id = await read_id(reader)
+            writer.write(build_response(request_id, "ok", refusal=False))
+
+        upstream.handler = answer
+        send = make_send("a1")
+        send = dataclasses.replace(
+            send,
+            request=dataclasses.replace(
+                send.request, rank=rank, urgency=urgency
+            ),
+        )
+        async with open_response(send) as response:
+            assert response.status == 200
+    assert slots.ranks == [expected]
