Relay a response of unknown length as it comes

Cause: the end of a response of unknown length was awaited before any of it was relayed, for the sake of the responses behind it, also with none there.

Change: the daemon beside the upstream waits for nothing; that of the caller waits only if requests stand behind the response. One that comes behind a stream that has begun waits for its end, and is sent to nobody.

--- a/packages/bench/burdockdeal_bench/main.py
+++ b/packages/bench/burdockdeal_bench/main.py
@@ -11,6 +11,7 @@
 from burdockdeal_bench import experiment as experiments
 from burdockdeal_bench import hops as hop_costs
 from burdockdeal_bench import scenario as scenarios
+from burdockdeal_bench import streams as stream_arrivals
 
 EXIT_OK = 0
 EXIT_VIOLATION = 1
@@ -56,6 +57,13 @@
     return EXIT_OK
 
 
+def _run_streams(calls: int) -> int:
+    rows = asyncio.run(stream_arrivals.measure_arrivals(calls))
+    print(stream_arrivals.format_table(rows))
+    print(codec.encode(rows).decode())
+    return EXIT_OK
+
+
 def main(
     *,
     scenario: str = "",
@@ -65,6 +73,7 @@
     compare: bool = False,
     check: bool = False,
     hops: bool = False,
+    streams: bool = False,
     calls: int = 2000,
 ) -> int:
     """Run an experiment with about 20 real processes on loopback.
@@ -84,10 +93,14 @@
     :param compare: run every policy with the same seed and print a table.
     :param check: validate the files without running anything.
     :param hops: measure the cost of hops against pass-through proxies.
-    :param calls: number of calls on each path, with --hops.
+    :param streams: measure when the head and the first message of responses
+        arrive.
+    :param calls: number of calls on each path, with --hops and --streams.
     """
     if hops:
         return _run_hops(calls)
+    if streams:
+        return _run_streams(calls)
     scenario_name = scenario or (
         _DEFAULT_COMPARE_SCENARIO if compare else "steady"
     )
--- a/packages/burdockdeal/burdockdeal/serving/entry.py
+++ b/packages/burdockdeal/burdockdeal/serving/entry.py
@@ -23,6 +23,7 @@
 from burdockdeal.retry import hedging
 from burdockdeal.routing import tracking
 from burdockdeal.serving import bodies
+from burdockdeal.serving import caller_requests
 from burdockdeal.serving import classification
 from burdockdeal.serving import connection_end
 from burdockdeal.serving import final_response
@@ -175,7 +176,7 @@
     )
 
     async def forward_call(
-        request: web.BaseRequest,
+        request: caller_requests.CallerRequest,
         target: targets.Target,
         inbound: call.Call,
         caller_limits: resources.CallerLimits | None,
@@ -217,6 +218,7 @@
                     response_headers,
                     limits,
                     remaining_s=inbound.deadline - clock(),
+                    holds_back=request.has_followers,
                 )
         finally:
             await outbound.body.close()
@@ -245,7 +247,9 @@
             inbound, deadline=limit_deadline(inbound.deadline)
         )
 
-    async def handle(request: web.BaseRequest) -> web.StreamResponse:
+    async def handle(
+        request: caller_requests.CallerRequest,
+    ) -> web.StreamResponse:
         request_id = generate_id()
         rank = ""
         started = clock()
--- a/packages/burdockdeal/burdockdeal/serving/exchange.py
+++ b/packages/burdockdeal/burdockdeal/serving/exchange.py
@@ -6,6 +6,7 @@
 from aiohttp import http_parser
 from aiohttp import web
 
+from burdockdeal.serving import caller_requests
 from burdockdeal.serving import caller_server
 from burdockdeal.serving import raw_responses
 from burdockdeal.serving import request_reading
@@ -16,14 +17,6 @@
 _SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 
 
-class _Request(web.BaseRequest):
-    """A request whose connection may close after its response."""
-
-    @property
-    def keep_alive(self) -> bool:
-        return not self._protocol.decide_close()
-
-
 async def handle_request(
     server: caller_server.Server,
     channel: response_channels.ResponseChannel,
@@ -33,7 +26,7 @@
 
     :returns: whether the connection can be used for another request.
     """
-    if message.method not in _SAFE_METHODS:
+    if message.method not in _SAFE_METHODS or channel.follows_stream:
         await channel.wait_turn()
     response = await _handle(server, _build_request(channel, message))
     if not response.prepared:
@@ -60,8 +53,8 @@
 def _build_request(
     channel: response_channels.ResponseChannel,
     message: http_parser.RawRequestMessage,
-) -> _Request:
-    return _Request(
+) -> caller_requests.CallerRequest:
+    return caller_requests.CallerRequest(
         message,
         channel.payload,
         channel,
@@ -72,7 +65,7 @@
 
 
 async def _handle(
-    server: caller_server.Server, request: _Request
+    server: caller_server.Server, request: caller_requests.CallerRequest
 ) -> web.StreamResponse:
     try:
         return await server.handle(request)
--- a/packages/burdockdeal/burdockdeal/serving/forwarding.py
+++ b/packages/burdockdeal/burdockdeal/serving/forwarding.py
@@ -208,6 +208,7 @@
     *,
     remaining_s: float,
     to_peer: bool = False,
+    holds_back: bool = False,
 ) -> web.StreamResponse:
     """Relay a response to the client, a long one while it arrives.
 
@@ -217,6 +218,8 @@
     :param remaining_s: seconds until the call's deadline. A body that has no
         end by then is broken off a little later.
     :param to_peer: whether the client is another daemon.
+    :param holds_back: whether to wait for the end of a short response of
+        unknown length, for the sake of the responses behind it.
     :returns: the response to the client, fully written or ready to be
         written.
     :raises RanError: if the response broke off before any of it was
@@ -235,7 +238,9 @@
     )
     try:
         async with relay_timeout:
-            start = await short_responses.read_start(response, limits)
+            start = await short_responses.read_start(
+                response, limits, holds_back=holds_back
+            )
             if start.content and start.is_whole:
                 kept.popall("Content-Length", None)
                 return whole_type(
@@ -248,12 +253,14 @@
                 status=response.status, reason=response.reason, headers=kept
             )
             await relayed.prepare(request)
-            chunk = start.content
-            while chunk:
-                await body_io.write_response_chunk(relayed, chunk, limits)
-                chunk = await body_io.read_response_chunk(
-                    response.content, limits
+            if start.content:
+                await body_io.write_response_chunk(
+                    relayed, start.content, limits
                 )
+            while chunk := await body_io.read_response_chunk(
+                response.content, limits
+            ):
+                await body_io.write_response_chunk(relayed, chunk, limits)
             await relayed.write_eof()
             return relayed
     except (aiohttp.ClientError, OSError) as error:
--- a/packages/burdockdeal/burdockdeal/serving/messages.py
+++ b/packages/burdockdeal/burdockdeal/serving/messages.py
@@ -45,15 +45,12 @@
 
     :param reason: the HTTP reason phrase.
     :param content: reads the body while it arrives.
-    :param is_relayed: whether it comes through another daemon, which has
-        read it whole if it is short.
     """
 
     status: int
     reason: str | None
     headers: multidict.MultiMapping[str]
     content: BodyReader
-    is_relayed: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/burdockdeal/burdockdeal/serving/peers.py
+++ b/packages/burdockdeal/burdockdeal/serving/peers.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections import abc
 import contextlib
-import dataclasses
 
 import aiohttp
 
@@ -113,6 +112,6 @@
             if report.reason is not None:
                 await _drain(response.content)
                 raise _build_error(report, report.reason)
-            yield dataclasses.replace(response, is_relayed=True)
+            yield response
 
     return open_response
--- a/packages/burdockdeal/burdockdeal/serving/pipelined_connection.py
+++ b/packages/burdockdeal/burdockdeal/serving/pipelined_connection.py
@@ -113,6 +113,12 @@
         self.closing = self.closing or self._server.closing
         return self.closing
 
+    def has_followers(
+        self, channel: response_channels.ResponseChannel
+    ) -> bool:
+        """Return whether requests were read behind a channel's request."""
+        return self._exchanges.last is not channel
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection with the server."""
         super().connection_made(transport)
@@ -261,7 +267,11 @@
         self.closing = self._server.closing or message.should_close
         length = message.headers.get("Content-Length")
         channel = response_channels.ResponseChannel(
-            self, payload, self._loop, None if length is None else int(length)
+            self,
+            payload,
+            self._loop,
+            None if length is None else int(length),
+            follows_stream=any(each.is_stream for each in self._exchanges),
         )
         self._enqueue(
             channel, exchange.handle_request(self._server, channel, message)
--- a/packages/burdockdeal/burdockdeal/serving/response_channels.py
+++ b/packages/burdockdeal/burdockdeal/serving/response_channels.py
@@ -21,6 +21,9 @@
     def decide_close(self, channel: "ResponseChannel") -> bool:
         """Decide whether the connection closes after a channel's response."""
 
+    def has_followers(self, channel: "ResponseChannel") -> bool:
+        """Return whether requests were read behind a channel's request."""
+
     def record_write(self, size: int) -> None:
         """Record that bytes of a response were written or buffered."""
 
@@ -35,6 +38,8 @@
     :param payload: the request's body.
     :param loop: the running event loop.
     :param body_bytes: the length of the request's body, None if not known.
+    :param follows_stream: whether a response before it has begun that has no
+        length. The request waits for its end, which may never come.
     """
 
     #: Read from the protocol by aiohttp's requests.
@@ -46,6 +51,8 @@
         payload: streams.StreamReader,
         loop: asyncio.AbstractEventLoop,
         body_bytes: int | None = None,
+        *,
+        follows_stream: bool = False,
     ) -> None:
         self._body_bytes = body_bytes
         self._connection = connection
@@ -60,6 +67,7 @@
         #: connection closes.
         self.has_head = False
         self.payload = payload
+        self.follows_stream = follows_stream
         self.writer = http_writer.StreamWriter(self, loop)
 
     @property
@@ -90,6 +98,16 @@
         """Whether its response says where it ends, or its chunks do."""
         return self.writer.chunked or self.writer.length is not None
 
+    @property
+    def is_stream(self) -> bool:
+        """Whether its response is being sent and has no length."""
+        return self.has_begun and self.writer.length is None
+
+    @property
+    def has_followers(self) -> bool:
+        """Whether further requests were read from the connection."""
+        return self._connection.has_followers(self)
+
     @property
     def buffered_bytes(self) -> int:
         """Bytes of its response that wait for its turn."""
--- a/packages/burdockdeal/burdockdeal/serving/short_responses.py
+++ b/packages/burdockdeal/burdockdeal/serving/short_responses.py
@@ -17,8 +17,8 @@
 #: HTTP client reads ahead of each response.
 MAX_BYTES = 16_384
 
-#: Seconds for which the end of a body of unknown length is awaited, which may
-#: be a stream of short messages.
+#: Seconds for which the end of a body of unknown length is awaited if requests
+#: stand behind it. It may be a stream of short messages.
 UNKNOWN_LENGTH_WAIT_S = 0.5
 
 
@@ -66,11 +66,17 @@
 
 
 async def read_start(
-    response: messages.Response, limits: model.Limits
+    response: messages.Response,
+    limits: model.Limits,
+    *,
+    holds_back: bool = False,
 ) -> BodyStart:
     """Read a short body whole, or the beginning of a longer one.
 
+    Of a body of unknown length, what is there is read.
+
     :param limits: how long a read may stall.
+    :param holds_back: whether to wait for the end of such a body, too.
     :raises ClientError: if the body breaks off.
     """
     reader = _Reader(response, limits)
@@ -80,9 +86,7 @@
     elif length is not None:
         await reader.read(MAX_BYTES)
     else:
-        await reader.read(0)
-        # Another daemon has waited for the end already.
-        wait_s = 0.0 if response.is_relayed else UNKNOWN_LENGTH_WAIT_S
+        wait_s = UNKNOWN_LENGTH_WAIT_S if holds_back else 0.0
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(wait_s):
                 await reader.read(MAX_BYTES)
