--- a/packages/bench/burdockdeal_bench/testbed.py
+++ b/packages/bench/burdockdeal_bench/testbed.py
@@ -11,6 +11,7 @@
 from burdockdeal_bench import deployment as deployments
 from burdockdeal_bench import scenario as scenarios
 from burdockdeal_standins import fleet as standins
+from burdockdeal_standins import fleet_relays
 from burdockdeal_standins import ports
 from burdockdeal_standins import relay
 from burdockdeal_standins import relay_client
@@ -120,7 +121,8 @@
         listen_addresses: dict[str, model.Listen],
     ) -> None:
         host = f"127.0.{domain_number}.1"
-        self.links[domain] = await self.fleet.add_domain_relay(
+        self.links[domain] = await fleet_relays.add_domain_relay(
+            self.fleet,
             host,
             {
                 place.name: listen_addresses[place.name].peer
--- a/packages/standins/burdockdeal_standins/fleet.py
+++ b/packages/standins/burdockdeal_standins/fleet.py
@@ -15,7 +15,6 @@
 from burdockdeal.settings import model
 from burdockdeal_standins import logs
 from burdockdeal_standins import ports
-from burdockdeal_standins import relay_client
 from burdockdeal_standins import store
 from burdockdeal_standins import upstream
 
@@ -28,7 +27,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NodeSpec:
-    """The specification of a daemon and the upstream upstream_process it.
+    """The specification of a daemon and the upstream beside it.
 
     :param name: of the daemon.
     :param service: the upstream's service, empty for no upstream.
@@ -324,93 +323,6 @@
         """Read the store's call counters."""
         return await self._get(f"{self._store_admin}/counts", store.Counts)
 
-    async def add_relay(
-        self, target: str, **options: object
-    ) -> relay_client.RelayClient:
-        """Start a relay.
-
-        :param target: host:port that it forwards to.
-        :param options: further flags of the relay.
-        """
-        port, admin_port = ports.free_port(), ports.free_port()
-        process = await self.start(
-            "burdockdeal_standins.relay",
-            f"relay-{port}",
-            port=port,
-            target=target,
-            admin_port=admin_port,
-            **options,
-        )
-        await self.wait_for_port(admin_port, process)
-        return relay_client.RelayClient(self.session, port, admin_port)
-
-    async def add_domain_relay(
-        self,
-        host: str,
-        targets: abc.Mapping[str, model.Address],
-        *,
-        delay_ms: float = 0.0,
-    ) -> relay_client.RelayClient:
-        """Start the relay of a failure domain, one port for each daemon.
-
-        :param host: address of the domain; connections from addresses that
-            differ only in the last octet bypass the faults.
-        :param targets: peer address of each daemon, by name.
-        :param delay_ms: added one-way delay in milliseconds.
-        """
-        near = host.rsplit(".", 1)[0] + "."
-        relay_ports = [ports.free_port(host) for _ in targets]
-        admin_port = ports.free_port()
-        process = await self.start(
-            "burdockdeal_standins.relay",
-            f"relay-{admin_port}",
-            host=host,
-            port=",".join(map(str, relay_ports)),
-            target=",".join(map(str, targets.values())),
-            admin_port=admin_port,
-            delay_ms=delay_ms,
-            near=near,
-        )
-        await self.wait_for_port(admin_port, process, host)
-        addresses = {
-            name: model.Address(host, port)
-            for name, port in zip(targets, relay_ports, strict=True)
-        }
-        return relay_client.RelayClient(
-            self.session, relay_ports[0], admin_port, host, near, addresses
-        )
-
-    async def add_domain(
-        self, number: int, specs: abc.Sequence[NodeSpec], **changes: object
-    ) -> relay_client.RelayClient:
-        """Start a failure domain whose daemons are reached through a relay.
-
-        :param number: of the domain; the third octet of its addresses.
-        """
-        host = f"127.0.{number}.1"
-        listen_settings = {
-            spec.name: model.Listen(
-                *(model.Address(host, ports.free_port(host)) for _ in range(4))
-            )
-            for spec in specs
-        }
-        relay = await self.add_domain_relay(
-            host,
-            {name: listen.peer for name, listen in listen_settings.items()},
-        )
-        await asyncio.gather(
-            *(
-                self.add_node(
-                    spec,
-                    listen=listen_settings[spec.name],
-                    advertise=relay.addresses[spec.name],
-                    **changes,
-                )
-                for spec in specs
-            )
-        )
-        return relay
-
     def read_log_tails(self) -> str:
         """Read the last part of each process's log."""
         return logs.read_tails(self.folder)
--- a/tests/test_bookings.py
+++ b/tests/test_bookings.py
@@ -15,6 +15,7 @@
 from burdockdeal.core import codec
 from burdockdeal.serving import messages
 from burdockdeal_standins import fleet as standins
+from burdockdeal_standins import fleet_relays
 from burdockdeal_standins import relay
 from burdockdeal_standins import store
 from burdockdeal_standins import upstream
@@ -385,7 +386,7 @@
     """The link to the owner breaks while its daemon is paused."""
     place = standins.NodeSpec("d2", "queensferry", "bookings")
     listen = fleet.make_settings(place).listen
-    link = await fleet.add_relay(str(listen.peer))
+    link = await fleet_relays.add_relay(fleet, str(listen.peer))
     reached = dataclasses.replace(listen.peer, port=link.port)
     await fleet.add_node(standins.NodeSpec("d1", "shotton"))
     node = await fleet.add_node(place, listen=listen, advertise=reached)
--- a/tests/test_configuration_spread.py
+++ b/tests/test_configuration_spread.py
@@ -13,6 +13,7 @@
 from burdockdeal.platform import wire
 from burdockdeal.settings import model
 from burdockdeal_standins import fleet as standins
+from burdockdeal_standins import fleet_relays
 from burdockdeal_standins import operator_api
 from burdockdeal_standins import ports
 from burdockdeal_standins import relay
@@ -31,8 +32,8 @@
         *(model.Address(host, ports.free_port(host)) for _ in range(4))
     )
     name = f"d{number}"
-    link = await fleet.add_domain_relay(
-        f"127.0.{number}.9", {name: listen.peer}
+    link = await fleet_relays.add_domain_relay(
+        fleet, f"127.0.{number}.9", {name: listen.peer}
     )
     RELAYS[name] = link
     await fleet.add_node(
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -11,6 +11,7 @@
 from burdockdeal.announce import messages
 from burdockdeal.core import codec
 from burdockdeal_standins import fleet as standins
+from burdockdeal_standins import fleet_relays
 from burdockdeal_standins import ports
 from burdockdeal_standins import relay
 from burdockdeal_standins import upstream
@@ -128,7 +129,7 @@
 ) -> None:
     place = standins.NodeSpec("d2", "queensferry", "bookings")
     listen = fleet.make_settings(place).listen
-    link = await fleet.add_relay(str(listen.peer))
+    link = await fleet_relays.add_relay(fleet, str(listen.peer))
     reached = dataclasses.replace(listen.peer, port=link.port)
     await fleet.add_node(standins.NodeSpec("d1", "shotton"))
     await fleet.add_node(standins.NodeSpec("d3", "shotton", "bookings"))
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -5,6 +5,7 @@
 import conftest
 
 from burdockdeal_standins import fleet as standins
+from burdockdeal_standins import fleet_relays
 from burdockdeal_standins import relay
 
 
@@ -96,7 +97,7 @@
             standins.NodeSpec(name, f"domain-{number}")
             for name in domain_names
         ]
-        links.append(await fleet.add_domain(number, places))
+        links.append(await fleet_relays.add_domain(fleet, number, places))
     await conftest.declare_basic_resources(fleet, fleet.nodes["a1"])
     for link in links:
         await link.set_behaviour(relay.Behaviour(cut=True, near=link.near))
