Make the checks of streams and broken answers independent of speed

That nothing is waited for in front of a stream is shown on virtual time, to the moment; the test with processes had a bound of 0.4 s. The tests of broken answers wait for the line of the log that says that the answer has broken off, where they slept for 0.2 s. They check the same.

--- a/tests/test_answers_in_turn.py
+++ b/tests/test_answers_in_turn.py
@@ -22,11 +22,12 @@
 _BEFORE = (1, 3)
 
 _DEADLINE_MS = 600
-#: Seconds until a broken answer has ended at both daemons, and until one that
-#: stalls has.
-_BREAK_S = 0.2
+#: Seconds for which an answer stalls, longer than its deadline.
 _STALL_S = 1.1
 
+#: Log events of requests that end without their upstream's answer.
+_ENDED_EVENTS = ("response_truncated", "request_refused")
+
 _OK_HEAD = b"HTTP/1.1 200 OK\r\n"
 
 
@@ -183,6 +184,12 @@
     assert upstream.runs.count("/jobs/behind") <= 1
 
 
+def _count_ended(harness: raw_http.Harness, node: str) -> int:
+    """Count the requests that have ended without their upstream's answer."""
+    log = harness.fleet.read_log(node)
+    return sum(log.count(f"event={event} ") for event in _ENDED_EVENTS)
+
+
 async def _check_pipeline(
     harness: raw_http.Harness,
     upstream: _Upstream,
@@ -190,16 +197,29 @@
     *,
     size: int,
     before: int,
-    wait_s: float,
 ) -> None:
+    ended = _count_ended(harness, node)
     async with harness.connect(_build_pipeline(before), node) as connection:
         await asyncio.wait_for(upstream.has_broken.wait(), 5)
-        await asyncio.sleep(wait_s)
+        is_buffered = size == _SIZES[0]
+        if is_buffered:
+            await _wait_until_ended(harness, node, ended + 1)
+        else:
+            await asyncio.sleep(_STALL_S)
         await _check_answers(
-            connection, upstream, before, may_end=size > _SIZES[0]
+            connection, upstream, before, may_end=not is_buffered
         )
 
 
+async def _wait_until_ended(
+    harness: raw_http.Harness, node: str, count: int
+) -> None:
+    async def has_ended() -> bool:
+        return _count_ended(harness, node) >= count
+
+    await harness.fleet.wait_until(has_ended, "the answer has broken off")
+
+
 @pytest.mark.parametrize("node", ["d1", "d2"])
 @pytest.mark.parametrize("ending", _ENDINGS)
 async def test_an_answer_that_breaks_off_before_its_turn_leaves_the_others(
@@ -210,13 +230,12 @@
     One beyond the buffer may end the connection in its turn.
     """
     framing, end = _ENDINGS[ending]
-    wait_s = _BREAK_S if end in {_reset, _close} else _STALL_S
     upstream = _Upstream(end)
     harness.upstream.handler = upstream.handle
     for size, before in itertools.product(_SIZES, _BEFORE):
         upstream.break_off_after(framing.build(size)[:-2_000])
         await _check_pipeline(
-            harness, upstream, node, size=size, before=before, wait_s=wait_s
+            harness, upstream, node, size=size, before=before
         )
     log = harness.fleet.read_log(node)
     assert "event=caller_gone" not in log
@@ -234,6 +253,6 @@
     async with harness.connect(_build_pipeline(3), node) as connection:
         await asyncio.wait_for(upstream.has_broken.wait(), 5)
         harness.fleet.nodes[node].daemon.send_signal(signal.SIGTERM)
-        await asyncio.sleep(_BREAK_S)
+        await _wait_until_ended(harness, node, 1)
         await _check_answers(connection, upstream, 3, may_end=False)
         assert await connection.read_all() == b""
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -10,7 +10,6 @@
 
 import pytest
 
-from burdockdeal.serving import short_responses
 from burdockdeal_standins import raw_http
 from burdockdeal_standins import scripted_upstream
 
@@ -96,14 +95,14 @@
 async def test_a_first_message_is_not_held_back(
     harness: raw_http.Harness, framing: str, node: str
 ) -> None:
-    """It comes with the head, and nothing after it."""
+    """It comes with the head, and nothing after it.
+
+    That nothing is waited for is in `serving/tests/test_short_responses.py`.
+    """
     async with _open_stream(harness, framing, node) as (stream, connection):
         stream.messages.put_nowait(b"first")
-        async with asyncio.timeout(
-            0.8 * short_responses.UNKNOWN_LENGTH_WAIT_S
-        ):
-            await connection.read_head()
-            await connection.reader.readuntil(b"first\r\n")
+        await connection.read_head()
+        await _read_until(connection, b"first\r\n")
 
 
 @pytest.mark.parametrize("node", ["d1", "d2"])
