Sample the fleet alike, and again after a cut

What would have been seen: a lender that was cut off once goes on lending at a share of the rate for as long as it is asked, and samples favour daemons whose names come first.

Cause: while the share was below 1, the single probes came first and kept the samples from being due; of the names drawn the first in order were taken.

Change: below 1 only samples are taken; names are taken in the order of the draw.

--- a/packages/burdockdeal/burdockdeal/quotas/contact.py
+++ b/packages/burdockdeal/burdockdeal/quotas/contact.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections import abc
+import itertools
 import random
 
 from burdockdeal.membership import messages as membership
@@ -72,9 +73,11 @@
         :param workspace: one for which this daemon lends.
         """
         now = self._clock()
-        if self._share < 1.0 and now - self._probed_at >= _SAMPLE_INTERVAL_S:
-            self._sample(workspace)
-        elif now - self._probed_at >= _PROBE_INTERVAL_S:
+        elapsed_s = now - self._probed_at
+        if self._share < 1.0:
+            if elapsed_s >= _SAMPLE_INTERVAL_S:
+                self._sample(workspace)
+        elif elapsed_s >= _PROBE_INTERVAL_S:
             self._probed_at = now
             self._start(self._probe_one(workspace))
 
@@ -117,10 +120,12 @@
         )
         return [reply is not None for reply in replies]
 
-    def _choose(self, count: int) -> set[str]:
-        """Choose daemons that the roster takes to be alive."""
-        drawn = {self._view.ring.choose(self._rng) for _ in range(2 * count)}
-        return set(sorted(filter(self._is_other, drawn))[:count])
+    def _choose(self, count: int) -> list[str]:
+        """Choose daemons at random that the roster takes to be alive."""
+        drawn = (self._view.ring.choose(self._rng) for _ in range(2 * count))
+        # Without those that were drawn twice, in the order of the draw.
+        others = filter(self._is_other, dict.fromkeys(drawn))
+        return list(itertools.islice(others, count))
 
     def _is_other(self, daemon: str) -> bool:
         member = self._view.roster.find(daemon)
