Start the work of a request only if its connection is still there

Seen: warnings that handle_request was never awaited, for requests whose connection was lost before their task began. The work is a function now, which is called when the task begins.

--- a/packages/burdockdeal/burdockdeal/serving/exchange_queue.py
+++ b/packages/burdockdeal/burdockdeal/serving/exchange_queue.py
@@ -11,6 +11,10 @@
 #: with whether the connection can be used for another request.
 Complete = abc.Callable[[response_channels.ResponseChannel, bool], None]
 
+#: Handles a request, and returns whether the connection can be used for
+#: another one. It is not called if the connection is lost before.
+Work = abc.Callable[[], abc.Awaitable[bool]]
+
 
 class ExchangeQueue:
     """Runs the work of requests, and ends each in its turn.
@@ -62,7 +66,7 @@
         )
 
     def add(
-        self, channel: response_channels.ResponseChannel, work: abc.Coroutine
+        self, channel: response_channels.ResponseChannel, work: Work
     ) -> None:
         """Start the work of a request behind the others."""
         self._channels.append(channel)
@@ -92,7 +96,7 @@
         self._channels.clear()
 
     async def _run(
-        self, channel: response_channels.ResponseChannel, work: abc.Coroutine
+        self, channel: response_channels.ResponseChannel, work: Work
     ) -> None:
         try:
             is_reusable = await self._work_in_turn(channel, work)
@@ -102,12 +106,12 @@
             self._complete(channel, is_reusable)
 
     async def _work_in_turn(
-        self, channel: response_channels.ResponseChannel, work: abc.Coroutine
+        self, channel: response_channels.ResponseChannel, work: Work
     ) -> bool:
         """Do a request's work until its turn has come, however it ends."""
         is_reusable = False
         try:
-            is_reusable = await work
+            is_reusable = await work()
         except Exception as error:
             # Nobody awaits this task, so it has to report the error itself.
             self._report_error(error)
--- a/packages/burdockdeal/burdockdeal/serving/pipelined_connection.py
+++ b/packages/burdockdeal/burdockdeal/serving/pipelined_connection.py
@@ -1,7 +1,7 @@
 """One client connection whose pipelined requests are handled concurrently."""
 
 import asyncio
-from collections import abc
+import functools
 
 from aiohttp import base_protocol
 from aiohttp import http_exceptions
@@ -274,7 +274,10 @@
             follows_stream=any(each.is_stream for each in self._exchanges),
         )
         self._enqueue(
-            channel, exchange.handle_request(self._server, channel, message)
+            channel,
+            functools.partial(
+                exchange.handle_request, self._server, channel, message
+            ),
         )
 
     def reject(
@@ -328,10 +331,15 @@
         channel = response_channels.ResponseChannel(
             self, streams.EMPTY_PAYLOAD, self._loop
         )
-        self._enqueue(channel, exchange.refuse(self._server, channel, error))
+        self._enqueue(
+            channel,
+            functools.partial(exchange.refuse, self._server, channel, error),
+        )
 
     def _enqueue(
-        self, channel: response_channels.ResponseChannel, work: abc.Coroutine
+        self,
+        channel: response_channels.ResponseChannel,
+        work: exchange_queue.Work,
     ) -> None:
         self._exchanges.add(channel, work)
         if len(self._exchanges) > MAX_PIPELINED_REQUESTS:
